Add the design page, the workspace and the shared types

Change: design page, 21 packages with their build references, the document schema, the platform's narrow interfaces, problem codes and the protocol definitions with generated code.

Nothing is served yet.

--- /dev/null
+++ b/packages/common/telemetry/src/index.ts
@@ -0,0 +1,1 @@
+export const packageName = '@turmericbay/telemetry';
--- /dev/null
+++ b/packages/common/types/src/index.ts
@@ -0,0 +1,6 @@
+export type * from './identifiers.js';
+export * from './clock.js';
+export * from './instances.js';
+export * from './platform.js';
+export * from './ports.js';
+export * from './problems.js';
--- /dev/null
+++ b/packages/common/types/src/instances.ts
@@ -0,0 +1,32 @@
+/**
+ * Instances as the platform's list shows them. The list lags behind reality.
+ */
+import type {
+	AvailabilityZone, Incarnation, InstanceId, PoolName, RackName,
+} from './identifiers.js';
+
+export enum InstanceState {
+	Live = 'live',
+	Leaving = 'leaving',
+}
+
+export enum InstanceRole {
+	/** Runs the daemon. */
+	Entry = 'entry',
+	/** Serves requests. */
+	Upstream = 'upstream',
+	/** Runs tasks of jobs. */
+	Worker = 'worker',
+}
+
+export type InstanceRecord = {
+	readonly instance: InstanceId;
+	readonly incarnation: Incarnation;
+	/** Host (IP number) and port of the instance's main listener. */
+	readonly address: string;
+	readonly role: InstanceRole;
+	readonly pool: PoolName;
+	readonly zone: AvailabilityZone;
+	readonly rack: RackName;
+	readonly state: InstanceState;
+};
--- /dev/null
+++ b/packages/common/types/src/ports.ts
@@ -0,0 +1,68 @@
+/**
+ * Narrow interfaces between the parts of an entry instance. The daemon wires
+ * the implementations together; tests pass small fakes.
+ */
+import type {
+	Incarnation, InstanceId, QueueName, TeamName,
+} from './identifiers.js';
+import type {InstanceRecord} from './instances.js';
+import type {Problem} from './problems.js';
+
+/** How an attempt with an idempotency key ended. */
+export enum Settlement {
+	Run = 'run',
+	/** No byte reached an upstream; the key may be claimed again. */
+	NotRun = 'not-run',
+	Unknown = 'unknown',
+}
+
+export type ClaimDecision
+	= | {readonly type: 'granted'; readonly attempt: string}
+		| {readonly type: 'refused'; readonly problem: Problem};
+
+/** Records idempotency claims with the owner of the key's partition. */
+export type ClaimPort = {
+	claim(options: {
+		readonly key: string;
+		readonly team: TeamName;
+		readonly queue: QueueName;
+		/** SHA-256 of method, path and body. */
+		readonly fingerprint: Uint8Array;
+	}): Promise<ClaimDecision>;
+	settle(options: {
+		readonly key: string;
+		readonly team: TeamName;
+		readonly queue: QueueName;
+		readonly attempt: string;
+		readonly settlement: Settlement;
+	}): void;
+};
+
+/** Units of the teams' upper limits that this entry instance holds. */
+export type GrantPort = {
+	/** Takes one unit for one running request or job; false if none is free. */
+	tryAcquire(options: {readonly team: TeamName}): boolean;
+	release(options: {readonly team: TeamName}): void;
+	/** Calls back when a team that had no free unit has one again. */
+	onAvailable(listener: (team: TeamName) => void): void;
+};
+
+/** The part of a holder's identity that outlives neither its process nor its instance. */
+export type ProcessIdentity = {
+	readonly instance: InstanceId;
+	readonly incarnation: Incarnation;
+};
+
+/** What is known about the platform's instance list. */
+export type InstanceDirectory = {
+	/** The newest list seen; empty before the first one. */
+	instances(): readonly InstanceRecord[];
+	/** Milliseconds since that list was read from the platform; undefined before the first one. */
+	ageMilliseconds(): number | undefined;
+	/**
+	 * True if the list showed this process once and now shows it no more or
+	 * shows another incarnation of the same instance.
+	 */
+	isProvenGone(identity: ProcessIdentity): boolean;
+	subscribe(listener: () => void): void;
+};
--- /dev/null
+++ b/packages/configuration/document/src/index.ts
@@ -0,0 +1,2 @@
+export * from './schema.js';
+export type * from './ports.js';
--- /dev/null
+++ b/packages/peers/peer-protocol/src/index.ts
@@ -0,0 +1,2 @@
+export * from './generated/turmericbay/peer/v1/peer_pb.js';
+export * as operatorMessages from './generated/turmericbay/operator/v1/operator_pb.js';
