Add telemetry: numbered log events, spans per hop, metrics

Cause: every later part logs, traces and measures, so these come first.

Ruled out: configuring roarr by its environment variable only (levels come from the settings file; enable-roarr sets the variable before roarr loads); the metric SDK of OpenTelemetry (the house asks for HDR histograms).

Change: catalogue of events with docs/log-events.md, logger, tracing with an OTLP exporter that is off by default, counters and histograms as Prometheus text.

--- a/packages/common/telemetry/src/index.ts
+++ b/packages/common/telemetry/src/index.ts
@@ -1,1 +1,4 @@
-export const packageName = '@turmericbay/telemetry';
+export * from './log-events.js';
+export * from './logger.js';
+export * from './metrics.js';
+export * from './tracing.js';
--- /dev/null
+++ b/packages/common/telemetry/src/log-events.ts
@@ -0,0 +1,242 @@
+/**
+ * Catalogue of the numbered log events. Numbers are never reused; docs/log-events.md
+ * is written from this table and a test keeps the two equal.
+ */
+
+export enum LogLevel {
+	Debug = 20,
+	Information = 30,
+	Warning = 40,
+	Error = 50,
+}
+
+export enum LogEvent {
+	DaemonStarted = 1001,
+	DaemonReady = 1002,
+	DaemonStopping = 1003,
+	DaemonStopped = 1004,
+	SettingsInvalid = 1005,
+	ListenFailed = 1006,
+	ShutdownBoundExceeded = 1007,
+	DocumentInForce = 2001,
+	DocumentRefused = 2002,
+	DocumentOlderIgnored = 2003,
+	ConfirmationLost = 2004,
+	ConfirmationRegained = 2005,
+	DocumentSubmitted = 2006,
+	PlatformUnreachable = 3001,
+	PlatformReachable = 3002,
+	InstanceListFailed = 3003,
+	SessionLost = 3004,
+	PeerUnreachable = 4001,
+	PeerReachable = 4002,
+	PeerRejected = 4003,
+	GrantReclaimed = 5001,
+	GrantLedgerFailed = 5002,
+	PartitionTaken = 6001,
+	PartitionIncomplete = 6002,
+	ClaimsInMemory = 6003,
+	UpstreamEjected = 7001,
+	UpstreamRestored = 7002,
+	AnswerDropped = 7003,
+	RequestRefused = 7004,
+	MaintenanceStepRecorded = 8001,
+	MaintenanceStopped = 8002,
+	InstanceFailureRecorded = 8003,
+	InternalError = 9001,
+}
+
+export type LogEventDescription = {
+	readonly level: LogLevel;
+	readonly message: string;
+	/** What an operator does about it. */
+	readonly action: string;
+};
+
+const none = 'None.';
+
+export const logEvents: Readonly<Record<LogEvent, LogEventDescription>> = {
+	[LogEvent.DaemonStarted]: {
+		level: LogLevel.Information,
+		message: 'The daemon has started and is not ready yet',
+		action: none,
+	},
+	[LogEvent.DaemonReady]: {
+		level: LogLevel.Information,
+		message: 'The daemon has a configuration and accepts requests',
+		action: none,
+	},
+	[LogEvent.DaemonStopping]: {
+		level: LogLevel.Information,
+		message: 'Graceful shutdown has begun',
+		action: none,
+	},
+	[LogEvent.DaemonStopped]: {
+		level: LogLevel.Information,
+		message: 'Graceful shutdown is complete',
+		action: none,
+	},
+	[LogEvent.SettingsInvalid]: {
+		level: LogLevel.Error,
+		message: 'The settings file has faults',
+		action: 'Correct every listed key; the daemon exits with code 78.',
+	},
+	[LogEvent.ListenFailed]: {
+		level: LogLevel.Error,
+		message: 'A listener could not be opened',
+		action: 'Free the address or change the listen setting.',
+	},
+	[LogEvent.ShutdownBoundExceeded]: {
+		level: LogLevel.Warning,
+		message: 'Requests were still running when the shutdown bound was reached',
+		action: 'Raise the shutdown bound above the longest run time of the queues.',
+	},
+	[LogEvent.DocumentInForce]: {
+		level: LogLevel.Information,
+		message: 'A version of the document is in force',
+		action: none,
+	},
+	[LogEvent.DocumentRefused]: {
+		level: LogLevel.Error,
+		message: 'A stored document cannot be read; the last good one stays in force',
+		action: 'Submit a valid document, or upgrade this instance if the format is newer.',
+	},
+	[LogEvent.DocumentOlderIgnored]: {
+		level: LogLevel.Warning,
+		message: 'The platform answered with an older document, which was ignored',
+		action: 'Check whether the platform\'s service was restored from a backup.',
+	},
+	[LogEvent.ConfirmationLost]: {
+		level: LogLevel.Warning,
+		message: 'The document could not be confirmed within the bound; keyed work follows whenUnconfirmed',
+		action: 'Restore the connection to the platform or to the other zones.',
+	},
+	[LogEvent.ConfirmationRegained]: {
+		level: LogLevel.Information,
+		message: 'The document is confirmed again',
+		action: none,
+	},
+	[LogEvent.DocumentSubmitted]: {
+		level: LogLevel.Information,
+		message: 'An operator\'s submit was decided',
+		action: none,
+	},
+	[LogEvent.PlatformUnreachable]: {
+		level: LogLevel.Warning,
+		message: 'The platform\'s key-value service does not answer',
+		action: 'Requests go on; no change of configuration, limits or waves until it answers.',
+	},
+	[LogEvent.PlatformReachable]: {
+		level: LogLevel.Information,
+		message: 'The platform\'s key-value service answers again',
+		action: none,
+	},
+	[LogEvent.InstanceListFailed]: {
+		level: LogLevel.Warning,
+		message: 'The platform\'s instance list could not be read',
+		action: 'The last list stays in use; check the instance list service.',
+	},
+	[LogEvent.SessionLost]: {
+		level: LogLevel.Warning,
+		message: 'The session lease lapsed and was opened anew',
+		action: 'Look for pauses of this process or an outage of the platform.',
+	},
+	[LogEvent.PeerUnreachable]: {
+		level: LogLevel.Warning,
+		message: 'Another entry instance does not answer',
+		action: 'Check that instance and the network between the zones.',
+	},
+	[LogEvent.PeerReachable]: {
+		level: LogLevel.Information,
+		message: 'Another entry instance answers again',
+		action: none,
+	},
+	[LogEvent.PeerRejected]: {
+		level: LogLevel.Error,
+		message: 'A peer or operator call carried a wrong secret',
+		action: 'Compare the secrets in the settings of both sides.',
+	},
+	[LogEvent.GrantReclaimed]: {
+		level: LogLevel.Information,
+		message: 'Limit units of a process that is gone were reclaimed',
+		action: none,
+	},
+	[LogEvent.GrantLedgerFailed]: {
+		level: LogLevel.Warning,
+		message: 'The grant ledger could not be read or changed',
+		action: 'Units stay where they are until the platform answers.',
+	},
+	[LogEvent.PartitionTaken]: {
+		level: LogLevel.Information,
+		message: 'This instance owns a claim partition',
+		action: none,
+	},
+	[LogEvent.PartitionIncomplete]: {
+		level: LogLevel.Warning,
+		message: 'The records of a partition may be incomplete; keys dated before the takeover get unknown',
+		action: 'Ask the callers concerned to check their orders before repeating them.',
+	},
+	[LogEvent.ClaimsInMemory]: {
+		level: LogLevel.Warning,
+		message: 'Claims are kept in memory until the platform answers',
+		action: 'Do not replace this instance before the platform answers again.',
+	},
+	[LogEvent.UpstreamEjected]: {
+		level: LogLevel.Warning,
+		message: 'An upstream failed repeatedly and gets no work for a while',
+		action: 'Check the upstream.',
+	},
+	[LogEvent.UpstreamRestored]: {
+		level: LogLevel.Information,
+		message: 'An ejected upstream gets work again',
+		action: none,
+	},
+	[LogEvent.AnswerDropped]: {
+		level: LogLevel.Warning,
+		message: 'An answer of an upstream was dropped because it was cut short or not for this request',
+		action: 'Check the upstream.',
+	},
+	[LogEvent.RequestRefused]: {
+		level: LogLevel.Debug,
+		message: 'A request was refused',
+		action: none,
+	},
+	[LogEvent.MaintenanceStepRecorded]: {
+		level: LogLevel.Information,
+		message: 'A step of a maintenance wave or a move was recorded',
+		action: none,
+	},
+	[LogEvent.MaintenanceStopped]: {
+		level: LogLevel.Warning,
+		message: 'The maintenance wave waits because a budget is used up',
+		action: 'Replace the failed instances named in maintenance status.',
+	},
+	[LogEvent.InstanceFailureRecorded]: {
+		level: LogLevel.Warning,
+		message: 'An instance failed unplanned and draws on its budgets',
+		action: 'Replace the instance.',
+	},
+	[LogEvent.InternalError]: {
+		level: LogLevel.Error,
+		message: 'A fault inside the daemon',
+		action: 'Report it with the log lines around it.',
+	},
+};
+
+/** The catalogue as a Markdown page. */
+export const renderLogEventCatalogue = (): string => {
+	const rows = Object.entries(logEvents).map(([number, {level, message, action}]) =>
+		`| ${number} | ${LogEvent[Number(number)]} | ${LogLevel[level].toLowerCase()} | ${message} | ${action} |`);
+	return [
+		'# Log events',
+		'',
+		'Every log line is one JSON object. `context.event` is the number below, `context.logLevel` the level',
+		'(debug 20, information 30, warning 40, error 50); further fields stand in `context`.',
+		'Keys and secrets are never logged.',
+		'',
+		'| number | name | level | message | what to do |',
+		'| --- | --- | --- | --- | --- |',
+		...rows,
+		'',
+	].join('\n');
+};
--- /dev/null
+++ b/packages/common/telemetry/src/logger.ts
@@ -0,0 +1,38 @@
+/** Structured logging: one JSON line per numbered event, written through roarr. */
+// eslint-disable-next-line import-x/no-unassigned-import -- Evaluated for its effect before roarr loads.
+import './enable-roarr.js';
+// eslint-disable-next-line import-x/order -- Has to follow enable-roarr.
+import {ROARR, Roarr} from 'roarr';
+import {LogEvent, logEvents, LogLevel} from './log-events.js';
+
+export type LogFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>;
+
+export type Logger = {
+	/** Writes the event with its fields; the message and the level come from the catalogue. */
+	log(event: LogEvent, fields?: LogFields): void;
+};
+
+/** Directs all log lines of the process to one function, one line per call. */
+export const setLogWriter = (write: (line: string) => void): void => {
+	ROARR.write = write;
+};
+
+export const createLogger = (options: {minimumLevel: LogLevel; context: LogFields}): Logger => {
+	const child = Roarr.child({...options.context, application: 'turmericbay'});
+	return {
+		log(event, fields = {}) {
+			const {level, message} = logEvents[event];
+			if (level >= options.minimumLevel) {
+				child({
+					...fields, event, name: LogEvent[event], logLevel: level,
+				}, message);
+			}
+		},
+	};
+};
+
+/** Parses a level as it stands in the settings. */
+export const parseLogLevel = (text: string): LogLevel | undefined => {
+	const entry = Object.entries(LogLevel).find(([name]) => name.toLowerCase() === text.toLowerCase());
+	return typeof entry?.[1] === 'number' ? entry[1] : undefined;
+};
--- /dev/null
+++ b/packages/common/telemetry/test/telemetry.test.ts
@@ -0,0 +1,58 @@
+import {readFile} from 'node:fs/promises';
+import test from 'ava';
+import {InMemorySpanExporter} from '@opentelemetry/sdk-trace-base';
+import {
+	createDisabledTracing, createLogger, createMetrics, createTracing, Hop, LogEvent, LogLevel, renderLogEventCatalogue, setLogWriter,
+} from '../src/index.js';
+
+// Guards against log events that the operators' catalogue does not list.
+test('docs/log-events.md equals the catalogue', async t => {
+	const page = await readFile(new URL('../../../../../docs/log-events.md', import.meta.url), 'utf8');
+	t.is(page, renderLogEventCatalogue());
+});
+
+// Guards against log lines without their number, and against debug lines at the wrong level.
+test.serial('a log line carries its number and respects the minimum level', t => {
+	const lines: string[] = [];
+	setLogWriter(line => {
+		lines.push(line);
+	});
+	const logger = createLogger({minimumLevel: LogLevel.Information, context: {instance: 'entry-1'}});
+	logger.log(LogEvent.RequestRefused);
+	logger.log(LogEvent.DocumentInForce, {version: 3});
+	t.is(lines.length, 1);
+	t.like(JSON.parse(lines[0]!), {context: {event: 2001, version: 3, instance: 'entry-1'}});
+});
+
+// Guards against a page that a Prometheus server cannot parse.
+test('metrics render as Prometheus text', t => {
+	const metrics = createMetrics();
+	metrics.increment('turmericbay_requests_total', {outcome: 'answered'});
+	metrics.increment('turmericbay_requests_total', {outcome: 'answered'}, 2);
+	metrics.setGauge('turmericbay_queued', 4, {pool: 'a"b'});
+	for (const milliseconds of [1, 2, 3, 100]) {
+		metrics.recordMilliseconds('turmericbay_request_seconds', milliseconds);
+	}
+
+	t.snapshot(metrics.renderPrometheusText());
+});
+
+// Guards against hops that are missing from a trace or hang from the wrong parent.
+test('spans of two hops share one trace', async t => {
+	const exporter = new InMemorySpanExporter();
+	const tracing = createTracing({instance: 'entry-1', exporter});
+	const outer = tracing.startSpan({hop: Hop.CallerToEntry, parent: '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'});
+	const inner = tracing.startSpan({hop: Hop.EntryToUpstream, parent: outer.traceparent});
+	inner.end({failure: 'reset'});
+	outer.end();
+	const spans = exporter.getFinishedSpans();
+	t.deepEqual(spans.map(span => span.name), [Hop.EntryToUpstream, Hop.CallerToEntry]);
+	t.deepEqual(new Set(spans.map(span => span.spanContext().traceId)), new Set(['0af7651916cd43dd8448eb211c80319c']));
+	t.is(spans[0]!.parentSpanContext?.spanId, spans[1]!.spanContext().spanId);
+	await tracing.shutdown();
+});
+
+test('disabled tracing passes the trace context on', t => {
+	const parent = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01';
+	t.is(createDisabledTracing().startSpan({hop: Hop.QueueWait, parent}).traceparent, parent);
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -4,6 +4,7 @@
 		ignores: ['**/dist/**', '**/generated/**', 'node_modules/**'],
 	},
 	{
+		files: ['**/*.ts'],
 		rules: {
 			// Type imports stand apart from value imports, so one module may be imported twice.
 			'import-x/no-duplicates': 'off',
