--- a/packages/programs/daemon/src/index.ts
+++ b/packages/programs/daemon/src/index.ts
@@ -1,1 +1,2 @@
-export const packageName = '@turmericbay/daemon';
+export * from './peer-exchange.js';
+export * from './operations-server.js';
--- /dev/null
+++ b/packages/programs/daemon/src/peer-exchange.ts
@@ -0,0 +1,158 @@
+/**
+ * Regular exchange of knowledge with the other entry instances. One row per
+ * member; a system run each tick starts the calls that are due.
+ */
+import {create} from '@bufbuild/protobuf';
+import {
+	createPeerClient, ExchangeRequestSchema, KnowledgeSchema,
+} from '@turmericbay/peer-protocol';
+import type {
+	ExchangeResponse, Knowledge, PeerClient, PeerError,
+} from '@turmericbay/peer-protocol';
+import {LogEvent} from '@turmericbay/telemetry';
+import type {Logger} from '@turmericbay/telemetry';
+import type {
+	AvailabilityZone, Clock, InstanceId, RandomSource,
+} from '@turmericbay/types';
+
+export type Member = {
+	readonly instance: InstanceId;
+	readonly zone: AvailabilityZone;
+	/** Host and port of the member's peer listener. */
+	readonly address: string;
+};
+
+export type PeerRow = {
+	readonly member: Member;
+	readonly client: PeerClient;
+	reachable: boolean;
+	/** What the member last answered; undefined before its first answer. */
+	knowledge: Knowledge | undefined;
+	/** Monotonic time at which the question for that answer was sent. */
+	askedAtMilliseconds: number | undefined;
+	isAsking: boolean;
+};
+
+export type PeerExchange = {
+	rows(): readonly PeerRow[];
+	findRow(instance: InstanceId): PeerRow | undefined;
+	/** Asks every peer that is due; called by the daemon each exchange interval. */
+	exchange(): Promise<void>;
+	close(): void;
+};
+
+export const exchangeIntervalMilliseconds = 500;
+/** Shorter than two intervals, so that a silent peer delays its own row only. */
+const exchangeTimeoutMilliseconds = 900;
+/** Up to this number of members every peer is asked in each interval. */
+const fullMeshMembers = 12;
+/** Peers of other zones that are asked in each interval once there are more. */
+const randomPeersPerInterval = 3;
+
+const isReachableAfter = (error: PeerError): boolean => {
+	switch (error.code) {
+		case 'PEER_UNREACHABLE':
+		case 'PEER_TIMEOUT':
+		case 'PEER_REJECTED': {
+			return false;
+		}
+
+		case 'PEER_FAILED': {
+			return true;
+		}
+	}
+};
+
+const selectRows = (options: {
+	rows: readonly PeerRow[];
+	zone: AvailabilityZone;
+	random: RandomSource;
+}): readonly PeerRow[] => {
+	const {rows, zone, random} = options;
+	if (rows.length < fullMeshMembers) {
+		return rows;
+	}
+
+	const others = rows.filter(row => row.member.zone !== zone);
+	const chosen = new Set(rows.filter(row => row.member.zone === zone));
+	for (let count = 0; count < randomPeersPerInterval && others.length > 0; count += 1) {
+		const [row] = others.splice(Math.floor(random() * others.length), 1);
+		if (row !== undefined) {
+			chosen.add(row);
+		}
+	}
+
+	return [...chosen];
+};
+
+export const createPeerExchange = (options: {
+	readonly zone: AvailabilityZone;
+	readonly members: readonly Member[];
+	readonly secret: string;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly logger: Logger;
+	/** What this instance knows, built anew for each question. */
+	readonly describeKnowledge: () => Knowledge;
+	/** Age above which this instance asks for the peer's instance list; undefined if it needs none. */
+	readonly wantedListAgeMilliseconds: () => number | undefined;
+	readonly onAnswer: (answer: {readonly row: PeerRow; readonly response: ExchangeResponse; readonly askedAtMilliseconds: number}) => void;
+}): PeerExchange => {
+	const {clock, logger} = options;
+	const rows: PeerRow[] = options.members.map(member => ({
+		member,
+		client: createPeerClient({
+			baseUrl: `http://${member.address}`,
+			secret: options.secret,
+			defaultTimeoutMilliseconds: exchangeTimeoutMilliseconds,
+		}),
+		reachable: false,
+		knowledge: undefined,
+		askedAtMilliseconds: undefined,
+		isAsking: false,
+	}));
+
+	const setReachable = (row: PeerRow, reachable: boolean) => {
+		if (row.reachable !== reachable) {
+			row.reachable = reachable;
+			logger.log(reachable ? LogEvent.PeerReachable : LogEvent.PeerUnreachable, {peer: row.member.instance, peerZone: row.member.zone});
+		}
+	};
+
+	const askPeer = async (row: PeerRow) => {
+		const askedAtMilliseconds = clock.monotonicMilliseconds();
+		const wantedAge = options.wantedListAgeMilliseconds();
+		const request = create(ExchangeRequestSchema, {
+			knowledge: options.describeKnowledge(),
+			wantsListNewerThanMs: wantedAge === undefined ? undefined : BigInt(Math.round(wantedAge)),
+		});
+		row.isAsking = true;
+		const answer = await row.client.call(async (service, callOptions) => service.exchange(request, callOptions));
+		row.isAsking = false;
+		answer.match(
+			response => {
+				row.knowledge = response.knowledge ?? create(KnowledgeSchema);
+				row.askedAtMilliseconds = askedAtMilliseconds;
+				setReachable(row, true);
+				options.onAnswer({row, response, askedAtMilliseconds});
+			},
+			error => {
+				setReachable(row, isReachableAfter(error));
+			},
+		);
+	};
+
+	return {
+		rows: () => rows,
+		findRow: instance => rows.find(row => row.member.instance === instance),
+		async exchange() {
+			const due = selectRows({rows, zone: options.zone, random: options.random}).filter(row => !row.isAsking);
+			await Promise.all(due.map(async row => askPeer(row)));
+		},
+		close() {
+			for (const row of rows) {
+				row.client.close();
+			}
+		},
+	};
+};
