Add settings, document checks and team keys

Cause: the daemon needs its settings, a checked document and an authenticator before its other parts can be wired.

Found on the way: two regular expressions with the v flag had an unescaped hyphen in a character class, so importing the document package threw a SyntaxError; both are escaped now. The INI library counts repeated keys over the whole file, so `listen` in three sections came back as arrays of one value; they are unwrapped, and only real repetitions are faults.

--- /dev/null
+++ b/packages/common/settings/src/load.ts
@@ -0,0 +1,160 @@
+/** Reads the INI file and lists every fault in it. */
+import {parse} from 'ini';
+import {err, ok} from 'neverthrow';
+import type {Result} from 'neverthrow';
+import type {z} from 'zod';
+import {
+	listSectionSettings, memberPrefix, readMeta, sectionNames, sectionSchemas,
+} from './schema.js';
+import type {SectionName, Sections, Settings} from './schema.js';
+import {formatNetworkAddress, member, namePattern} from './values.js';
+import type {NetworkAddress, PeerMember, SettingMeta} from './values.js';
+
+export type SettingsFault = {
+	readonly fileName: string;
+	/** Empty for a line in front of the first section. */
+	readonly section: string;
+	/** Empty if the whole section is at fault. */
+	readonly key: string;
+	readonly expected: string;
+	/** What the file holds instead, unless it is missing or secret. */
+	readonly found?: string;
+};
+
+type RawSection = Readonly<Record<string, unknown>>;
+type FaultList = Array<Omit<SettingsFault, 'fileName'>>;
+type SectionInput<Section extends SectionName> = {readonly section: Section; readonly raw: RawSection; readonly faults: FaultList};
+const schemas: {readonly [Section in SectionName]: z.ZodType<Sections[Section]>} = sectionSchemas;
+
+type ReadSections = {readonly [Section in SectionName]: Sections[Section] | undefined};
+
+const isSection = (value: unknown): value is RawSection => typeof value === 'object' && value !== null && !Array.isArray(value);
+
+/**
+ * Without bracketed arrays the INI library turns a key that stands twice into
+ * an array, but it counts over the whole file: a key that stands once in each
+ * of two sections becomes an array of one value.
+ */
+const unwrapSingleValues = (raw: RawSection): RawSection => Object.fromEntries(Object.entries(raw).map(([key, value]) => {
+	if (isSection(value)) {
+		return [key, unwrapSingleValues(value)];
+	}
+
+	return [key, Array.isArray(value) && value.length === 1 ? value[0] as unknown : value];
+}));
+
+/** The INI library turns true, false and null into values of these types. */
+const toText = (value: unknown): string => typeof value === 'string' ? value : String(value);
+
+const describeFound = (value: unknown, meta: SettingMeta): {found?: string} => value === undefined || meta.secret ? {} : {found: toText(value)};
+
+const readSection = <Section extends SectionName>({section, raw, faults}: SectionInput<Section>): Sections[Section] | undefined => {
+	const rows = listSectionSettings(section);
+	const schema: z.ZodType<Sections[Section]> = schemas[section];
+	const input = Object.fromEntries(rows
+		.filter(({key}) => raw[key] !== undefined)
+		.map(({property, key}) => [property, Array.isArray(raw[key]) ? raw[key] : toText(raw[key])]));
+	const outcome = schema.safeParse(input);
+	const faulty = new Set(outcome.error?.issues.map(issue => issue.path[0]));
+	for (const {property, key, meta} of rows.filter(row => faulty.has(row.property))) {
+		const {expected} = meta;
+		faults.push(Array.isArray(raw[key])
+			? {section, key, expected: 'one line with this key'}
+			: {
+				section, key, expected, ...describeFound(input[property], meta),
+			});
+	}
+
+	const known = new Set(rows.map(({key}) => key));
+	for (const key of Object.keys(raw)) {
+		if (!known.has(key) && !(section === 'peers' && key.startsWith(memberPrefix))) {
+			faults.push({section, key, expected: `no such key; the keys are ${[...known].join(', ')}`});
+		}
+	}
+
+	return outcome.data;
+};
+
+const readMembers = ({section, raw, faults, ownId}: SectionInput<'peers'> & {readonly ownId: unknown}): readonly PeerMember[] => Object.entries(raw)
+	.filter(([key]) => key.startsWith(memberPrefix))
+	.flatMap(([key, value]) => {
+		const instance = key.slice(memberPrefix.length);
+		const outcome = member.safeParse(value);
+		if (!namePattern.test(instance) || instance === ownId) {
+			faults.push({section, key, expected: `${memberPrefix} followed by the name of another entry instance`});
+		} else if (outcome.success) {
+			return [{instance, ...outcome.data}];
+		} else {
+			faults.push(Array.isArray(value)
+				? {section, key, expected: 'one line with this key'}
+				: {
+					section, key, expected: readMeta(member).expected, found: toText(value),
+				});
+		}
+
+		return [];
+	});
+
+const checkListeners = (listeners: ReadonlyArray<readonly [section: SectionName, address: NetworkAddress | undefined]>, faults: FaultList): void => {
+	const seen = new Map<string, string>();
+	for (const [section, address] of listeners) {
+		if (address === undefined || address.port === 0) {
+			continue;
+		}
+
+		const text = formatNetworkAddress(address);
+		const other = seen.get(text);
+		if (other !== undefined) {
+			faults.push({
+				section, key: 'listen', expected: `an address other than that of [${other}]`, found: text,
+			});
+		}
+
+		seen.set(text, section);
+	}
+};
+
+const checkSections = (raw: RawSection, faults: FaultList): void => {
+	for (const [section, value] of Object.entries(raw)) {
+		if (!isSection(value)) {
+			faults.push({section: '', key: section, expected: 'every key to stand below a section'});
+		} else if (!Object.hasOwn(sectionSchemas, section)) {
+			faults.push({section, key: '', expected: `no such section; the sections are ${sectionNames.join(', ')}`});
+		}
+	}
+};
+
+const isComplete = (sections: ReadSections): sections is Sections => Object.values(sections).every(section => section !== undefined);
+
+/** Checks the text of a settings file; the file name only serves the faults. */
+export const loadSettings = ({text, fileName}: {readonly text: string; readonly fileName: string}): Result<Settings, readonly SettingsFault[]> => {
+	// A byte order mark would become part of the first section's name.
+	const raw = unwrapSingleValues(parse(text.replace(/^\u{FEFF}/v, ''), {bracketedArray: false}));
+	const faults: FaultList = [];
+	checkSections(raw, faults);
+	const sectionInput = <Section extends SectionName>(section: Section) => ({section, raw: isSection(raw[section]) ? raw[section] : {}, faults});
+	const sections: ReadSections = {
+		instance: readSection(sectionInput('instance')),
+		callers: readSection(sectionInput('callers')),
+		operations: readSection(sectionInput('operations')),
+		peers: readSection(sectionInput('peers')),
+		platform: readSection(sectionInput('platform')),
+		requests: readSection(sectionInput('requests')),
+		shutdown: readSection(sectionInput('shutdown')),
+		telemetry: readSection(sectionInput('telemetry')),
+	};
+	const ownId = sectionInput('instance').raw.id;
+	const members = readMembers({...sectionInput('peers'), ownId});
+	checkListeners([['callers', sections.callers?.listen], ['operations', sections.operations?.listen], ['peers', sections.peers?.listen]], faults);
+	return faults.length === 0 && isComplete(sections)
+		? ok({...sections, peers: {...sections.peers, members}})
+		: err(faults.map(fault => ({fileName, ...fault})));
+};
+
+/** One line per fault. */
+export const formatSettingsFaults = (faults: readonly SettingsFault[]): string => faults
+	.map(({fileName, section, key, expected, found}) => {
+		const place = [fileName, section === '' ? '' : `[${section}]`, key].filter(part => part !== '').join(' ');
+		return `${place}: expected ${expected}${found === undefined ? '' : `, found ${JSON.stringify(found)}`}`;
+	})
+	.join('\n');
--- /dev/null
+++ b/packages/common/settings/src/schema.ts
@@ -0,0 +1,100 @@
+/** All sections and settings of the daemon's INI file. */
+import {z} from 'zod';
+import {
+	baseAddress, choice, integer, listenAddress, member, name, optionalBaseAddress, secret,
+} from './values.js';
+import type {PeerMember, SettingMeta} from './values.js';
+
+export const memberPrefix = 'member.';
+
+export const sectionSchemas = {
+	instance: z.object({
+		id: name('Name of this entry instance in the platform\'s instance list.'),
+		zone: name('Availability zone of this entry instance.'),
+		region: name('Region of this entry instance; names its fleet ledger.'),
+	}),
+	callers: z.object({
+		listen: listenAddress('Listener for callers (HTTP/1.1). Port 0 lets the system choose one.'),
+	}),
+	operations: z.object({
+		listen: listenAddress('Listener for health, readiness, metrics and the command line.'),
+		token: secret('Token that operators present.'),
+	}),
+	peers: z.object({
+		listen: listenAddress('Listener for the other entry instances (HTTP/2).'),
+		secret: secret('Shared secret of all entry instances.'),
+	}),
+	platform: z.object({
+		keyValue: baseAddress('The platform\'s key-value service.'),
+		instances: baseAddress('The platform\'s instance list.'),
+		connectTimeoutMilliseconds: integer({
+			minimum: 10, maximum: 60_000, standard: 1000, description: 'Longest time to open a connection to the platform.',
+		}),
+		requestTimeoutMilliseconds: integer({
+			minimum: 10, maximum: 60_000, standard: 2000, description: 'Longest time to wait for an answer of the platform.',
+		}),
+	}),
+	requests: z.object({
+		headerLimitBytes: integer({
+			minimum: 1024, maximum: 1_048_576, standard: 16_384, description: 'Largest request headers; larger ones get status 431.',
+		}),
+		bodyLimitBytes: integer({
+			minimum: 0, maximum: 1_073_741_824, standard: 1_048_576, description: 'Largest request body; a larger one gets status 413.',
+		}),
+		slowSenderTimeoutMilliseconds: integer({
+			minimum: 100, maximum: 600_000, standard: 10_000, description: 'Longest time for a whole request to arrive; a later one gets status 408.',
+		}),
+	}),
+	shutdown: z.object({
+		balancerLagSeconds: integer({
+			minimum: 0, maximum: 600, standard: 5, description: 'Time to go on serving after readiness is off, until the balancer has noticed.',
+		}),
+		boundSeconds: integer({
+			minimum: 0, maximum: 3600, standard: 60, description: 'Longest time for requests in flight to finish.',
+		}),
+	}),
+	telemetry: z.object({
+		logLevel: choice({choices: ['trace', 'debug', 'info', 'warn', 'error', 'fatal'], standard: 'info', description: 'Lowest level that is logged.'}),
+		traceExporter: optionalBaseAddress('Where spans are sent (OTLP over HTTP); none are sent if it is missing.'),
+	}),
+} as const;
+
+export type SectionName = keyof typeof sectionSchemas;
+
+export type Sections = {readonly [Section in SectionName]: z.output<typeof sectionSchemas[Section]>};
+
+export type Settings = Omit<Sections, 'peers'> & {
+	readonly peers: Sections['peers'] & {readonly members: readonly PeerMember[]};
+};
+
+export type SettingRow = {
+	readonly section: SectionName;
+	readonly key: string;
+	readonly meta: SettingMeta;
+};
+
+/** `requestTimeoutMilliseconds` in the program is `request-timeout-milliseconds` in the file. */
+export const toFileKey = (property: string): string => property.replaceAll(/[A-Z]/gv, letter => `-${letter.toLowerCase()}`);
+
+/** What the schema of a setting says about it; every setting has a description. */
+export const readMeta = (schema: z.ZodType): SettingMeta => {
+	const meta: Partial<SettingMeta> = schema.meta() ?? {};
+	const {expected = '', description = ''} = meta;
+	return {...meta, expected, description};
+};
+
+/** The settings of one section in the order of the documentation, with their property names. */
+export const listSectionSettings = (section: SectionName): ReadonlyArray<SettingRow & {readonly property: string}> => Object.entries<z.ZodType>(sectionSchemas[section].shape)
+	.map(([property, schema]) => ({
+		section, property, key: toFileKey(property), meta: readMeta(schema),
+	}));
+
+export const sectionNames: readonly SectionName[] = ['instance', 'callers', 'operations', 'peers', 'platform', 'requests', 'shutdown', 'telemetry'];
+
+const memberRow: SettingRow = {section: 'peers', key: `${memberPrefix}<id>`, meta: {...readMeta(member), optional: true}};
+
+/** Every setting there is. */
+export const settingsTable: readonly SettingRow[] = sectionNames.flatMap(section => [
+	...listSectionSettings(section).map(({key, meta}) => ({section, key, meta})),
+	...(section === 'peers' ? [memberRow] : []),
+]);
--- /dev/null
+++ b/packages/common/settings/src/values.ts
@@ -0,0 +1,108 @@
+/** Schemas of single settings: each turns the text of the file into a value. */
+import {isIP} from 'node:net';
+import {z} from 'zod';
+
+/** IP number and port; an IPv6 number has no brackets here. */
+export type NetworkAddress = {
+	readonly host: string;
+	readonly port: number;
+};
+
+export type PeerMember = {
+	readonly instance: string;
+	readonly zone: string;
+	readonly address: NetworkAddress;
+};
+
+export type SettingMeta = {
+	/** What the value must look like, worded to follow "expected". */
+	readonly expected: string;
+	readonly description: string;
+	/** Default as it would be written in the file; undefined if the setting is required. */
+	readonly defaultText?: string;
+	readonly optional?: boolean;
+	/** The value must not appear in faults, logs or documentation. */
+	readonly secret?: boolean;
+};
+
+const maximumPort = 65_535;
+const minimumSecretLength = 16;
+
+export const parseNetworkAddress = (text: string): NetworkAddress | undefined => {
+	const match = /^(?:\[(?<six>[\da-f:.]+)\]|(?<four>[\d.]+)):(?<port>\d{1,5})$/iv.exec(text);
+	const host = match?.groups?.six ?? match?.groups?.four ?? '';
+	const port = Number(match?.groups?.port);
+	const family = match?.groups?.six === undefined ? 4 : 6;
+	return match && isIP(host) === family && port <= maximumPort ? {host, port} : undefined;
+};
+
+export const formatNetworkAddress = ({host, port}: NetworkAddress): string => host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+
+const parseBaseAddress = (text: string): string | undefined => {
+	if (!URL.canParse(text)) {
+		return undefined;
+	}
+
+	const url = new URL(text);
+	const isPlain = url.search === '' && url.hash === '' && url.username === '' && url.password === '';
+	const isHttp = url.protocol === 'http:' || url.protocol === 'https:';
+	const host = url.hostname.replaceAll(/[\[\]]/gv, '');
+	return isPlain && isHttp && isIP(host) > 0 ? url.href.replace(/\/+$/v, '') : undefined;
+};
+
+const parseMember = (text: string): Omit<PeerMember, 'instance'> | undefined => {
+	const match = /^(?<zone>[^,]+),(?<address>.+)$/v.exec(text);
+	const zone = match?.groups?.zone?.trim() ?? '';
+	const address = parseNetworkAddress(match?.groups?.address?.trim() ?? '');
+	return address !== undefined && address.port > 0 && namePattern.test(zone) ? {zone, address} : undefined;
+};
+
+export const namePattern = /^[\da-z][\d.a-z\-]{0,62}$/v;
+
+const parsed = <Value>(parse: (text: string) => Value | undefined) => z.string().transform((text, context) => {
+	const value = parse(text);
+	if (value === undefined) {
+		context.addIssue('invalid');
+		return z.NEVER;
+	}
+
+	return value;
+});
+
+export const name = (description: string) => z.string().regex(namePattern)
+	.meta({expected: 'a name of lower-case letters, digits, dots and hyphens', description} satisfies SettingMeta);
+
+export const listenAddress = (description: string) => parsed(parseNetworkAddress)
+	.meta({expected: 'an IP number and port such as 127.0.0.1:8080 or [::1]:8080', description} satisfies SettingMeta);
+
+export const baseAddress = (description: string) => parsed(parseBaseAddress)
+	.meta({expected: 'a base address by IP number such as http://127.0.0.1:2379', description} satisfies SettingMeta);
+
+export const optionalBaseAddress = (description: string) => parsed(parseBaseAddress).optional()
+	.meta({expected: 'a base address by IP number such as http://127.0.0.1:4318', description, optional: true} satisfies SettingMeta);
+
+export const secret = (description: string) => z.string().min(minimumSecretLength).regex(/^\S+$/v)
+	.meta({expected: `at least ${minimumSecretLength} characters without spaces`, description, secret: true} satisfies SettingMeta);
+
+export const member = parsed(parseMember)
+	.meta({
+		expected: 'an availability zone and the address of the peers listener such as zone-b,127.0.0.1:7002',
+		description: 'Availability zone and peers listener of the entry instance `<id>`; one line per other entry instance.',
+	} satisfies SettingMeta);
+
+export const integer = (options: {readonly minimum: number; readonly maximum: number; readonly standard: number; readonly description: string}) => {
+	const {minimum, maximum, standard, description} = options;
+	const parse = (text: string) => {
+		const value = /^\d{1,15}$/v.test(text) ? Number(text) : Number.NaN;
+		return value >= minimum && value <= maximum ? value : undefined;
+	};
+
+	return parsed(parse).prefault(String(standard))
+		.meta({expected: `a whole number from ${minimum} to ${maximum}`, description, defaultText: String(standard)} satisfies SettingMeta);
+};
+
+export const choice = <const Choice extends string>(options: {readonly choices: readonly Choice[]; readonly standard: Choice; readonly description: string}) => {
+	const {choices, standard, description} = options;
+	return parsed(text => choices.find(candidate => candidate === text)).prefault(standard)
+		.meta({expected: `one of ${choices.join(', ')}`, description, defaultText: standard} satisfies SettingMeta);
+};
--- /dev/null
+++ b/packages/configuration/document/src/keys.ts
@@ -0,0 +1,66 @@
+/**
+ * Team keys. A key is `tbk_<id>_<secret>`; the document holds the id, a salt
+ * and the SHA-256 hash of salt and secret. One round of SHA-256 is enough
+ * because the secret is 32 random bytes, not a password that could be guessed.
+ */
+import {Buffer} from 'node:buffer';
+import {createHash, randomBytes, timingSafeEqual} from 'node:crypto';
+import type {TeamName} from '@turmericbay/types';
+import type {ConfigurationDocument, KeyDeclaration} from './schema.js';
+
+const identifierBytes = 8;
+const saltBytes = 16;
+const secretBytes = 32;
+const maximumKeyLength = 200;
+
+export type TeamKey = {
+	/** The whole key; shown once and stored nowhere. */
+	readonly presentedKey: string;
+	/** What goes into the document. */
+	readonly declaration: KeyDeclaration;
+};
+
+/** Returns the team of a presented key, or undefined if the key is not valid. */
+export type KeyAuthenticator = (presentedKey: string) => {readonly team: TeamName} | undefined;
+
+type StoredKey = {
+	readonly team: TeamName;
+	readonly salt: Uint8Array;
+	readonly hash: Uint8Array;
+};
+
+const hashSecret = (salt: Uint8Array, secret: string): Uint8Array => createHash('sha256').update(salt).update(secret).digest();
+
+/** Creates a key; `random` is replaced in tests. */
+export const createTeamKey = (options: {readonly random?: (bytes: number) => Uint8Array} = {}): TeamKey => {
+	const {random = randomBytes} = options;
+	const id = Buffer.from(random(identifierBytes)).toString('hex');
+	const salt = Buffer.from(random(saltBytes));
+	const secret = Buffer.from(random(secretBytes)).toString('base64url');
+	return {
+		presentedKey: `tbk_${id}_${secret}`,
+		declaration: {id, salt: salt.toString('hex'), hash: Buffer.from(hashSecret(salt, secret)).toString('hex')},
+	};
+};
+
+/** Takes the place of a stored key when the id is unknown, so that both cases take the same time. */
+const createDecoy = (): StoredKey => ({team: '', salt: randomBytes(saltBytes), hash: randomBytes(32)});
+
+/** Indexes the keys of a document once; the document must not change afterwards. */
+export const createKeyAuthenticator = (document: Pick<ConfigurationDocument, 'teams'>): KeyAuthenticator => {
+	const decoy = createDecoy();
+	const keys = new Map(Object.entries(document.teams).flatMap(([team, declaration]) => declaration.keys.map(({id, salt, hash}): [string, StoredKey] => [
+		id, {team, salt: Buffer.from(salt, 'hex'), hash: Buffer.from(hash, 'hex')},
+	])));
+	return presentedKey => {
+		const match = presentedKey.length > maximumKeyLength ? undefined : /^tbk_(?<id>[\da-z]{8,32})_(?<secret>[\w\-]+)$/v.exec(presentedKey);
+		if (!match?.groups) {
+			return undefined;
+		}
+
+		const stored = keys.get(match.groups.id ?? '');
+		const {team, salt, hash} = stored ?? decoy;
+		const isEqual = timingSafeEqual(hash, hashSecret(salt, match.groups.secret ?? ''));
+		return isEqual && stored !== undefined ? {team} : undefined;
+	};
+};
--- a/packages/configuration/document/src/schema.ts
+++ b/packages/configuration/document/src/schema.ts
@@ -7,7 +7,7 @@
 /** Version of the document format, not of a document. */
 export const documentSchemaVersion = 1;
 
-const name = z.string().regex(/^[a-z][a-z\d-]{0,62}$/v, 'expected a lower-case name of letters, digits and hyphens');
+const name = z.string().regex(/^[a-z][\da-z\-]{0,62}$/v, 'expected a lower-case name of letters, digits and hyphens');
 const nonNegativeInteger = z.int().min(0);
 const positiveInteger = z.int().min(1);
 
