--- /dev/null
+++ b/packages/coordination/membership/src/rendezvous.ts
@@ -0,0 +1,14 @@
+/** Rendezvous hashing: every instance ranks the same candidates alike without talking. */
+import {createHash} from 'node:crypto';
+
+/** First 32 bits of SHA-256. */
+export const hashText = (text: string): number => createHash('sha256').update(text).digest().readUInt32BE(0);
+
+/** Candidates with the highest weight for the subject first. */
+export const rankByRendezvous = (options: {
+	readonly subject: string;
+	readonly candidates: readonly string[];
+}): string[] => options.candidates
+	.map(candidate => ({candidate, weight: hashText(`${options.subject}|${candidate}`)}))
+	.toSorted((left, right) => right.weight - left.weight || (left.candidate < right.candidate ? -1 : 1))
+	.map(({candidate}) => candidate);
