Add the gateway with admission and routing

Cause: the daemon needs a data path with a stable interface.

Change: createGateway serves ANY /queues/{queue}/{path} with polka, queues in a p-queue per pool whose queue class is start-time fair queueing over teams, selects the upstream at the moment of sending and sends through undici, one request at a time per connection. Answers up to 1 MiB are read whole, longer ones are streamed. Authorization, confirmation age and deadline are decided on arrival, when the turn comes, and once more when the connection is ready, right before the first byte. Whether a byte can have reached an upstream follows from the call undici makes before it writes, not from error codes. A run whose connection broke keeps its grant unit and slot until maximumRunMilliseconds have passed or its process is proven gone, because the upstream may go on running it.

Ruled out: releasing the unit when the connection breaks, which would let a team run above its limit; sorting connect failures by error code, which does not tell a reset before the first byte from one after it.

Conclusion: one request passes end to end over loopback sockets.

--- a/packages/traffic/admission/src/index.ts
+++ b/packages/traffic/admission/src/index.ts
@@ -1,1 +1,4 @@
-export const packageName = '@turmericbay/admission';
+export * from './authorization.js';
+export * from './fair-queue.js';
+export * from './fair-queue-class.js';
+export * from './overload.js';
--- /dev/null
+++ b/packages/traffic/admission/src/overload.ts
@@ -0,0 +1,72 @@
+/** Decides on arrival whether a request may join the queue. No I/O. */
+import {ProblemCode, millisecondsPerSecond} from '@turmericbay/types';
+import type {Problem} from '@turmericbay/types';
+
+export type QueueSituation = {
+	/** Requests of the queue that wait at this entry instance. */
+	readonly queueLength: number;
+	readonly maximumQueued: number;
+	/** Entries that are served earlier. */
+	readonly entriesAhead: number;
+	/** Requests that the pool runs at a time as seen from this instance. */
+	readonly concurrency: number;
+	readonly freeSlots: number;
+	/** Measured; undefined before the first answer. */
+	readonly meanRunMilliseconds: number | undefined;
+	/** Set if the team has no free unit of its limit. */
+	readonly teamAtLimit?: {readonly running: number; readonly queued: number};
+	readonly remainingMilliseconds: number;
+};
+
+/** Wait until the request is sent; 0 as long as nothing has been measured. */
+export const estimateWaitMilliseconds = (situation: QueueSituation): number => {
+	const {entriesAhead, concurrency, freeSlots, meanRunMilliseconds = 0} = situation;
+	const turns = Math.max(0, entriesAhead + 1 - freeSlots);
+	return turns * meanRunMilliseconds / Math.max(1, concurrency);
+};
+
+const estimateTeamWaitMilliseconds = (situation: QueueSituation): number => {
+	const {teamAtLimit, meanRunMilliseconds = 0} = situation;
+	// Units held elsewhere may still be transferred, so no wait can be named while none is here.
+	return teamAtLimit === undefined || teamAtLimit.running === 0
+		? 0
+		: (teamAtLimit.queued + 1) * meanRunMilliseconds / teamAtLimit.running;
+};
+
+const retryAfter = (waitMilliseconds: number): number =>
+	Math.max(1, Math.ceil(waitMilliseconds / millisecondsPerSecond));
+
+/** The reason for refusing at once, or undefined if the request may queue. */
+export const refuseOnArrival = (situation: QueueSituation): Problem | undefined => {
+	const wait = estimateWaitMilliseconds(situation);
+	const teamWait = estimateTeamWaitMilliseconds(situation);
+	if (situation.remainingMilliseconds <= 0) {
+		return {code: ProblemCode.DeadlineExceeded, detail: 'Allow more time for the request.'};
+	}
+
+	if (teamWait > situation.remainingMilliseconds) {
+		return {
+			code: ProblemCode.TeamAtLimit,
+			detail: 'Wait until running requests of the team have ended.',
+			retryAfterSeconds: retryAfter(teamWait),
+		};
+	}
+
+	if (situation.queueLength >= situation.maximumQueued) {
+		return {
+			code: ProblemCode.QueueFull,
+			detail: 'Retry later, with backoff.',
+			retryAfterSeconds: retryAfter(wait),
+		};
+	}
+
+	if (wait > situation.remainingMilliseconds) {
+		return {
+			code: ProblemCode.DeadlineTooShort,
+			detail: `The expected wait is ${Math.ceil(wait)} ms; allow more time or retry later.`,
+			retryAfterSeconds: retryAfter(wait),
+		};
+	}
+
+	return undefined;
+};
--- /dev/null
+++ b/packages/traffic/gateway/src/answer-reader.ts
@@ -0,0 +1,123 @@
+/**
+ * Reads one answer. Short answers are read whole; longer ones go to the caller
+ * as they arrive. Decides whether the answer is complete and whether it belongs
+ * to the request.
+ */
+import {Buffer} from 'node:buffer';
+import type {IncomingHttpHeaders} from 'node:http';
+import {forwardAnswerHeaders, requestIdHeader} from './headers.js';
+
+export type AnswerHead = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string | string[]>>;
+};
+
+/** Where a long answer goes. */
+export type AnswerSink = {
+	/** Answers up to this size are never streamed. */
+	readonly wholeAnswerBytes: number;
+	begin(head: AnswerHead): void;
+	/** False if the receiver cannot take more for now; `onReady` is called once it can. */
+	write(chunk: Uint8Array, onReady: () => void): boolean;
+	end(): void;
+	/** Makes the loss visible to the receiver by destroying its connection. */
+	cut(): void;
+};
+
+export type ReaderVerdict
+	= | {readonly type: 'answer'; readonly head: AnswerHead; readonly body: Uint8Array}
+		| {readonly type: 'streamed'; readonly status: number}
+		| {readonly type: 'cut'; readonly streaming: boolean}
+		/** The answer carries the identifier of another request. */
+		| {readonly type: 'crossed'};
+
+type Flow = {pause(): void; resume(): void};
+
+export type AnswerReader = {
+	/** A verdict ends the attempt before the body. */
+	start(flow: Flow, status: number, headers: IncomingHttpHeaders): ReaderVerdict | undefined;
+	data(chunk: Uint8Array): void;
+	end(): ReaderVerdict;
+	cut(): ReaderVerdict;
+	isStreaming(): boolean;
+};
+
+const statusesWithoutBody = new Set([204, 304]);
+const firstFinalStatus = 200;
+
+/** Without a length or chunks the end of the connection looks like the end of the answer. */
+const isFramed = (method: string, status: number, headers: IncomingHttpHeaders): boolean =>
+	method === 'HEAD'
+	|| statusesWithoutBody.has(status)
+	|| headers['content-length'] !== undefined
+	|| /(?:^|,)\s*chunked\s*$/iv.test(headers['transfer-encoding'] ?? '');
+
+export const createAnswerReader = ({method, requestId, sink}: {
+	readonly method: string;
+	readonly requestId: string;
+	readonly sink: AnswerSink;
+}): AnswerReader => {
+	let flow: Flow | undefined;
+	let head: AnswerHead | undefined;
+	let chunks: Uint8Array[] = [];
+	let size = 0;
+	let streaming = false;
+
+	const pass = (chunk: Uint8Array): void => {
+		if (!sink.write(chunk, () => flow?.resume())) {
+			flow?.pause();
+		}
+	};
+
+	const startStreaming = (): void => {
+		streaming = true;
+		sink.begin(head!);
+		for (const chunk of chunks) {
+			pass(chunk);
+		}
+
+		chunks = [];
+	};
+
+	return {
+		start(activeFlow, status, headers) {
+			if (status < firstFinalStatus) {
+				return undefined;
+			}
+
+			if ((headers[requestIdHeader] ?? requestId) !== requestId) {
+				return {type: 'crossed'};
+			}
+
+			if (!isFramed(method, status, headers)) {
+				return {type: 'cut', streaming: false};
+			}
+
+			flow = activeFlow;
+			head = {status, headers: forwardAnswerHeaders(headers)};
+			return undefined;
+		},
+		data(chunk) {
+			size += chunk.length;
+			if (streaming) {
+				pass(chunk);
+				return;
+			}
+
+			chunks.push(chunk);
+			if (size > sink.wholeAnswerBytes) {
+				startStreaming();
+			}
+		},
+		end() {
+			if (streaming) {
+				sink.end();
+				return {type: 'streamed', status: head!.status};
+			}
+
+			return {type: 'answer', head: head!, body: Buffer.concat(chunks, size)};
+		},
+		cut: () => ({type: 'cut', streaming}),
+		isStreaming: () => streaming,
+	};
+};
--- /dev/null
+++ b/packages/traffic/gateway/src/caller-answer.ts
@@ -0,0 +1,38 @@
+/** Writes answers to one caller. */
+import type {ServerResponse} from 'node:http';
+import type {AnswerHead, AnswerSink} from './answer-reader.js';
+
+export const answerWhole = (response: ServerResponse, head: AnswerHead, body: Uint8Array): void => {
+	// Node.js leaves the length of answers to HEAD and of 304 to the handler: the upstream's own value stays.
+	response.writeHead(head.status, body.length > 0 ? {...head.headers, 'content-length': String(body.length)} : head.headers);
+	response.end(body);
+};
+
+export const createCallerSink = (response: ServerResponse, wholeAnswerBytes: number): AnswerSink => ({
+	wholeAnswerBytes,
+	begin({status, headers}) {
+		response.writeHead(status, headers);
+	},
+	write(chunk, onReady) {
+		// A caller that hung up takes everything: the answer is read on to learn when the run ended.
+		if (response.destroyed || response.write(chunk)) {
+			return true;
+		}
+
+		const ready = (): void => {
+			response.off('drain', ready);
+			response.off('close', ready);
+			onReady();
+		};
+
+		response.on('drain', ready);
+		response.on('close', ready);
+		return false;
+	},
+	end() {
+		response.end();
+	},
+	cut() {
+		response.destroy();
+	},
+});
--- /dev/null
+++ b/packages/traffic/gateway/src/caller-server.ts
@@ -0,0 +1,100 @@
+/** HTTP/1.1 server for callers: limits, malformed input and graceful close. */
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Duplex} from 'node:stream';
+import polka from 'polka';
+import {ProblemCode} from '@turmericbay/types';
+import type {Problem} from '@turmericbay/types';
+import type {GatewaySettings} from './ports.js';
+import {answerProblem, answerRawProblem} from './problem-answer.js';
+
+export type CallerServer = {
+	listen(options: {readonly host: string; readonly port: number}): Promise<{readonly port: number}>;
+	beginDrain(): void;
+	close(): Promise<void>;
+};
+
+type ParseError = Error & {readonly code?: string};
+
+const parseProblem = ({code}: ParseError): Problem => {
+	switch (code ?? '') {
+		case 'HPE_HEADER_OVERFLOW': {
+			return {code: ProblemCode.HeadersTooLarge, detail: 'Send fewer or shorter headers.'};
+		}
+
+		case 'ERR_HTTP_REQUEST_TIMEOUT': {
+			return {code: ProblemCode.RequestTimeout, detail: 'Send the whole request faster.'};
+		}
+
+		default: {
+			return {code: ProblemCode.MalformedRequest, detail: 'Send a well-formed HTTP/1.1 request.'};
+		}
+	}
+};
+
+/** Connections that already got an answer cannot get a second one for the same request. */
+const handleClientError = (error: ParseError, socket: Duplex): void => {
+	if (!socket.writable || error.code === 'ECONNRESET' || error.code === 'EPIPE') {
+		socket.destroy();
+		return;
+	}
+
+	answerRawProblem(socket, parseProblem(error));
+};
+
+export const createCallerServer = ({settings, handle}: {
+	readonly settings: GatewaySettings;
+	readonly handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+}): CallerServer => {
+	let draining = false;
+	const server: Server = createServer({
+		maxHeaderSize: settings.maximumHeaderBytes,
+		headersTimeout: settings.headersTimeoutMilliseconds,
+		requestTimeout: settings.requestTimeoutMilliseconds,
+		connectionsCheckingInterval: settings.timeoutCheckMilliseconds,
+		keepAliveTimeout: settings.callerKeepAliveMilliseconds,
+	});
+	server.on('clientError', handleClientError);
+
+	const serve = (request: IncomingMessage, response: ServerResponse): void => {
+		if (draining) {
+			response.setHeader('connection', 'close');
+		}
+
+		void handle(request, response);
+	};
+
+	const callers = polka({
+		server,
+		onNoMatch(_request, response) {
+			answerProblem(response, {code: ProblemCode.QueueUnknown, detail: 'Use a path below /queues/{queue}/.'});
+		},
+	});
+	callers.all('/queues/:queue', serve);
+	callers.all('/queues/:queue/*', serve);
+	server.on('request', callers.handler);
+
+	return {
+		listen: async ({host, port}) => new Promise((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(port, host, () => {
+				server.off('error', reject);
+				const address = server.address();
+				resolve({port: typeof address === 'object' && address !== null ? address.port : port});
+			});
+		}),
+		beginDrain() {
+			draining = true;
+		},
+		close: async () => new Promise(resolve => {
+			draining = true;
+			const bound = setTimeout(() => {
+				server.closeAllConnections();
+			}, settings.drainBoundMilliseconds);
+			server.close(() => {
+				clearTimeout(bound);
+				resolve();
+			});
+		}),
+	};
+};
--- /dev/null
+++ b/packages/traffic/gateway/src/exchange.ts
@@ -0,0 +1,87 @@
+/** One caller's request on its way through the gateway. */
+import {createHash} from 'node:crypto';
+import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+import type {KeyVerdict} from '@turmericbay/admission';
+import {Repeatability} from '@turmericbay/document';
+import type {QueueDeclaration} from '@turmericbay/document';
+import type {Problem, QueueName} from '@turmericbay/types';
+import type {AnswerSink} from './answer-reader.js';
+import {presentedKey} from './headers.js';
+import type {GatewayOptions, GatewaySpan} from './ports.js';
+
+export type Exchange = {
+	readonly id: string;
+	readonly queueName: QueueName;
+	readonly method: string;
+	/** Path and query as the upstream gets them. */
+	readonly path: string;
+	readonly headers: IncomingHttpHeaders;
+	readonly body: Uint8Array;
+	readonly key: KeyVerdict;
+	readonly arrivedAt: number;
+	/** On the monotonic clock. */
+	readonly deadline: number;
+	readonly span: GatewaySpan;
+	readonly sink: AnswerSink;
+	/** Aborted when the caller hangs up. */
+	readonly hangUp: AbortSignal;
+	/** Set while a claim of the request's idempotency key is open. */
+	claimAttempt: string | undefined;
+	/** Set once an attempt may have run; after that no refusal may say `not-run`. */
+	unknownProblem: Problem | undefined;
+	attempts: number;
+};
+
+const pathPattern = /^\/queues\/(?<queue>[^\/?]+)(?<path>\/[^?]*)?(?<query>\?.*)?$/v;
+
+export const parseTarget = (url: string): {queueName: QueueName; path: string} | undefined => {
+	const groups = pathPattern.exec(url)?.groups;
+	return groups?.queue === undefined
+		? undefined
+		: {queueName: groups.queue, path: `${groups.path ?? '/'}${groups.query ?? ''}`};
+};
+
+/** Milliseconds that the caller allows; undefined if the header is malformed. */
+export const parseTimeout = (request: IncomingMessage, queue: QueueDeclaration): number | undefined => {
+	const text = request.headers['x-request-timeout-ms'];
+	if (text === undefined) {
+		return queue.timeoutMilliseconds;
+	}
+
+	return typeof text === 'string' && /^\d{1,9}$/v.test(text)
+		? Math.min(Number(text), queue.timeoutMilliseconds)
+		: undefined;
+};
+
+export const checkKey = (headers: IncomingHttpHeaders, authenticate: GatewayOptions['authenticate']): KeyVerdict => {
+	const key = presentedKey(headers);
+	if (key === undefined) {
+		return {type: 'missing'};
+	}
+
+	const verdict = authenticate(key);
+	return verdict === undefined ? {type: 'rejected'} : {type: 'accepted', team: verdict.team};
+};
+
+// Idempotent methods of RFC 9110, section 9.2.2.
+const idempotentMethods = new Set(['GET', 'HEAD', 'OPTIONS', 'TRACE', 'PUT', 'DELETE']);
+
+export const isRepeatable = (queue: QueueDeclaration, method: string): boolean => {
+	switch (queue.repeatability) {
+		case Repeatability.Always: {
+			return true;
+		}
+
+		case Repeatability.Never: {
+			return false;
+		}
+
+		case Repeatability.ByMethod: {
+			return idempotentMethods.has(method);
+		}
+	}
+};
+
+/** SHA-256 of method, path and body, so that a reused key is recognised. */
+export const fingerprint = ({method, path, body}: Pick<Exchange, 'method' | 'path' | 'body'>): Uint8Array =>
+	createHash('sha256').update(`${method} ${path}\n`).update(body).digest();
--- /dev/null
+++ b/packages/traffic/gateway/src/gateway.ts
@@ -0,0 +1,135 @@
+/** Wires the data path of one entry instance together. */
+import {createRoutingTable} from '@turmericbay/routing';
+import type {PoolName, TeamName} from '@turmericbay/types';
+import {createCallerServer} from './caller-server.js';
+import {createPoolQueue} from './pool-queue.js';
+import type {PoolQueue} from './pool-queue.js';
+import {defaultGatewaySettings} from './ports.js';
+import type {Gateway, GatewayOptions, GatewayStatus} from './ports.js';
+import {handleRequest} from './request-flow.js';
+import type {FlowContext} from './request-flow.js';
+import {createRunLedger} from './run-ledger.js';
+import {createSilentTelemetry} from './trace-context.js';
+import {createUpstreamClient} from './upstream-client.js';
+
+/** How often queues are checked for seats that became free with time alone. */
+const refreshIntervalMilliseconds = 100;
+
+const createContext = (options: GatewayOptions, queues: Map<PoolName, PoolQueue>): FlowContext => {
+	const settings = {...defaultGatewaySettings, ...options.settings};
+	const {clock, random, zone, grants} = options;
+	const now = (): number => clock.monotonicMilliseconds();
+	const routing = createRoutingTable({zone, random});
+	const runs = createRunLedger({
+		grants,
+		routing,
+		onEnd(team) {
+			for (const queue of queues.values()) {
+				if (team === undefined) {
+					queue.refresh();
+				} else {
+					queue.unblock(team);
+				}
+			}
+		},
+	});
+	const openQueue = (pool: PoolName): PoolQueue => {
+		const queue = createPoolQueue({
+			grants,
+			seats: () => ({inFlight: routing.inFlight({pool}), free: routing.freeSlots({pool, now: now()})}),
+			running: team => runs.running(team),
+			now,
+		});
+		queues.set(pool, queue);
+		return queue;
+	};
+
+	return {
+		options,
+		settings,
+		telemetry: options.telemetry ?? createSilentTelemetry({random}),
+		routing,
+		client: createUpstreamClient(settings),
+		runs,
+		poolQueue: pool => queues.get(pool) ?? openQueue(pool),
+	};
+};
+
+const readStatus = ({routing, runs, options}: FlowContext, queues: ReadonlyMap<PoolName, PoolQueue>): GatewayStatus => {
+	const names = Object.keys(options.configuration.current()?.document.teams ?? {});
+	const queuedOf = (team: TeamName): number => {
+		let sum = 0;
+		for (const queue of queues.values()) {
+			sum += queue.queuedOf(team);
+		}
+
+		return sum;
+	};
+
+	return {
+		pools: [...queues].map(([pool, queue]) => ({pool, queued: queue.queued(), inFlight: routing.inFlight({pool})})),
+		teams: [...new Set([...names, ...runs.teams()])].map(team => ({team, running: runs.running(team), queued: queuedOf(team)})),
+		upstreams: routing.upstreams().map(({record, ownInFlight}) => ({instance: record.instance, inFlight: ownInFlight})),
+	};
+};
+
+export const createGateway = (options: GatewayOptions): Gateway => {
+	const queues = new Map<PoolName, PoolQueue>();
+	const context = createContext(options, queues);
+	const {routing, runs, client} = context;
+	const server = createCallerServer({
+		settings: context.settings,
+		handle: async (request, response) => handleRequest(context, request, response),
+	});
+
+	const refresh = (): void => {
+		for (const queue of queues.values()) {
+			queue.refresh();
+		}
+	};
+
+	const followInstances = (): void => {
+		const {gone} = routing.updateInstances({instances: options.instances.instances()});
+		for (const record of gone) {
+			client.retire(record);
+		}
+
+		runs.endRunsOf({isGone: identity => options.instances.isProvenGone(identity)});
+		refresh();
+	};
+
+	const followDocument = (): void => {
+		routing.updatePools({pools: options.configuration.current()?.document.pools ?? {}});
+		refresh();
+	};
+
+	options.instances.subscribe(followInstances);
+	options.configuration.subscribe(followDocument);
+	options.grants.onAvailable(team => {
+		for (const queue of queues.values()) {
+			queue.unblock(team);
+		}
+	});
+	followDocument();
+	followInstances();
+	const timer = setInterval(refresh, refreshIntervalMilliseconds);
+	timer.unref();
+
+	return {
+		listen: async address => server.listen(address),
+		status: () => readStatus(context, queues),
+		setPeerLoads(loads) {
+			routing.setPeerLoads({loads});
+			refresh();
+		},
+		beginDrain() {
+			server.beginDrain();
+		},
+		async close() {
+			await server.close();
+			clearInterval(timer);
+			runs.stop();
+			await client.destroy();
+		},
+	};
+};
--- /dev/null
+++ b/packages/traffic/gateway/src/headers.ts
@@ -0,0 +1,39 @@
+/** Which headers pass through the gateway. Source: RFC 9110, section 7.6.1. */
+import type {IncomingHttpHeaders} from 'node:http';
+
+const hopByHop = new Set([
+	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade',
+]);
+
+/** Set by the gateway itself, or meant for it alone. The team's key never reaches an upstream. */
+const requestOnly = new Set(['authorization', 'content-length', 'expect', 'host', 'traceparent', 'tracestate', 'x-request-id', 'x-request-timeout-ms']);
+
+export const requestIdHeader = 'x-request-id';
+export const timeoutHeader = 'x-request-timeout-ms';
+
+const namedByConnection = (headers: IncomingHttpHeaders): ReadonlySet<string> =>
+	new Set((headers.connection ?? '').split(',').map(name => name.trim().toLowerCase()));
+
+const endToEnd = (headers: IncomingHttpHeaders, removed: ReadonlySet<string>): Record<string, string | string[]> => {
+	const named = namedByConnection(headers);
+	const kept: Record<string, string | string[]> = {};
+	for (const [name, value] of Object.entries(headers)) {
+		if (value !== undefined && !hopByHop.has(name) && !named.has(name) && !removed.has(name)) {
+			kept[name] = value;
+		}
+	}
+
+	return kept;
+};
+
+export const forwardRequestHeaders = (headers: IncomingHttpHeaders): Record<string, string | string[]> =>
+	endToEnd(headers, requestOnly);
+
+export const forwardAnswerHeaders = (headers: IncomingHttpHeaders): Record<string, string | string[]> =>
+	endToEnd(headers, new Set([requestIdHeader]));
+
+/** The presented key of `Authorization: Bearer <key>`; undefined if the header is absent. */
+export const presentedKey = (headers: IncomingHttpHeaders): string | undefined => {
+	const {authorization} = headers;
+	return authorization === undefined ? undefined : /^bearer +(?<key>\S+) *$/iv.exec(authorization)?.groups?.key ?? '';
+};
--- a/packages/traffic/gateway/src/index.ts
+++ b/packages/traffic/gateway/src/index.ts
@@ -1,1 +1,3 @@
-export const packageName = '@turmericbay/gateway';
+export * from './gateway.js';
+export * from './ports.js';
+export {createSilentTelemetry} from './trace-context.js';
--- /dev/null
+++ b/packages/traffic/gateway/src/upstream-client.ts
@@ -0,0 +1,136 @@
+/** Sends requests to upstreams over HTTP/1.1, one at a time per connection. */
+import {Pool} from 'undici';
+import type {Dispatcher} from 'undici';
+import type {InstanceRecord} from '@turmericbay/types';
+import {createAnswerReader} from './answer-reader.js';
+import type {AnswerSink, ReaderVerdict} from './answer-reader.js';
+import type {GatewaySettings} from './ports.js';
+
+export type OutgoingRequest = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: Readonly<Record<string, string | string[]>>;
+	readonly body: Uint8Array;
+	readonly requestId: string;
+};
+
+export type SendResult
+	/** No byte can have reached the upstream. */
+	= | {readonly type: 'not-sent'; readonly reason: 'connect-failed' | 'withdrawn' | 'deadline'}
+		| ReaderVerdict
+		| {readonly type: 'timeout'; readonly streaming: boolean};
+
+export type SendOptions = {
+	readonly upstream: InstanceRecord;
+	readonly connections: number;
+	readonly request: OutgoingRequest;
+	readonly timeoutMilliseconds: number;
+	readonly sink: AnswerSink;
+	/** Called when the connection is ready, right before the first byte; false withdraws the request. */
+	readonly confirmSend: () => boolean;
+};
+
+export type UpstreamClient = {
+	send(options: SendOptions): Promise<SendResult>;
+	/** Closes idle connections at once and busy ones after their answer. */
+	retire(upstream: InstanceRecord): void;
+	destroy(): Promise<void>;
+};
+
+const poolKey = ({instance, incarnation}: InstanceRecord): string => `${instance}/${incarnation}`;
+
+const dispatch = async (pool: Dispatcher, options: SendOptions): Promise<SendResult> => new Promise(resolve => {
+	const {request, sink} = options;
+	const reader = createAnswerReader({method: request.method, requestId: request.requestId, sink});
+	let controller: Dispatcher.DispatchController | undefined;
+	let result: SendResult | undefined;
+
+	const finish = (value: SendResult): void => {
+		if (result === undefined) {
+			result = value;
+			clearTimeout(timer);
+			resolve(value);
+		}
+	};
+
+	/** Ends the attempt and destroys its connection, so that a late answer has nowhere to go. */
+	const abort = (value: SendResult): void => {
+		finish(value);
+		controller?.abort(new Error(value.type));
+	};
+
+	const onTimeout = (): void => {
+		abort(controller === undefined ? {type: 'not-sent', reason: 'deadline'} : {type: 'timeout', streaming: reader.isStreaming()});
+	};
+
+	const timer = setTimeout(onTimeout, options.timeoutMilliseconds);
+
+	const apply = (verdict: ReaderVerdict | undefined): void => {
+		if (verdict !== undefined) {
+			abort(verdict);
+		}
+	};
+
+	pool.dispatch({
+		method: request.method,
+		path: request.path,
+		headers: request.headers,
+		body: request.body.length === 0 ? null : request.body,
+	}, {
+		onRequestStart(started) {
+			if (result !== undefined || !options.confirmSend()) {
+				finish({type: 'not-sent', reason: 'withdrawn'});
+				started.abort(new Error('withdrawn'));
+				return;
+			}
+
+			controller = started;
+		},
+		onResponseStart(active, status, headers) {
+			apply(reader.start(active, status, headers));
+		},
+		onResponseData(_active, chunk) {
+			reader.data(chunk);
+		},
+		onResponseEnd() {
+			finish(reader.end());
+		},
+		onResponseError() {
+			finish(controller === undefined ? {type: 'not-sent', reason: 'connect-failed'} : reader.cut());
+		},
+	});
+});
+
+export const createUpstreamClient = (settings: GatewaySettings): UpstreamClient => {
+	const pools = new Map<string, Pool>();
+
+	const open = ({upstream, connections}: SendOptions): Pool => {
+		const key = poolKey(upstream);
+		const pool = pools.get(key) ?? new Pool(`http://${upstream.address}`, {
+			connections,
+			pipelining: 1,
+			connectTimeout: settings.connectTimeoutMilliseconds,
+			keepAliveTimeout: settings.upstreamKeepAliveMilliseconds,
+			// The deadline of each request bounds its answer; a second timer would only race it.
+			headersTimeout: 0,
+			bodyTimeout: 0,
+		});
+		pools.set(key, pool);
+		return pool;
+	};
+
+	return {
+		send: async options => dispatch(open(options), options),
+		retire(upstream) {
+			const key = poolKey(upstream);
+			const pool = pools.get(key);
+			pools.delete(key);
+			// Closing never fails for a request: those in flight end first, and no new one comes.
+			void pool?.close();
+		},
+		async destroy() {
+			await Promise.all([...pools.values()].map(async pool => pool.destroy()));
+			pools.clear();
+		},
+	};
+};
--- /dev/null
+++ b/packages/traffic/gateway/test/gateway.test.ts
@@ -0,0 +1,21 @@
+import test from 'ava';
+import {
+	answerOk, createHarness, createRawUpstream, headerOf, key, record, send,
+} from './fixtures.js';
+
+// Guards against lost answers, and against the team's key reaching an upstream.
+test('passes a request to an upstream and its whole answer back', async t => {
+	const upstream = await createRawUpstream(answerOk);
+	const {gateway, port, state} = await createHarness({instances: [record(upstream.port)]});
+	const answer = await send(port, {path: '/queues/quotes/price?rug=7', headers: {traceparent: '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'}});
+	t.is(answer.status, 200);
+	t.is(answer.body, 'fine');
+	const [request = ''] = upstream.received;
+	t.true(request.startsWith('GET /price?rug=7 HTTP/1.1'));
+	t.false(request.includes(key));
+	t.regex(headerOf(request, 'traceparent') ?? '', /^00-0af7651916cd43dd8448eb211c80319c-(?!b7ad6b7169203331)[\da-f]{16}-01$/v);
+	t.is(state.units, 4);
+	t.deepEqual(gateway.status().pools, [{pool: 'pricing', queued: 0, inFlight: 0}]);
+	await gateway.close();
+	await upstream.close();
+});
--- a/packages/traffic/routing/src/index.ts
+++ b/packages/traffic/routing/src/index.ts
@@ -1,1 +1,1 @@
-export const packageName = '@turmericbay/routing';
+export * from './routing-table.js';
