Add the platform and upstream stand-ins

Cause: the daemon and the fault cases need the platform's services and upstreams as separate programs with faults that can be switched on.

Ruled out: sharing wire schemas with the adapter, since a mistake in them would then pass the contract tests on both sides.

--- /dev/null
+++ b/packages/platform/fakes/src/http.ts
@@ -0,0 +1,87 @@
+/** Small helpers for the stand-ins' HTTP servers. They listen on loopback only. */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import type {
+	IncomingMessage, RequestListener, Server, ServerResponse,
+} from 'node:http';
+import {createServer} from 'node:http';
+import type {Polka} from 'polka';
+import type {z} from 'zod';
+
+export const loopbackAddress = '127.0.0.1';
+
+export const readBody = async (request: IncomingMessage): Promise<Uint8Array> => {
+	const chunks: Uint8Array[] = [];
+	for await (const chunk of request as AsyncIterable<Uint8Array>) {
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks);
+};
+
+export const sendJson = (response: ServerResponse, options: {readonly status?: number; readonly body: unknown}): void => {
+	const text = JSON.stringify(options.body);
+	response.writeHead(options.status ?? 200, {'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text)});
+	response.end(text);
+};
+
+/** Reads and checks a JSON body; answers 400 and returns undefined if it does not match. */
+export const parseJson = async <Schema extends z.ZodType>(
+	request: IncomingMessage,
+	response: ServerResponse,
+	schema: Schema,
+): Promise<z.infer<Schema> | undefined> => {
+	const text = new TextDecoder().decode(await readBody(request));
+	try {
+		const parsed = schema.safeParse(JSON.parse(text === '' ? '{}' : text));
+		if (parsed.success) {
+			return parsed.data;
+		}
+
+		sendJson(response, {status: 400, body: {error: parsed.error.message}});
+	} catch (error) {
+		sendJson(response, {status: 400, body: {error: String(error)}});
+	}
+
+	return undefined;
+};
+
+/** One value of a header; the first if it was sent several times. */
+export const readHeader = (request: IncomingMessage, name: string): string | undefined => {
+	const value = request.headers[name];
+	return Array.isArray(value) ? value[0] : value;
+};
+
+/** Polka adds the members that its own request type asks for. */
+// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- See above.
+export const toListener = (app: Polka): RequestListener => app.handler as RequestListener;
+
+export type ListeningServer = {
+	readonly port: number;
+	readonly server: Server;
+	/** Stops listening and breaks all connections. */
+	close(): Promise<void>;
+};
+
+export const closeServer = async (server: Server): Promise<void> => {
+	if (!server.listening) {
+		return;
+	}
+
+	const closed = once(server, 'close');
+	server.close();
+	server.closeAllConnections();
+	await closed;
+};
+
+const readPort = (server: Server): number => {
+	const address = server.address();
+	return typeof address === 'object' && address !== null ? address.port : 0;
+};
+
+export const listen = async (options: {readonly listener: RequestListener; readonly port?: number}): Promise<ListeningServer> => {
+	const server = createServer(options.listener);
+	server.listen(options.port ?? 0, loopbackAddress);
+	await once(server, 'listening');
+	return {port: readPort(server), server, close: async () => closeServer(server)};
+};
--- a/packages/platform/fakes/src/index.ts
+++ b/packages/platform/fakes/src/index.ts
@@ -1,1 +1,12 @@
-export const packageName = '@turmericbay/fakes';
+/** Stand-ins for the platform and for upstreams, for tests, fault cases and the demo. */
+export * from './call-counters.js';
+export * from './fault-switches.js';
+export * from './instance-fleet.js';
+export * from './key-value-engine.js';
+export * from './memory-platform.js';
+export * from './platform-control.js';
+export * from './platform-server.js';
+export * from './run-ledger.js';
+export * from './service-discovery.js';
+export * from './upstream-control.js';
+export * from './upstream-server.js';
--- /dev/null
+++ b/packages/platform/fakes/src/program.ts
@@ -0,0 +1,19 @@
+/** What the stand-in programs share: the ready line and the end on a signal. */
+import process from 'node:process';
+
+export type ReadyLine = {
+	readonly port: number;
+	readonly controlPort: number;
+	readonly processId: number;
+};
+
+/** Prints the ready line as JSON and closes on SIGTERM or SIGINT. */
+export const runProgram = (options: {readonly ready: ReadyLine; readonly close: () => Promise<void>}): void => {
+	const stop = (): void => {
+		void options.close();
+	};
+
+	process.once('SIGTERM', stop);
+	process.once('SIGINT', stop);
+	process.stdout.write(`${JSON.stringify(options.ready)}\n`);
+};
--- /dev/null
+++ b/packages/platform/fakes/src/upstream-main.ts
@@ -0,0 +1,32 @@
+/** Program: the upstream stand-in as a process of its own. SIGTERM finishes what runs before it ends. */
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {runProgram} from './program.js';
+import {startUpstreamControl} from './upstream-control.js';
+import {defaultSlots, startUpstreamServer} from './upstream-server.js';
+
+const {values} = parseArgs({
+	options: {
+		instance: {type: 'string', default: 'upstream'},
+		port: {type: 'string', default: '0'},
+		'control-port': {type: 'string', default: '0'},
+		slots: {type: 'string', default: String(defaultSlots)},
+		'run-time': {type: 'string', default: '0'},
+	},
+});
+
+const upstream = await startUpstreamServer({
+	instance: values.instance,
+	port: Number(values.port),
+	slots: Number(values.slots),
+	runMilliseconds: Number(values['run-time']),
+});
+const control = await startUpstreamControl({upstream, port: Number(values['control-port'])});
+
+runProgram({
+	ready: {port: upstream.port, controlPort: control.port, processId: process.pid},
+	async close() {
+		await upstream.drain();
+		await control.close();
+	},
+});
