Add the platform adapters and their contract tests

Cause: the daemon reaches the platform over published protocols only, and must know whether a failed write may have had its effect.

Ruled out: undici's retry agent, since a repeated write hides a lost answer from its caller; taking an error of the connection as not applied unless it came from connecting, since a kept connection can break after the request was written.

Change: key-value store, instance list and instance control over undici with deadlines and bounded answers parsed by zod; a counting wrapper; one contract suite for the in-memory store and the adapter, with fault cases in tables.

--- a/packages/platform/fakes/src/memory-platform.ts
+++ b/packages/platform/fakes/src/memory-platform.ts
@@ -16,7 +16,7 @@
 import type {
 	EngineEntry, EngineError, EngineOperation, KeyRange, KeyValueEngine,
 } from './key-value-engine.js';
-import {noLease, prefixRangeEnd} from './key-value-engine.js';
+import {GrpcStatus, noLease, prefixRangeEnd} from './key-value-engine.js';
 
 export type Sleep = (milliseconds: number) => Promise<void>;
 
@@ -30,7 +30,11 @@
 	tooLarge: {kind: StoreErrorKind.TooLarge, code: 'STORE_VALUE_TOO_LARGE', message: `value exceeds ${maximumValueBytes} bytes`},
 } as const satisfies Record<string, StoreError>;
 
-const toStoreError = (error: EngineError): StoreError => ({kind: StoreErrorKind.NotApplied, code: 'STORE_REFUSED', message: error.message});
+const toStoreError = ({status, message}: EngineError): StoreError => ({
+	kind: StoreErrorKind.NotApplied,
+	code: status === GrpcStatus.NotFound ? 'STORE_LEASE_NOT_FOUND' : 'STORE_REFUSED',
+	message,
+});
 
 const toStoredEntry = (entry: EngineEntry) => ({
 	key: fromBytes(entry.key), value: fromBytes(entry.value), modifiedRevision: entry.modifiedRevision,
@@ -138,8 +142,8 @@
 		grantLease: async ({timeToLiveSeconds}) => call(true, () => ok({leaseId: engine.grantLease({timeToLiveSeconds})})),
 		renewLease: async ({leaseId}) => call(true, () => ok({timeToLiveSeconds: engine.renewLease({leaseId})})),
 		revokeLease: async ({leaseId}) => call(true, () => engine.revokeLease({leaseId})
-			? ok(undefined)
-			: err({kind: StoreErrorKind.NotApplied, code: 'STORE_LEASE_NOT_FOUND', message: 'requested lease not found'} as const)),
+			? ok()
+			: err(toStoreError({status: GrpcStatus.NotFound, message: 'requested lease not found'}))),
 		watch: createWatch(options),
 	};
 };
--- /dev/null
+++ b/packages/platform/platform-client/src/etcd-watch.ts
@@ -0,0 +1,122 @@
+/**
+ * Watches over the etcd v3 JSON gateway: one answer without an end, one JSON
+ * message per line. A silent watch is no proof that nothing changed, since a
+ * partition leaves the connection open; readers also read now and then.
+ */
+import {Buffer} from 'node:buffer';
+import type {KeyValueStore, StoredEntry, StoreError} from '@turmericbay/types';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import {z} from 'zod';
+import {createWatchRequest, toStoredEntry, watchAnswer} from './etcd-messages.js';
+import type {HttpCaller} from './http-caller.js';
+import {CallFailureKind, parseJsonText, toCallFailure} from './http-caller.js';
+import {createMalformedError, fromCallFailure, fromErrorAnswer} from './store-errors.js';
+
+const okStatus = 200;
+const lineFeed = 10;
+
+/** Splits a stream of bytes into lines; fails once a line exceeds the maximum. */
+const createLineSplitter = (maximumBytes: number) => {
+	let rest: Uint8Array = Buffer.alloc(0);
+	return (chunk: Uint8Array): Result<string[], StoreError> => {
+		const lines: string[] = [];
+		rest = Buffer.concat([rest, chunk]);
+		for (let end = rest.indexOf(lineFeed); end !== -1; end = rest.indexOf(lineFeed)) {
+			lines.push(new TextDecoder().decode(rest.subarray(0, end)));
+			rest = rest.subarray(end + 1);
+		}
+
+		return rest.length > maximumBytes
+			? err(fromCallFailure({kind: CallFailureKind.AnswerTooLarge, message: `a watch message exceeds ${maximumBytes} bytes`}))
+			: ok(lines);
+	};
+};
+
+/** Changed entries of one message; deletions carry no entry. */
+const parseMessage = (line: string): Result<StoredEntry[], StoreError> => {
+	const parsed = watchAnswer.safeParse(parseJsonText(line));
+	if (!parsed.success) {
+		return err(createMalformedError(z.prettifyError(parsed.error)));
+	}
+
+	const {canceled, cancel_reason: reason, events} = parsed.data.result;
+	return canceled
+		? err(createMalformedError(`the service ended the watch: ${reason}`))
+		: ok(events.filter(({type}) => type === 'PUT').map(({kv}) => toStoredEntry(kv)));
+};
+
+type Changes = (entries: readonly StoredEntry[]) => void;
+
+/** Reads messages until the stream ends, and returns why it did. */
+const readMessages = async (options: {
+	readonly body: AsyncIterable<Uint8Array>;
+	readonly maximumBytes: number;
+	readonly onChange: Changes;
+}): Promise<StoreError> => {
+	const split = createLineSplitter(options.maximumBytes);
+	for await (const chunk of options.body) {
+		const lines = split(chunk);
+		if (lines.isErr()) {
+			return lines.error;
+		}
+
+		for (const line of lines.value) {
+			const entries = parseMessage(line);
+			if (entries.isErr()) {
+				return entries.error;
+			}
+
+			if (entries.value.length > 0) {
+				options.onChange(entries.value);
+			}
+		}
+	}
+
+	return fromCallFailure({kind: CallFailureKind.ConnectionLost, message: 'the watch ended'});
+};
+
+const follow = async (options: {
+	readonly caller: HttpCaller;
+	readonly prefix: string;
+	readonly signal: AbortSignal;
+	readonly onChange: Changes;
+}): Promise<StoreError> => {
+	const {caller, prefix, signal, onChange} = options;
+	const opened = await caller.open({
+		method: 'POST', path: '/v3/watch', body: createWatchRequest(prefix), signal,
+	});
+	if (opened.isErr()) {
+		return fromCallFailure(opened.error);
+	}
+
+	const {statusCode, body} = opened.value;
+	try {
+		return statusCode === okStatus
+			? await readMessages({body, maximumBytes: caller.maximumAnswerBytes, onChange})
+			: fromErrorAnswer({status: statusCode, text: await body.text()});
+	} catch (error) {
+		return fromCallFailure(toCallFailure(error));
+	}
+};
+
+export const createEtcdWatch = (caller: HttpCaller): KeyValueStore['watch'] => ({prefix, onChange, onEnd}) => {
+	const controller = new AbortController();
+	const {signal} = controller;
+	const run = async (): Promise<void> => {
+		const reason = await follow({
+			caller, prefix, signal, onChange,
+		});
+		if (!signal.aborted) {
+			controller.abort();
+			onEnd(reason);
+		}
+	};
+
+	void run();
+	return {
+		stop() {
+			controller.abort();
+		},
+	};
+};
--- /dev/null
+++ b/packages/platform/platform-client/src/http-caller.ts
@@ -0,0 +1,132 @@
+/**
+ * HTTP calls to the platform's services with a deadline and a bounded answer.
+ * A failure says whether bytes of the request may have been sent.
+ */
+import type {AvailabilityZone, InstanceId} from '@turmericbay/types';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {Dispatcher} from 'undici';
+import {errors, Pool} from 'undici';
+
+export enum CallFailureKind {
+	/** No connection came about, so no byte was sent. */
+	NotSent = 'not-sent',
+	/** The connection broke after bytes may have been sent. */
+	ConnectionLost = 'connection-lost',
+	/** The deadline passed after bytes may have been sent. */
+	Timeout = 'timeout',
+	AnswerTooLarge = 'answer-too-large',
+}
+
+export type CallFailure = {readonly kind: CallFailureKind; readonly message: string};
+
+export type CallAnswer = {readonly status: number; readonly text: string};
+
+export type CallerSettings = {
+	/** Origin of the service, for instance `http://127.0.0.1:2379`. */
+	readonly origin: string;
+	/** The caller's availability zone and name, sent in `X-Availability-Zone` and `X-Instance`. */
+	readonly zone: AvailabilityZone;
+	readonly instance: InstanceId;
+	/** From the start of the call to the end of the answer. */
+	readonly callTimeoutMilliseconds?: number;
+	/** Shorter than the call timeout, so that a failed connect is told from a late answer. */
+	readonly connectTimeoutMilliseconds?: number;
+	readonly maximumAnswerBytes?: number;
+};
+
+export type CallRequest = {
+	readonly method: 'GET' | 'POST';
+	readonly path: string;
+	/** Sent as JSON. */
+	readonly body?: unknown;
+};
+
+export type HttpCaller = {
+	readonly maximumAnswerBytes: number;
+	call(request: CallRequest): Promise<Result<CallAnswer, CallFailure>>;
+	/** Waits for the head of an answer without an end; reading the body stays with the caller. */
+	open(request: CallRequest & {readonly signal: AbortSignal}): Promise<Result<Dispatcher.ResponseData, CallFailure>>;
+	close(): Promise<void>;
+};
+
+const defaultCallTimeoutMilliseconds = 2000;
+const defaultConnectTimeoutMilliseconds = 1000;
+/** Room for a listing of a few values of the largest size in base64. */
+const defaultMaximumAnswerBytes = 16 * 1024 * 1024;
+
+const timeoutCodes = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
+
+const isConnectFailure = (error: Error): boolean =>
+	error instanceof errors.ConnectTimeoutError
+	|| ('syscall' in error && error.syscall === 'connect')
+	// Refusal only happens while connecting; an aggregate of several addresses has no system call.
+	|| ('code' in error && error.code === 'ECONNREFUSED');
+
+const classify = (error: Error): CallFailureKind => {
+	if (isConnectFailure(error)) {
+		return CallFailureKind.NotSent;
+	}
+
+	if (error instanceof errors.ResponseExceededMaxSizeError) {
+		return CallFailureKind.AnswerTooLarge;
+	}
+
+	const isTimeout = error.name === 'TimeoutError' || ('code' in error && timeoutCodes.has(String(error.code)));
+	return isTimeout ? CallFailureKind.Timeout : CallFailureKind.ConnectionLost;
+};
+
+/** Turns anything thrown by undici into a failure. */
+export const toCallFailure = (error: unknown): CallFailure => error instanceof Error
+	? {kind: classify(error), message: error.message}
+	: {kind: CallFailureKind.ConnectionLost, message: String(error)};
+
+export const createHttpCaller = (settings: CallerSettings): HttpCaller => {
+	const maximumAnswerBytes = settings.maximumAnswerBytes ?? defaultMaximumAnswerBytes;
+	const callTimeoutMilliseconds = settings.callTimeoutMilliseconds ?? defaultCallTimeoutMilliseconds;
+	const connect = {timeout: settings.connectTimeoutMilliseconds ?? defaultConnectTimeoutMilliseconds};
+	const calls = new Pool(settings.origin, {connect, maxResponseSize: maximumAnswerBytes});
+	const streams = new Pool(settings.origin, {connect, headersTimeout: callTimeoutMilliseconds, bodyTimeout: 0});
+
+	const toOptions = ({method, path, body}: CallRequest): Dispatcher.RequestOptions => ({
+		method,
+		path,
+		headers: {
+			'content-type': 'application/json',
+			'x-availability-zone': settings.zone,
+			'x-instance': settings.instance,
+		},
+		...(body !== undefined && {body: JSON.stringify(body)}),
+	});
+
+	return {
+		maximumAnswerBytes,
+		async call(request) {
+			try {
+				const response = await calls.request({...toOptions(request), signal: AbortSignal.timeout(callTimeoutMilliseconds)});
+				return ok({status: response.statusCode, text: await response.body.text()});
+			} catch (error) {
+				return err(toCallFailure(error));
+			}
+		},
+		async open({signal, ...request}) {
+			try {
+				return ok(await streams.request({...toOptions(request), signal}));
+			} catch (error) {
+				return err(toCallFailure(error));
+			}
+		},
+		async close() {
+			await Promise.all([calls.destroy(), streams.destroy()]);
+		},
+	};
+};
+
+/** Parses JSON; undefined if the text is not JSON. */
+export const parseJsonText = (text: string): unknown => {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+};
--- /dev/null
+++ b/packages/platform/platform-client/src/service-discovery-instance-list.ts
@@ -0,0 +1,51 @@
+/**
+ * Instance list in the Prometheus HTTP service discovery format
+ * (https://prometheus.io/docs/prometheus/latest/http_sd/).
+ */
+import type {InstanceList, InstanceListError, InstanceRecord} from '@turmericbay/types';
+import {InstanceRole, InstanceState} from '@turmericbay/types';
+import {err, ok} from 'neverthrow';
+import {z} from 'zod';
+import type {CallerSettings} from './http-caller.js';
+import {createHttpCaller, parseJsonText} from './http-caller.js';
+
+const targetGroup = z.object({
+	targets: z.tuple([z.string().min(1)]),
+	labels: z.object({
+		instance: z.string().min(1),
+		incarnation: z.string().min(1),
+		role: z.enum(InstanceRole),
+		pool: z.string(),
+		zone: z.string(),
+		rack: z.string(),
+		state: z.enum(InstanceState),
+	}),
+}).transform(({targets: [address], labels}): InstanceRecord => ({...labels, address}));
+
+const listAnswer = z.array(targetGroup);
+const okStatus = 200;
+
+const createError = (code: InstanceListError['code'], message: string): InstanceListError => ({code, message});
+
+export type ClosableInstanceList = InstanceList & {close(): Promise<void>};
+
+/** Reads the list with `GET` from `path` (by default `/instances`) at `settings.origin`. */
+export const createServiceDiscoveryInstanceList = (settings: CallerSettings & {readonly path?: string}): ClosableInstanceList => {
+	const caller = createHttpCaller(settings);
+	return {
+		async readInstances() {
+			const answer = await caller.call({method: 'GET', path: settings.path ?? '/instances'});
+			if (answer.isErr()) {
+				return err(createError('INSTANCE_LIST_UNAVAILABLE', answer.error.message));
+			}
+
+			if (answer.value.status !== okStatus) {
+				return err(createError('INSTANCE_LIST_UNAVAILABLE', `status ${answer.value.status}`));
+			}
+
+			const parsed = listAnswer.safeParse(parseJsonText(answer.value.text));
+			return parsed.success ? ok(parsed.data) : err(createError('INSTANCE_LIST_MALFORMED', z.prettifyError(parsed.error)));
+		},
+		close: async () => caller.close(),
+	};
+};
