--- a/packages/peers/peer-protocol/test/peer-protocol.test.ts
+++ b/packages/peers/peer-protocol/test/peer-protocol.test.ts
@@ -8,6 +8,7 @@
 const implementation: PeerServiceImplementation = {
 	exchange: () => ({knowledge: {instance: 'entry-2', documentVersion: 7n}}),
 	getDocument: () => ({envelopeJson: '{}'}),
+	pushDocument: () => ({documentVersion: 7n}),
 	claim: () => ({verdict: ClaimVerdict.GRANTED}),
 	settleClaim: () => ({recorded: true}),
 	transferGrant: ({units}: {units: number}) => ({units}),
