--- a/packages/platform/fakes/src/upstream-server.ts
+++ b/packages/platform/fakes/src/upstream-server.ts
@@ -188,15 +188,18 @@
 		return record;
 	};
 
-	const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-		received++;
-		const incoming = await receive(request);
-		const fault = faults.take();
+	const prepareAnswer = (response: ServerResponse): void => {
 		if (isDraining) {
 			response.setHeader('Connection', 'close');
 		}
+	};
 
+	const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		received++;
+		const incoming = await receive(request);
+		const fault = faults.take();
 		if (fault.mode === UpstreamFault.Refuse) {
+			prepareAnswer(response);
 			refuse(response, incoming);
 			return;
 		}
@@ -210,6 +213,7 @@
 			await sleep(fault.delayMilliseconds ?? defaultLateMilliseconds);
 		}
 
+		prepareAnswer(response);
 		answer(response, {received: incoming, text: createAnswerBody(options.instance, incoming), mode: fault.mode});
 	};
 
