--- a/packages/traffic/admission/src/flow-class.ts
+++ b/packages/traffic/admission/src/flow-class.ts
@@ -127,10 +127,13 @@
 		entriesAhead({flow: name, share}) {
 			const own = flows.get(name);
 			const ownLength = own === undefined ? 0 : lengthOf(own);
+			const earliest = Math.max(own?.startTag ?? 0, virtualTime);
+			const tag = earliest + (ownLength / share);
 			let ahead = ownLength;
 			for (const flow of flows.values()) {
 				if (flow !== own && !flow.blocked) {
-					ahead += Math.min(lengthOf(flow), Math.ceil((ownLength + 1) * flow.share / share));
+					const earlier = Math.ceil((tag - flow.startTag) * flow.share);
+					ahead += Math.min(lengthOf(flow), Math.max(0, earlier));
 				}
 			}
 
--- /dev/null
+++ b/packages/traffic/admission/test/authorization.test.ts
@@ -0,0 +1,73 @@
+import test from 'ava';
+import {documentSchema} from '@turmericbay/document';
+import {ProblemCode} from '@turmericbay/types';
+import {authorize, refuseOnArrival} from '../src/index.js';
+import type {KeyVerdict, QueueSituation} from '../src/index.js';
+
+const document = documentSchema.parse({
+	schemaVersion: 1,
+	pools: {pricing: {kind: 'upstream'}},
+	teams: {rugs: {share: 3, limit: 4}, gourds: {share: 1, limit: 4}},
+	queues: {
+		quotes: {pool: 'pricing', teams: ['rugs']},
+		anyone: {pool: 'pricing'},
+		patient: {pool: 'pricing', whenUnconfirmed: {action: 'serve', seconds: 30}},
+		open: {pool: 'pricing', access: 'open'},
+	},
+});
+
+const rugs: KeyVerdict = {type: 'accepted', team: 'rugs'};
+const gourds: KeyVerdict = {type: 'accepted', team: 'gourds'};
+const withdrawn: KeyVerdict = {type: 'accepted', team: 'withdrawn'};
+
+const cases: ReadonlyArray<[string, KeyVerdict, number | undefined, ProblemCode | 'allowed']> = [
+	['quotes', rugs, 0, 'allowed'],
+	['quotes', rugs, 5000, 'allowed'],
+	['quotes', rugs, 5001, ProblemCode.ConfigurationUnconfirmed],
+	['quotes', rugs, undefined, ProblemCode.ConfigurationUnconfirmed],
+	['quotes', gourds, 0, ProblemCode.TeamNotAllowed],
+	['quotes', withdrawn, 0, ProblemCode.KeyRejected],
+	['quotes', {type: 'missing'}, 0, ProblemCode.KeyMissing],
+	['quotes', {type: 'rejected'}, 0, ProblemCode.KeyRejected],
+	['anyone', gourds, 0, 'allowed'],
+	['patient', rugs, 35_000, 'allowed'],
+	['patient', rugs, 35_001, ProblemCode.ConfigurationUnconfirmed],
+	['patient', rugs, undefined, ProblemCode.ConfigurationUnconfirmed],
+	['open', {type: 'missing'}, undefined, 'allowed'],
+	['open', {type: 'rejected'}, 1e9, 'allowed'],
+	['absent', rugs, 0, ProblemCode.QueueUnknown],
+	['constructor', rugs, 0, ProblemCode.QueueUnknown],
+];
+
+// Guards against work being accepted without a confirmed key, and against refused open queues.
+for (const [queueName, key, confirmationAgeMilliseconds, expected] of cases) {
+	test(`${queueName} with a ${key.type} key ${key.type === 'accepted' ? `of ${key.team} ` : ''}at age ${confirmationAgeMilliseconds}: ${expected}`, t => {
+		const decision = authorize({
+			document, queueName, key, confirmationAgeMilliseconds,
+		});
+		t.is(decision.type === 'allowed' ? 'allowed' : decision.problem.code, expected);
+	});
+}
+
+const calm: QueueSituation = {
+	queueLength: 0, maximumQueued: 10, entriesAhead: 0, concurrency: 8, freeSlots: 0, meanRunMilliseconds: 100, remainingMilliseconds: 50,
+};
+
+const arrivals: ReadonlyArray<[string, Partial<QueueSituation>, ProblemCode | undefined]> = [
+	['nothing waits', {}, undefined],
+	['the queue is full', {queueLength: 10}, ProblemCode.QueueFull],
+	['the wait just fits', {entriesAhead: 3}, undefined],
+	['the wait is too long', {entriesAhead: 4}, ProblemCode.DeadlineTooShort],
+	['free slots shorten the wait', {entriesAhead: 4, freeSlots: 1}, undefined],
+	['nothing has been measured', {entriesAhead: 9, meanRunMilliseconds: undefined}, undefined],
+	['the deadline has passed', {remainingMilliseconds: 0}, ProblemCode.DeadlineExceeded],
+	['the team waits for its own runs', {teamAtLimit: {running: 2, queued: 1}}, ProblemCode.TeamAtLimit],
+	['the units of the team are elsewhere', {teamAtLimit: {running: 0, queued: 5}}, undefined],
+];
+
+// Guards against accepting work that would only expire in the queue.
+for (const [name, changes, expected] of arrivals) {
+	test(`on arrival, ${name}: ${expected ?? 'queues'}`, t => {
+		t.is(refuseOnArrival({...calm, ...changes})?.code, expected);
+	});
+}
