Add the grant ledger: shards, plans, transfers and reclaim

Cause: team limits have to hold across all entry instances while holders pause, die and lose answers. Ruled out: raising the count after one read once an answer was lost (the write can still arrive while the shard has the revision it was made for, so an unchanged shard is first written again); trusting the units that a peer's answer names (a repeated answer would count twice).

--- /dev/null
+++ b/packages/coordination/grant-ledger/src/fleet-view.ts
@@ -0,0 +1,58 @@
+/** What a holder sees of the fleet: live entry instances by zone, and holders that are gone. */
+import {InstanceRole, InstanceState} from '@turmericbay/types';
+import type {
+	AvailabilityZone, InstanceDirectory, ProcessIdentity,
+} from '@turmericbay/types';
+import type {FleetView} from './plan.js';
+import {holderKey} from './shard.js';
+
+/** `noteListed` is told of holders in the ledger: only processes that were listed write there. */
+export type ListedDirectory = InstanceDirectory & {noteListed?(identity: ProcessIdentity): void};
+
+export const viewFleet = (directory: InstanceDirectory, self: ProcessIdentity): FleetView => {
+	const entriesByZone = new Map<AvailabilityZone, string[]>();
+	let selfListed = false;
+	for (const record of directory.instances()) {
+		if (record.role !== InstanceRole.Entry) {
+			continue;
+		}
+
+		selfListed ||= record.instance === self.instance && record.incarnation === self.incarnation;
+		if (record.state === InstanceState.Live) {
+			entriesByZone.set(record.zone, [...(entriesByZone.get(record.zone) ?? []), record.instance]);
+		}
+	}
+
+	for (const entries of entriesByZone.values()) {
+		entries.sort((left, right) => left.localeCompare(right, 'en'));
+	}
+
+	return {entriesByZone, selfListed};
+};
+
+/** Remembers since when this process has had proof that a holder is gone. */
+export const createGoneTimes = (directory: ListedDirectory) => {
+	const since = new Map<string, number>();
+	return {
+		update(holders: ReadonlyMap<string, ProcessIdentity>, now: number) {
+			for (const [key, identity] of holders) {
+				directory.noteListed?.(identity);
+				if (!directory.isProvenGone(identity)) {
+					since.delete(key);
+				} else if (!since.has(key)) {
+					since.set(key, now);
+				}
+			}
+
+			for (const key of since.keys()) {
+				if (!holders.has(key)) {
+					since.delete(key);
+				}
+			}
+		},
+		goneFor(identity: ProcessIdentity, now: number) {
+			const start = since.get(holderKey(identity));
+			return start === undefined ? undefined : now - start;
+		},
+	};
+};
--- a/packages/coordination/membership/src/directory.ts
+++ b/packages/coordination/membership/src/directory.ts
@@ -48,8 +48,6 @@
 	 * because it wrote a record that only listed processes write.
 	 */
 	noteListed(identity: ProcessIdentity): void;
-	/** Milliseconds since the proof was first complete; undefined without proof. */
-	goneForMilliseconds(identity: ProcessIdentity): number | undefined;
 } & InstanceDirectory;
 
 type Sighting = {shownAt: number; marginMilliseconds: number; goneSince: number | undefined};
@@ -118,7 +116,11 @@
 		}
 	};
 
-	return {update, note, goneSince: (identity: ProcessIdentity) => sightings.get(identityKey(identity))?.goneSince};
+	return {
+		update,
+		note,
+		isGone: (identity: ProcessIdentity) => sightings.get(identityKey(identity))?.goneSince !== undefined,
+	};
 };
 
 export const createInstanceDirectory = (options: {
@@ -170,13 +172,9 @@
 		noteListed(identity) {
 			sightings.note(identity, clock.monotonicMilliseconds());
 		},
-		goneForMilliseconds(identity) {
-			const since = sightings.goneSince(identity);
-			return since === undefined ? undefined : clock.monotonicMilliseconds() - since;
-		},
 		instances: () => adopted,
 		ageMilliseconds: () => adoptedReadAt === undefined ? undefined : clock.monotonicMilliseconds() - adoptedReadAt,
-		isProvenGone: identity => sightings.goneSince(identity) !== undefined,
+		isProvenGone: identity => sightings.isGone(identity),
 		subscribe(listener) {
 			listeners.push(listener);
 		},
--- a/packages/coordination/membership/src/session.ts
+++ b/packages/coordination/membership/src/session.ts
@@ -17,7 +17,10 @@
 const retryIntervalMilliseconds = 1000;
 /** An unanswered call is given up after this time; its late answer is ignored. */
 const callTimeoutMilliseconds = 4000;
-/** Covers differences in clock rate and the delay until the store removes a lapsed key. */
+/**
+ * Covers differences in clock rate, the delay until the store removes a lapsed
+ * key, and a renewal that reaches the store after the caller has given it up.
+ */
 const lapseMarginMilliseconds = 2000;
 
 const sessionSchema = z.object({
@@ -60,7 +63,7 @@
 	aliveFrom: number | undefined;
 	dueAt: number;
 	call: {startedAt: number} | undefined;
-	/** A renewal got no answer: another one must wait until the store answers a read. */
+	/** A renewal failed: another one must wait until the store answers a read. */
 	mustProbe: boolean;
 	error: StoreError | undefined;
 	stopped: boolean;
@@ -144,7 +147,6 @@
 		if (renewed.isErr()) {
 			if (renewed.error.kind === StoreErrorKind.NotApplied) {
 				state.aliveFrom = previous;
-				state.mustProbe = false;
 			}
 
 			fail(renewed.error);
--- /dev/null
+++ b/packages/coordination/membership/test/support/fleet.ts
@@ -0,0 +1,150 @@
+/**
+ * Entry instances on the fake clock: processes that are killed, restarted and
+ * paused, a lagging instance list, and messages between processes.
+ */
+import {InstanceRole, InstanceState} from '@turmericbay/types';
+import type {InstanceRecord, ProcessIdentity} from '@turmericbay/types';
+import {createInstanceDirectory} from '../../src/index.js';
+import type {ObservedDirectory} from '../../src/index.js';
+import {createProcess} from './simulation.js';
+import type {SimulatedProcess, Simulation} from './simulation.js';
+import {createSimulatedStore, createStoreClient} from './store.js';
+import type {SimulatedStore, StoreClient} from './store.js';
+
+export type Member<Part> = {
+	readonly identity: ProcessIdentity;
+	readonly zone: string;
+	readonly process: SimulatedProcess;
+	readonly store: StoreClient;
+	readonly directory: ObservedDirectory;
+	readonly part: Part;
+};
+
+export type MemberParts<Part> = (member: Omit<Member<Part>, 'part'>) => Part;
+
+/** Thrown into a message's sender when no answer comes. */
+export class PeerUnreachableError extends Error {
+	override name = 'PeerUnreachableError';
+}
+
+const listIntervalMilliseconds = 1000;
+const peerTimeoutMilliseconds = 500;
+
+export type Fleet<Part> = {
+	readonly store: SimulatedStore;
+	/** Members by position; a restart puts a new member in the same position. */
+	readonly members: Array<Member<Part>>;
+	readonly network: {lossProbability: number; cutZones: Set<string>; listLagMilliseconds: number; listBroken: boolean};
+	kill(position: number): void;
+	restart(position: number): void;
+	/** Calls the other process and back; fails with a `PeerUnreachableError` after a time. */
+	message<Answer>(options: {
+		readonly from: Omit<Member<Part>, 'part'>;
+		readonly to: ProcessIdentity;
+		readonly handle: (part: Part) => Promise<Answer>;
+	}): Promise<Answer>;
+};
+
+export const createFleet = <Part>(options: {
+	readonly simulation: Simulation;
+	readonly zones: readonly string[];
+	readonly count: number;
+	readonly createPart: (member: Omit<Member<Part>, 'part'>, fleet: Fleet<Part>) => Part;
+}): Fleet<Part> => {
+	const {simulation, zones, count, createPart} = options;
+	const {clock, random} = simulation;
+	const store = createSimulatedStore(simulation);
+	const history: Array<{at: number; records: readonly InstanceRecord[]}> = [];
+	let incarnations = 0;
+
+	const readList = (lag: number) => {
+		const at = clock.monotonicMilliseconds() - lag;
+		return (history.findLast(entry => entry.at <= at) ?? history[0])?.records ?? [];
+	};
+
+	const recordList = () => {
+		history.push({
+			at: clock.monotonicMilliseconds(),
+			records: fleet.members.filter(({process}) => process.isAlive()).map(({identity, zone}) => ({
+				...identity, address: '127.0.0.1:1', role: InstanceRole.Entry, pool: 'entry', zone, rack: 'r', state: InstanceState.Live,
+			})),
+		});
+	};
+
+	const feedDirectory = ({process, directory}: Omit<Member<Part>, 'part'>) => {
+		const {listLagMilliseconds, listBroken} = fleet.network;
+		if (listBroken && random() < 0.5) {
+			directory.offer({records: [], ageMilliseconds: 0});
+			return;
+		}
+
+		const records = readList(listLagMilliseconds * random());
+		process.after(random() * 20, () => {
+			directory.offer({records, ageMilliseconds: 20});
+		});
+	};
+
+	const start = (position: number) => {
+		incarnations += 1;
+		const process = createProcess(simulation);
+		const base = {
+			identity: {instance: `e${String(position).padStart(3, '0')}`, incarnation: `i${incarnations}`},
+			zone: zones[position % zones.length]!,
+			process,
+			store: createStoreClient({simulation, process, store}),
+			directory: createInstanceDirectory({clock}),
+		};
+		fleet.members[position] = {...base, part: createPart(base, fleet)};
+		recordList();
+		feedDirectory(base);
+		process.repeat(listIntervalMilliseconds, () => {
+			feedDirectory(base);
+		});
+	};
+
+	const isCut = (from: string, to: string) => from !== to
+		&& (fleet.network.cutZones.has(from) || fleet.network.cutZones.has(to));
+
+	const fleet: Fleet<Part> = {
+		store,
+		members: [],
+		network: {
+			lossProbability: 0, cutZones: new Set(), listLagMilliseconds: 3000, listBroken: false,
+		},
+		kill(position) {
+			fleet.members[position]!.process.kill();
+			recordList();
+		},
+		restart(position) {
+			start(position);
+		},
+		async message({from, to, handle}) {
+			const {lossProbability} = fleet.network;
+			const target = fleet.members.find(({identity}) =>
+				identity.instance === to.instance && identity.incarnation === to.incarnation);
+			return new Promise((resolve, reject) => {
+				from.process.after(peerTimeoutMilliseconds, () => {
+					reject(new PeerUnreachableError(`no answer from ${to.instance}`));
+				});
+				if (!target || isCut(from.zone, target.zone) || random() < lossProbability) {
+					return;
+				}
+
+				target.process.after(random() * 3, () => {
+					void handle(target.part).then(answer => {
+						if (!isCut(from.zone, target.zone) && random() >= lossProbability) {
+							from.process.after(random() * 3, () => {
+								resolve(answer);
+							});
+						}
+					});
+				});
+			});
+		},
+	};
+	for (let position = 0; position < count; position += 1) {
+		start(position);
+	}
+
+	return fleet;
+};
--- /dev/null
+++ b/packages/coordination/membership/test/support/index.ts
@@ -0,0 +1,3 @@
+export * from './simulation.js';
+export * from './store.js';
+export * from './fleet.js';
