--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -28,6 +28,7 @@
 	PlatformReachable = 3002,
 	InstanceListFailed = 3003,
 	SessionLost = 3004,
+	WatchEnded = 3005,
 	PeerUnreachable = 4001,
 	PeerReachable = 4002,
 	PeerRejected = 4003,
@@ -141,6 +142,11 @@
 		message: 'The session lease lapsed and was opened anew',
 		action: 'Look for pauses of this process or an outage of the platform.',
 	},
+	[LogEvent.WatchEnded]: {
+		level: LogLevel.Information,
+		message: 'The watch on the document ended and is opened anew',
+		action: none,
+	},
 	[LogEvent.PeerUnreachable]: {
 		level: LogLevel.Warning,
 		message: 'Another entry instance does not answer',
--- a/packages/coordination/membership/src/directory.ts
+++ b/packages/coordination/membership/src/directory.ts
@@ -4,7 +4,7 @@
  */
 import {InstanceRole} from '@turmericbay/types';
 import type {
-	Clock, InstanceDirectory, InstanceRecord, ProcessIdentity,
+	Clock, InstanceDirectory, InstanceId, InstanceRecord, ProcessIdentity,
 } from '@turmericbay/types';
 
 /**
@@ -27,6 +27,12 @@
 
 const defaultReadsToConfirm = 5;
 
+/**
+ * Stands for a listed instance of which it is not known which process runs on
+ * it: none of its processes can be proven gone by such a list.
+ */
+export const unknownIncarnation = '';
+
 export enum OfferRefusal {
 	/** The list is not newer than the newest one seen. */
 	Older = 'older',
@@ -50,7 +56,7 @@
 	noteListed(identity: ProcessIdentity): void;
 } & InstanceDirectory;
 
-type Sighting = {shownAt: number; marginMilliseconds: number; goneSince: number | undefined};
+type Sighting = {readonly instance: InstanceId; shownAt: number; marginMilliseconds: number; goneSince: number | undefined};
 
 const identityKey = ({instance, incarnation}: ProcessIdentity): string => JSON.stringify([instance, incarnation]);
 
@@ -88,10 +94,18 @@
 	const sightings = new Map<string, Sighting>();
 	const update = (records: readonly InstanceRecord[], readAt: number, now: number) => {
 		const shown = new Set<string>();
+		const shownAsAnyRun = new Set<InstanceId>();
 		for (const record of records) {
+			if (record.incarnation === unknownIncarnation) {
+				shownAsAnyRun.add(record.instance);
+				continue;
+			}
+
 			const key = identityKey(record);
 			shown.add(key);
-			sightings.set(key, {shownAt: readAt, marginMilliseconds: proofMarginMilliseconds, goneSince: undefined});
+			sightings.set(key, {
+				instance: record.instance, shownAt: readAt, marginMilliseconds: proofMarginMilliseconds, goneSince: undefined,
+			});
 		}
 
 		for (const [key, sighting] of sightings) {
@@ -99,6 +113,11 @@
 				continue;
 			}
 
+			if (shownAsAnyRun.has(sighting.instance) && sighting.goneSince === undefined) {
+				sighting.shownAt = readAt;
+				continue;
+			}
+
 			if (readAt - sighting.shownAt >= sighting.marginMilliseconds) {
 				sighting.goneSince ??= now;
 			}
@@ -112,7 +131,7 @@
 	const note = (identity: ProcessIdentity, now: number) => {
 		const key = identityKey(identity);
 		if (!sightings.has(key)) {
-			sightings.set(key, {shownAt: now, marginMilliseconds: hearsayMarginMilliseconds, goneSince: undefined});
+			sightings.set(key, {instance: identity.instance, shownAt: now, marginMilliseconds: hearsayMarginMilliseconds, goneSince: undefined});
 		}
 	};
 
--- a/packages/coordination/membership/test/directory.test.ts
+++ b/packages/coordination/membership/test/directory.test.ts
@@ -3,7 +3,7 @@
 	createManualClock, InstanceRole, InstanceState,
 } from '@turmericbay/types';
 import type {InstanceRecord} from '@turmericbay/types';
-import {createInstanceDirectory, OfferRefusal} from '../src/index.js';
+import {createInstanceDirectory, OfferRefusal, unknownIncarnation} from '../src/index.js';
 
 const record = (instance: string, incarnation: string, role = InstanceRole.Entry): InstanceRecord => ({
 	instance, incarnation, address: '127.0.0.1:1', role, pool: 'entry', zone: 'a', rack: 'r', state: InstanceState.Live,
@@ -94,3 +94,15 @@
 	offerAfter(1000, list(3));
 	t.true(directory.isProvenGone(gone));
 });
+
+// Guards against reclaiming the units of a live process that this instance has never talked to.
+test('a listed instance whose run is unknown proves nothing about its processes', t => {
+	const {directory, offerAfter} = createFixture();
+	const identity = {instance: 'e4', incarnation: 'daemon-1'};
+	offerAfter(0, [...list(4), record('e4', unknownIncarnation)]);
+	directory.noteListed(identity);
+	offerAfter(120_000, [...list(4), record('e4', unknownIncarnation)]);
+	t.false(directory.isProvenGone(identity));
+	offerAfter(61_000, [...list(4), record('e4', 'daemon-2')]);
+	t.true(directory.isProvenGone(identity));
+});
--- /dev/null
+++ b/packages/programs/daemon/src/daemon.ts
@@ -0,0 +1,135 @@
+/** Life cycle of the daemon: listeners, systems, readiness and graceful shutdown. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createPeerServer} from '@turmericbay/peer-protocol';
+import type {OperatorServiceImplementation} from '@turmericbay/peer-protocol';
+import {StoreCallKind} from '@turmericbay/platform-client';
+import type {Settings} from '@turmericbay/settings';
+import {LogEvent} from '@turmericbay/telemetry';
+import {createEntryInstance} from './entry-instance.js';
+import type {EntryInstanceOptions, EntryInstanceParts} from './entry-instance.js';
+import {createOperationsServer} from './operations-server.js';
+import type {Readiness} from './operations-server.js';
+import {runSystems, waitUntil} from './systems.js';
+
+export type DaemonPorts = {
+	readonly callers: number;
+	readonly operations: number;
+	readonly peers: number;
+};
+
+export type Daemon = {
+	/** Opens the listeners and starts the systems; rejects if a listener cannot be opened. */
+	start(): Promise<DaemonPorts>;
+	/** Graceful shutdown; ends when everything is handed back or the bound is reached. */
+	stop(): Promise<void>;
+};
+
+/** Time that a planned stop takes at most to give back grants and claims. */
+const handBackBoundMilliseconds = 5000;
+
+const describeReadiness = (parts: EntryInstanceParts, isStopping: boolean): Readiness => {
+	if (isStopping) {
+		return {type: 'not-ready', reason: 'shutting down'};
+	}
+
+	if (parts.documentWatch.current() === undefined) {
+		return {type: 'not-ready', reason: 'no document'};
+	}
+
+	return parts.directory.ageMilliseconds() === undefined
+		? {type: 'not-ready', reason: 'no instance list'}
+		: {type: 'ready'};
+};
+
+export const createDaemon = (options: EntryInstanceOptions & {
+	readonly createOperatorService: (parts: EntryInstanceParts, settings: Settings) => OperatorServiceImplementation;
+}): Daemon => {
+	const {settings, logger, metrics} = options;
+	const parts = createEntryInstance(options);
+	let isStopping = false;
+	let isReadyLogged = false;
+	const readiness = () => describeReadiness(parts, isStopping);
+
+	const onRejected = () => {
+		logger.log(LogEvent.PeerRejected);
+	};
+
+	const operations = createOperationsServer({
+		token: settings.operations.token,
+		operatorService: options.createOperatorService(parts, settings),
+		readiness,
+		renderMetrics() {
+			recordGauges(options, parts);
+			return metrics.renderPrometheusText();
+		},
+		onRejected,
+	});
+	const peers = createPeerServer({implementation: parts.peerService, secret: settings.peers.secret, onRejected});
+	let systems: ReturnType<typeof runSystems> | undefined;
+
+	const logReadyOnce = () => {
+		if (!isReadyLogged && readiness().type === 'ready') {
+			isReadyLogged = true;
+			logger.log(LogEvent.DaemonReady, {version: parts.documentWatch.current()?.version});
+		}
+	};
+
+	const handBack = async () => {
+		parts.grants.startDraining();
+		const isHandedBack = await waitUntil({
+			condition: () => parts.grants.isDrained() && parts.claims.isDrained(),
+			boundMilliseconds: handBackBoundMilliseconds,
+		});
+		if (!isHandedBack) {
+			logger.log(LogEvent.ShutdownBoundExceeded, {part: 'grants and claims'});
+		}
+
+		await parts.session.stop();
+	};
+
+	return {
+		async start() {
+			// The peer address comes first: that it is free proves that the predecessor has ended.
+			const peerPort = await peers.listen(settings.peers.listen);
+			const operationsPort = await operations.listen(settings.operations.listen);
+			const {port: callerPort} = await parts.gateway.listen(settings.callers.listen);
+			logger.log(LogEvent.DaemonStarted, {callers: callerPort, operations: operationsPort, peers: peerPort});
+			systems = runSystems({parts, logger});
+			parts.documentWatch.subscribe(logReadyOnce);
+			parts.directory.subscribe(logReadyOnce);
+			await parts.documentWatch.start();
+			return {callers: callerPort, operations: operationsPort, peers: peerPort};
+		},
+		async stop() {
+			if (isStopping) {
+				return;
+			}
+
+			isStopping = true;
+			parts.setDraining();
+			logger.log(LogEvent.DaemonStopping);
+			await sleep(settings.shutdown.balancerLagSeconds * 1000);
+			parts.gateway.beginDrain();
+			parts.claims.startDraining();
+			await parts.gateway.close();
+			await handBack();
+			systems?.stop();
+			parts.documentWatch.stop();
+			parts.exchange.close();
+			await Promise.all([peers.close(), operations.close(), options.platform.close(), options.tracing?.shutdown()]);
+			logger.log(LogEvent.DaemonStopped);
+		},
+	};
+};
+
+const recordGauges = ({metrics, platform}: EntryInstanceOptions, {gateway, documentWatch}: EntryInstanceParts): void => {
+	for (const {pool, queued, inFlight} of gateway.status().pools) {
+		metrics.setGauge('turmericbay_queued', queued, {pool});
+		metrics.setGauge('turmericbay_in_flight', inFlight, {pool});
+	}
+
+	metrics.setGauge('turmericbay_document_version', documentWatch.status().version);
+	for (const kind of Object.values(StoreCallKind)) {
+		metrics.setGauge('turmericbay_store_calls_per_second', platform.store.callsPerSecond(kind), {kind});
+	}
+};
--- a/packages/programs/daemon/src/entry-incarnations.ts
+++ b/packages/programs/daemon/src/entry-incarnations.ts
@@ -3,7 +3,9 @@
  * machine, while grants and claims belong to one run of the daemon on it. A
  * daemon can only listen on its peer address after its predecessor there has
  * ended, so an answer with another incarnation proves that the former is gone.
+ * Until an instance has answered, its run is unknown and nothing is proven.
  */
+import {unknownIncarnation} from '@turmericbay/membership';
 import {InstanceRole} from '@turmericbay/types';
 import type {InstanceRecord, ProcessIdentity} from '@turmericbay/types';
 
@@ -21,8 +23,8 @@
 			incarnations.set(instance, incarnation);
 		},
 		apply: records => records.map(record => {
-			const incarnation = record.role === InstanceRole.Entry ? incarnations.get(record.instance) : undefined;
-			return incarnation === undefined ? record : {...record, incarnation};
+			const incarnation = incarnations.get(record.instance) ?? unknownIncarnation;
+			return record.role === InstanceRole.Entry ? {...record, incarnation} : record;
 		}),
 	};
 };
--- /dev/null
+++ b/packages/programs/daemon/src/entry-instance.ts
@@ -0,0 +1,213 @@
+/**
+ * One entry instance: wires the decision core to its adapters and runs its
+ * systems at their intervals on one event loop.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createKeyAuthenticator} from '@turmericbay/document';
+import type {KeyAuthenticator} from '@turmericbay/document';
+import {chooseWatchers, createDocumentWatch} from '@turmericbay/document-watch';
+import type {DocumentWatch, EntryInstance as Member} from '@turmericbay/document-watch';
+import {createGateway} from '@turmericbay/gateway';
+import type {Gateway} from '@turmericbay/gateway';
+import {createGrantHolder} from '@turmericbay/grant-ledger';
+import type {GrantHolder} from '@turmericbay/grant-ledger';
+import {createInstanceDirectory, createSession} from '@turmericbay/membership';
+import type {ObservedDirectory, Session} from '@turmericbay/membership';
+import type {Knowledge} from '@turmericbay/peer-protocol';
+import {formatNetworkAddress} from '@turmericbay/settings';
+import type {Settings} from '@turmericbay/settings';
+import type {Logger, Metrics, Tracing} from '@turmericbay/telemetry';
+import {InstanceRole, InstanceState} from '@turmericbay/types';
+import type {Clock, ProcessIdentity, RandomSource} from '@turmericbay/types';
+import {createRefusingClaims} from './claims-service.js';
+import type {ClaimService} from './claims-service.js';
+import {logDocumentEvent} from './document-events.js';
+import {createDocumentPeers} from './document-peers.js';
+import {createEntryIncarnations} from './entry-incarnations.js';
+import {createGatewayTelemetry} from './gateway-telemetry.js';
+import {createInstanceListSource} from './instance-list-source.js';
+import type {InstanceListSource} from './instance-list-source.js';
+import {describeKnowledge, toPeerAnswer, toPeerLoad} from './knowledge.js';
+import {createPeerExchange} from './peer-exchange.js';
+import type {PeerExchange} from './peer-exchange.js';
+import {createPeerService} from './peer-service.js';
+import type {PlatformParts} from './platform-parts.js';
+import {listTeamLimits} from './team-limits.js';
+
+export type EntryInstanceOptions = {
+	readonly settings: Settings;
+	readonly identity: ProcessIdentity;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	readonly tracing: Tracing | undefined;
+	readonly platform: PlatformParts;
+};
+
+export type EntryInstanceParts = {
+	readonly documentWatch: DocumentWatch;
+	readonly directory: ObservedDirectory;
+	readonly session: Session;
+	readonly grants: GrantHolder;
+	readonly claims: ClaimService;
+	readonly gateway: Gateway;
+	readonly exchange: PeerExchange;
+	readonly listSource: InstanceListSource;
+	readonly peerService: ReturnType<typeof createPeerService>;
+	setDraining(): void;
+};
+
+/** Refuses every key while there is no document. */
+const rejectEveryKey: KeyAuthenticator = () => undefined;
+
+const createAuthentication = (documentWatch: DocumentWatch): KeyAuthenticator => {
+	let authenticate = rejectEveryKey;
+	documentWatch.subscribe(({document}) => {
+		authenticate = createKeyAuthenticator(document);
+	});
+	return presentedKey => authenticate(presentedKey);
+};
+
+export const createEntryInstance = (options: EntryInstanceOptions): EntryInstanceParts => {
+	const {
+		settings, identity, clock, random, logger, platform,
+	} = options;
+	const {zone} = settings.instance;
+	const self: Member = {instance: identity.instance, zone};
+	let draining = false;
+
+	const incarnations = createEntryIncarnations();
+	incarnations.note(identity);
+	const directory = createInstanceDirectory({clock});
+	const listLiveEntries = (): readonly Member[] => {
+		const listed = directory.instances()
+			.filter(({role, state}) => role === InstanceRole.Entry && state === InstanceState.Live)
+			.map(({instance, zone: listedZone}) => ({instance, zone: listedZone}));
+		return listed.length > 0 ? listed : settings.peers.members;
+	};
+
+	const isWatcher = () => chooseWatchers({
+		zone,
+		live: [...listLiveEntries().filter(({instance}) => instance !== self.instance), self],
+	}).includes(self.instance);
+	const listSource = createInstanceListSource({
+		list: platform.list, directory, incarnations, isWatcher, clock, logger,
+	});
+
+	// The parts below refer to each other through this function, which is first called after all exist.
+	const describe = (): Knowledge => describeKnowledge({
+		identity,
+		zone,
+		document: documentWatch.answer(),
+		gateway: gateway.status(),
+		fleetRevision: 0,
+		listAgeMilliseconds: directory.ageMilliseconds(),
+		listDigest: listSource.digest(),
+		draining,
+	});
+
+	const exchange = createPeerExchange({
+		zone,
+		members: settings.peers.members.map(member => ({...member, address: formatNetworkAddress(member.address)})),
+		secret: settings.peers.secret,
+		clock,
+		random,
+		logger,
+		describeKnowledge: describe,
+		wantedListAgeMilliseconds: () => listSource.wantedAgeMilliseconds(),
+		onAnswer({row, response, askedAtMilliseconds}) {
+			const {knowledge} = response;
+			if (knowledge === undefined) {
+				return;
+			}
+
+			incarnations.note({instance: row.member.instance, incarnation: knowledge.incarnation});
+			listSource.receive({response, askedAtMilliseconds});
+			void documentWatch.recordPeerAnswer({startedAt: askedAtMilliseconds, answer: toPeerAnswer(knowledge)});
+		},
+	});
+
+	const documentWatch = createDocumentWatch({
+		self,
+		store: platform.store,
+		peers: createDocumentPeers({exchange: () => exchange, describeKnowledge: describe}),
+		live: listLiveEntries,
+		clock,
+		random,
+		wait: async milliseconds => sleep(milliseconds),
+		report(event) {
+			logDocumentEvent(logger, event);
+		},
+	});
+
+	const grants = createGrantHolder({
+		store: platform.store,
+		clock,
+		random,
+		identity,
+		zone,
+		directory,
+		peer: {
+			async requestTransfer({to, team, units}) {
+				const row = exchange.findRow(to.instance);
+				const answer = await row?.client.call(async (service, callOptions) => service.transferGrant({team, units, ...identity}, callOptions));
+				return answer?.isOk() ? answer.value.units : 0;
+			},
+		},
+	});
+	documentWatch.subscribe(({version, document}) => {
+		grants.setLimits({version, limits: listTeamLimits(document)});
+	});
+
+	const claims = createRefusingClaims();
+	const gateway = createGateway({
+		configuration: documentWatch,
+		grants,
+		claims,
+		instances: directory,
+		clock,
+		random,
+		zone,
+		settings: {
+			maximumHeaderBytes: settings.requests.headerLimitBytes,
+			maximumBodyBytes: settings.requests.bodyLimitBytes,
+			requestTimeoutMilliseconds: settings.requests.slowSenderTimeoutMilliseconds,
+			headersTimeoutMilliseconds: settings.requests.slowSenderTimeoutMilliseconds,
+			drainBoundMilliseconds: settings.shutdown.boundSeconds * 1000,
+		},
+		telemetry: createGatewayTelemetry(options),
+		authenticate: createAuthentication(documentWatch),
+	});
+
+	const peerService = createPeerService({
+		documentWatch,
+		grants,
+		claims,
+		listSource,
+		describeKnowledge: describe,
+		onKnowledge({instance, documentVersion}) {
+			void documentWatch.noticePeerVersion({instance, version: Number(documentVersion)});
+		},
+	});
+
+	return {
+		documentWatch,
+		directory,
+		session: createSession({store: platform.store, clock, identity}),
+		grants,
+		claims,
+		gateway,
+		exchange,
+		listSource,
+		peerService,
+		setDraining() {
+			draining = true;
+		},
+	};
+};
+
+/** Load reports of the peers that answered lately. */
+export const listPeerLoads = (exchange: PeerExchange) => exchange.rows()
+	.filter(row => row.reachable)
+	.flatMap(({knowledge}) => knowledge === undefined ? [] : [toPeerLoad(knowledge)]);
--- a/packages/programs/daemon/src/index.ts
+++ b/packages/programs/daemon/src/index.ts
@@ -1,2 +1,3 @@
-export * from './peer-exchange.js';
-export * from './operations-server.js';
+/** The daemon as a library, for tests; the program is main.ts. */
+export * from './daemon.js';
+export * from './entry-instance.js';
--- /dev/null
+++ b/packages/programs/daemon/src/peer-service.ts
@@ -0,0 +1,37 @@
+/** Answers the calls of other entry instances. */
+import {create} from '@bufbuild/protobuf';
+import type {DocumentWatch} from '@turmericbay/document-watch';
+import type {GrantHolder} from '@turmericbay/grant-ledger';
+import {ExchangeResponseSchema} from '@turmericbay/peer-protocol';
+import type {Knowledge, PeerServiceImplementation} from '@turmericbay/peer-protocol';
+import type {ClaimService} from './claims-service.js';
+import type {InstanceListSource} from './instance-list-source.js';
+
+export const createPeerService = (options: {
+	readonly documentWatch: DocumentWatch;
+	readonly grants: GrantHolder;
+	readonly claims: ClaimService;
+	readonly listSource: InstanceListSource;
+	readonly describeKnowledge: () => Knowledge;
+	readonly onKnowledge: (knowledge: Knowledge) => void;
+}): PeerServiceImplementation => ({
+	exchange({knowledge, wantsListNewerThanMs}) {
+		if (knowledge !== undefined) {
+			options.onKnowledge(knowledge);
+		}
+
+		const listed = options.listSource.selectFor({peer: knowledge, newerThanMilliseconds: wantsListNewerThanMs});
+		return create(ExchangeResponseSchema, {
+			knowledge: options.describeKnowledge(),
+			listed: [...listed ?? []],
+			listIncluded: listed !== undefined,
+		});
+	},
+	getDocument: () => ({envelopeJson: options.documentWatch.currentJson()}),
+	pushDocument: ({envelopeJson}) => ({documentVersion: BigInt(options.documentWatch.receivePushed({envelopeJson}))}),
+	claim: async request => options.claims.answerClaim(request),
+	settleClaim: async request => options.claims.answerSettlement(request),
+	async transferGrant({team, units, instance, incarnation}) {
+		return {units: await options.grants.answerTransfer({team, units, holder: {instance, incarnation}})};
+	},
+});
