Add the launcher and the load generator

Cause: the demo and the fault cases need separate processes that can be killed, frozen and stopped, and callers whose counts add up.

Ruled out: detached process groups, since ending by process id is enough; closed-loop load, since a slow system would slow its own load down.

Change: launcher for stand-ins and entry instances with settings files, fleet start with the first document, balancer by readiness, seeded open-loop load with UUIDv7 idempotency keys, classification of each answer.

--- a/packages/platform/platform-client/src/http-caller.ts
+++ b/packages/platform/platform-client/src/http-caller.ts
@@ -23,7 +23,7 @@
 export type CallAnswer = {readonly status: number; readonly text: string};
 
 export type CallerSettings = {
-	/** Origin of the service, for instance `http://127.0.0.1:2379`. */
+	/** Base address of the service, for instance `http://127.0.0.1:2379`; a path in it stands before that of each call. */
 	readonly origin: string;
 	/** The caller's availability zone and name, sent in `X-Availability-Zone` and `X-Instance`. */
 	readonly zone: AvailabilityZone;
@@ -85,12 +85,14 @@
 	const maximumAnswerBytes = settings.maximumAnswerBytes ?? defaultMaximumAnswerBytes;
 	const callTimeoutMilliseconds = settings.callTimeoutMilliseconds ?? defaultCallTimeoutMilliseconds;
 	const connect = {timeout: settings.connectTimeoutMilliseconds ?? defaultConnectTimeoutMilliseconds};
-	const calls = new Pool(settings.origin, {connect, maxResponseSize: maximumAnswerBytes});
-	const streams = new Pool(settings.origin, {connect, headersTimeout: callTimeoutMilliseconds, bodyTimeout: 0});
+	const {origin, pathname} = new URL(settings.origin);
+	const basePath = pathname.replace(/\/$/v, '');
+	const calls = new Pool(origin, {connect, maxResponseSize: maximumAnswerBytes});
+	const streams = new Pool(origin, {connect, headersTimeout: callTimeoutMilliseconds, bodyTimeout: 0});
 
 	const toOptions = ({method, path, body}: CallRequest): Dispatcher.RequestOptions => ({
 		method,
-		path,
+		path: `${basePath}${path}`,
 		headers: {
 			'content-type': 'application/json',
 			'x-availability-zone': settings.zone,
--- /dev/null
+++ b/packages/tools/demo/src/entry-settings.ts
@@ -0,0 +1,52 @@
+/** Settings files of entry instances. */
+import type {AvailabilityZone, InstanceId} from '@turmericbay/types';
+import {stringify} from 'ini';
+
+export type EntryPorts = {
+	readonly callers: number;
+	readonly operations: number;
+	readonly peers: number;
+};
+
+export type EntryPlace = {
+	readonly instance: InstanceId;
+	readonly zone: AvailabilityZone;
+	readonly ports: EntryPorts;
+};
+
+/** Further settings by section and key; they win over those below. */
+export type SettingOverrides = Readonly<Record<string, Readonly<Record<string, string | number>>>>;
+
+export const loopbackAddress = '127.0.0.1';
+/** For loopback only: these secrets stand in the source. */
+export const operatorToken = 'operator-token-on-loopback';
+const peerSecret = 'peer-secret-on-loopback';
+
+const listen = (port: number): string => `${loopbackAddress}:${port}`;
+
+export const renderEntrySettings = (options: {
+	readonly place: EntryPlace;
+	readonly members: readonly EntryPlace[];
+	readonly platformPort: number;
+	readonly overrides?: SettingOverrides;
+}): string => {
+	const {place, members, platformPort, overrides = {}} = options;
+	const platform = `http://${listen(platformPort)}`;
+	const others = members.filter(({instance}) => instance !== place.instance);
+	const sections: SettingOverrides = {
+		instance: {id: place.instance, zone: place.zone, region: 'region-1'},
+		callers: {listen: listen(place.ports.callers)},
+		operations: {listen: listen(place.ports.operations), token: operatorToken},
+		peers: {
+			listen: listen(place.ports.peers),
+			secret: peerSecret,
+			// The INI library takes a dot in a section for a subsection, but leaves keys as they are.
+			...Object.fromEntries(others.map(({instance, zone, ports}) => [`member.${instance}`, `${zone},${listen(ports.peers)}`])),
+		},
+		platform: {'key-value': platform, instances: platform},
+		shutdown: {'balancer-lag-seconds': 1, 'bound-seconds': 20},
+	};
+	const merged = Object.fromEntries([...new Set([...Object.keys(sections), ...Object.keys(overrides)])]
+		.map(section => [section, {...sections[section], ...overrides[section]}]));
+	return stringify(merged);
+};
--- a/packages/tools/demo/src/index.ts
+++ b/packages/tools/demo/src/index.ts
@@ -1,1 +1,10 @@
-export const packageName = '@turmericbay/demo';
+/** Launcher, callers and load for the demo, the fault cases and the measurements. */
+export * from './balancer.js';
+export * from './child-process.js';
+export * from './control-clients.js';
+export * from './entry-settings.js';
+export * from './fleet.js';
+export * from './launcher.js';
+export * from './load.js';
+export * from './seeded-random.js';
+export * from './send.js';
--- /dev/null
+++ b/packages/tools/demo/src/ini.d.ts
@@ -0,0 +1,3 @@
+declare module 'ini' {
+	export function stringify(value: Readonly<Record<string, unknown>>): string;
+}
--- /dev/null
+++ b/packages/tools/demo/test/launcher.test.ts
@@ -0,0 +1,52 @@
+import process from 'node:process';
+import test from 'ava';
+import {createLauncher, loopbackAddress, renderEntrySettings} from '../src/index.js';
+import type {EntryPlace} from '../src/index.js';
+
+const isAlive = (processId: number): boolean => {
+	try {
+		return process.kill(processId, 0);
+	} catch {
+		return false;
+	}
+};
+
+const read = async (address: string): Promise<number> => {
+	const response = await fetch(`http://${address}/x`);
+	await response.text();
+	return response.status;
+};
+
+// Guards against processes that outlive the run that started them.
+test('programs are started, frozen, stopped and ended', async t => {
+	const launcher = await createLauncher();
+	const platform = await launcher.startPlatform();
+	const [first, second] = await Promise.all(['wash-1', 'wash-2'].map(async instance => launcher.startUpstream({instance, pool: 'wash', zone: 'zone-a'})));
+	await platform.control.setInstance(first!.record);
+	t.deepEqual(await platform.control.readInstances(), [first!.record]);
+	t.is(await read(first!.record.address), 200);
+	t.like(await first!.control.readStatistics(), {received: 1, running: 0, maximumRunning: 1});
+
+	first!.freeze();
+	const late = read(first!.record.address);
+	first!.thaw();
+	t.is(await late, 200);
+
+	t.deepEqual(await first!.stop(), {code: 0, signal: undefined});
+	t.deepEqual(await second!.kill(), {code: undefined, signal: 'SIGKILL'});
+	await launcher.endAll();
+	t.deepEqual([platform, first!, second!].map(({processId}) => isAlive(processId)), [false, false, false]);
+});
+
+// Guards against settings that the daemon refuses or that name an instance as its own peer.
+test('settings list the other members and take overrides', t => {
+	const place = (index: number): EntryPlace => ({instance: `entry-${index}`, zone: 'zone-a', ports: {callers: index, operations: index + 10, peers: index + 20}});
+	const text = renderEntrySettings({
+		place: place(1), members: [place(1), place(2)], platformPort: 9, overrides: {shutdown: {'bound-seconds': 3}, requests: {'body-limit-bytes': 10}},
+	});
+	t.true(text.includes(`member.entry-2=zone-a,${loopbackAddress}:22`));
+	t.false(text.includes('member.entry-1'));
+	t.true(text.includes('bound-seconds=3'));
+	t.true(text.includes('balancer-lag-seconds=1'));
+	t.true(text.includes('body-limit-bytes=10'));
+});
