Add the fault cases and links between zones

Cause: the guarantees have to be shown against separate processes that are killed, frozen, cut off and stopped.

Ruled out: keeping run counts only in the upstreams' memory, since the cases also kill upstreams; each upstream now writes a line as a run starts.

--- a/packages/platform/fakes/src/run-ledger.ts
+++ b/packages/platform/fakes/src/run-ledger.ts
@@ -44,13 +44,15 @@
 	return counts;
 };
 
-export const createRunLedger = (): RunLedger => {
+/** `onStart` is called before the run begins, so that a record can outlive the process. */
+export const createRunLedger = (options: {readonly onStart?: (run: RunRecord) => void} = {}): RunLedger => {
 	let records: RunRecord[] = [];
 	let running = 0;
 	let maximumRunning = 0;
 	return {
 		start(run) {
 			const record = {...run, startedAt: readSharedClock()};
+			options.onStart?.(record);
 			records.push(record);
 			running++;
 			maximumRunning = Math.max(maximumRunning, running);
--- a/packages/platform/fakes/src/upstream-main.ts
+++ b/packages/platform/fakes/src/upstream-main.ts
@@ -1,4 +1,5 @@
 /** Program: the upstream stand-in as a process of its own. SIGTERM finishes what runs before it ends. */
+import {appendFileSync} from 'node:fs';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {runProgram} from './program.js';
@@ -12,14 +13,22 @@
 		'control-port': {type: 'string', default: '0'},
 		slots: {type: 'string', default: String(defaultSlots)},
 		'run-time': {type: 'string', default: '0'},
+		'run-log': {type: 'string'},
 	},
 });
 
+const runLog = values['run-log'];
 const upstream = await startUpstreamServer({
 	instance: values.instance,
 	port: Number(values.port),
 	slots: Number(values.slots),
 	runMilliseconds: Number(values['run-time']),
+	onRunStart(run) {
+		if (runLog !== undefined) {
+			// Written at once, so that the run is on record even if the process is killed during it.
+			appendFileSync(runLog, `${JSON.stringify(run)}\n`);
+		}
+	},
 });
 const control = await startUpstreamControl({upstream, port: Number(values['control-port'])});
 
--- a/packages/platform/fakes/src/upstream-server.ts
+++ b/packages/platform/fakes/src/upstream-server.ts
@@ -169,8 +169,9 @@
 	readonly port?: number;
 	readonly slots?: number;
 	readonly runMilliseconds?: number;
+	readonly onRunStart?: (run: RunRecord) => void;
 }): Promise<UpstreamServer> => {
-	const ledger = createRunLedger();
+	const ledger = createRunLedger({onStart: options.onRunStart});
 	const slots = createSlots(options.slots ?? defaultSlots);
 	const faults = createFaultSource();
 	let runMilliseconds = options.runMilliseconds ?? 0;
--- a/packages/tools/demo/src/fleet.ts
+++ b/packages/tools/demo/src/fleet.ts
@@ -9,6 +9,7 @@
 import type {
 	EntryProcess, Launcher, PlatformProcess, UpstreamProcess,
 } from './launcher.js';
+import {createZoneLinks} from './zone-links.js';
 
 export type FleetPlan = {
 	readonly zones: readonly AvailabilityZone[];
@@ -32,6 +33,8 @@
 	/** Starts the entry instance again with its ports and settings, as a new incarnation. */
 	restartEntry(entry: EntryProcess): Promise<EntryProcess>;
 	markLeaving(process: UpstreamProcess): Promise<void>;
+	/** Cuts a zone's entry instances off from the platform and from the entry instances of other zones; `false` restores. */
+	setZoneCut(zone: AvailabilityZone, isCut: boolean): Promise<void>;
 };
 
 const portsPerEntry = 3;
@@ -75,10 +78,12 @@
 	const upstreams = await startUpstreams(launcher, plan);
 	await Promise.all(upstreams.map(async ({record}) => platform.control.setInstance(record)));
 	const members = await placeEntries(launcher, plan);
+	const links = await createZoneLinks(members);
+	launcher.onEnd(links.close);
 
 	const startEntry = async (place: EntryPlace): Promise<EntryProcess> => {
 		const entry = await launcher.startEntry({
-			place, members, platformPort: platform.port, overrides,
+			place, members: links.membersSeenFrom(place.zone), platformPort: platform.port, overrides,
 		});
 		await platform.control.setInstance(entry.record);
 		return entry;
@@ -98,6 +103,10 @@
 		operator: createFleetOperator,
 		submit,
 		restartEntry: async ({place}) => startEntry(place),
+		async setZoneCut(zone, isCut) {
+			links.setZoneCut(zone, isCut);
+			await platform.control.setFaults({scope: {zone}, faults: {cut: isCut}});
+		},
 		markLeaving: async ({record}) => platform.control.setInstance({...record, state: InstanceState.Leaving}),
 	};
 };
--- a/packages/tools/demo/src/index.ts
+++ b/packages/tools/demo/src/index.ts
@@ -8,3 +8,4 @@
 export * from './load.js';
 export * from './seeded-random.js';
 export * from './send.js';
+export * from './zone-links.js';
--- a/packages/tools/demo/src/launcher.ts
+++ b/packages/tools/demo/src/launcher.ts
@@ -2,13 +2,16 @@
  * Starts stand-ins and entry instances as child processes on free loopback
  * ports, and ends everything it started.
  */
-import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {
+	mkdtemp, readFile, rm, writeFile,
+} from 'node:fs/promises';
 import {createServer} from 'node:net';
 import {once} from 'node:events';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
+import type {RunRecord} from '@turmericbay/fakes';
 import type {
 	AvailabilityZone, InstanceId, InstanceRecord, PoolName, RackName,
 } from '@turmericbay/types';
@@ -26,6 +29,8 @@
 export type UpstreamProcess = ManagedProcess & {
 	readonly record: InstanceRecord;
 	readonly control: UpstreamControlClient;
+	/** Runs started so far; also known after the process was killed. */
+	readStartedRuns(): Promise<readonly RunRecord[]>;
 };
 
 export type EntryProcess = ManagedProcess & {
@@ -56,7 +61,9 @@
 		readonly overrides?: SettingOverrides;
 	}): Promise<EntryProcess>;
 	waitUntilReady(entries: readonly EntryProcess[], boundMilliseconds?: number): Promise<void>;
-	/** Kills everything that still runs and removes the temporary folder. */
+	/** Called by `endAll`. */
+	onEnd(cleanUp: () => void): void;
+	/** Kills everything that still runs, calls the clean-ups and removes the temporary folder. */
 	endAll(): Promise<void>;
 };
 
@@ -95,6 +102,12 @@
 	return value;
 };
 
+/** Lines were written by the stand-in, whole ones at a time. */
+const readRunLog = async (file: string): Promise<readonly RunRecord[]> => {
+	const text = await readFile(file, 'utf8');
+	return text.split('\n').filter(line => line !== '').map(line => JSON.parse(line) as RunRecord); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+};
+
 const endOnExit = (running: ReadonlySet<ManagedProcess>): (() => void) => {
 	const killAll = (): void => {
 		for (const managed of running) {
@@ -121,6 +134,7 @@
 	const folder = await mkdtemp(path.join(tmpdir(), 'turmericbay-'));
 	const running = new Set<ManagedProcess>();
 	const stopWatchingExit = endOnExit(running);
+	const cleanUps: Array<() => void> = [];
 	let startCount = 0;
 
 	const track = <Process extends ManagedProcess>(managed: Process): Process => {
@@ -151,13 +165,17 @@
 			return {...managed, port: ready.port, control: createPlatformControlClient(ready.controlPort)};
 		},
 		async startUpstream({instance, pool, zone, rack = `${zone}-rack-1`, slots = 8, runMilliseconds = 0}) {
+			const runLog = path.join(folder, `${instance}-runs-${startCount}`);
+			await writeFile(runLog, '');
 			const {managed, ready, incarnation} = await startStandIn({
-				name: instance, file: upstreamProgram, parameters: ['--instance', instance, '--slots', String(slots), '--run-time', String(runMilliseconds)],
+				name: instance, file: upstreamProgram, parameters: ['--instance', instance, '--slots', String(slots), '--run-time', String(runMilliseconds), '--run-log', runLog],
 			});
 			const record: InstanceRecord = {
 				instance, incarnation, address: `${loopbackAddress}:${ready.port}`, role: InstanceRole.Upstream, pool, zone, rack, state: InstanceState.Live,
 			};
-			return {...managed, record, control: createUpstreamControlClient(ready.controlPort)};
+			return {
+				...managed, record, control: createUpstreamControlClient(ready.controlPort), readStartedRuns: async () => readRunLog(runLog),
+			};
 		},
 		async startEntry({place, members, platformPort, overrides}) {
 			const {instance, zone, ports} = place;
@@ -193,8 +211,15 @@
 				what: `${name} is ready`, condition: async () => answersOk(`${operationsUrl}/readyz`), boundMilliseconds,
 			})));
 		},
+		onEnd(cleanUp) {
+			cleanUps.push(cleanUp);
+		},
 		async endAll() {
 			await Promise.all([...running].map(async managed => managed.kill()));
+			for (const cleanUp of cleanUps.splice(0)) {
+				cleanUp();
+			}
+
 			stopWatchingExit();
 			await rm(folder, {recursive: true, force: true});
 		},
--- /dev/null
+++ b/packages/tools/fault-tests/src/cases/answers.ts
@@ -0,0 +1,131 @@
+/** Guarantees 5 and 6 against upstreams that misbehave. */
+import {
+	AnswerClass, planLoad, runLoad, sendRequest,
+} from '@turmericbay/demo';
+import type {LoadReport, UpstreamProcess} from '@turmericbay/demo';
+import {UpstreamFault} from '@turmericbay/fakes';
+import type {CaseContext, FaultCase} from '../fault-case.js';
+import {checkAtMostOnce, checkOwnAnswers, checkRefusals} from '../observations.js';
+import {
+	createMixedSources, describeCounts, presentedKeys, Queue, standardPlan, Team,
+} from '../setup.js';
+
+const durationMilliseconds = 5000;
+const ratePerSecond = 40;
+
+const playLoad = async ({fleet, seed}: CaseContext): Promise<LoadReport> => runLoad({
+	plan: planLoad({sources: createMixedSources(ratePerSecond), durationMilliseconds, seed}),
+	seed,
+	entryUrls: () => fleet.entries.map(({callersUrl}) => callersUrl),
+});
+
+const checkReport = async (context: CaseContext, report: LoadReport): Promise<void> => {
+	checkOwnAnswers(context, report.records);
+	await checkRefusals(context, report.records);
+	const onceKeys = report.records.filter(({planned}) => planned.source.queue === String(Queue.Once)).map(({idempotencyKey}) => idempotencyKey);
+	await checkAtMostOnce(context, onceKeys);
+	const {broken} = report.counts;
+	context.check('no connection of a caller broke', broken === 0, describeCounts(report));
+};
+
+type Misbehaviour = {
+	readonly name: string;
+	readonly guarantee: number;
+	readonly seed: number;
+	readonly steps: string;
+	readonly bound: string;
+	readonly start: (upstreams: readonly [UpstreamProcess, UpstreamProcess, ...UpstreamProcess[]]) => Promise<unknown>;
+};
+
+const misbehaviours: readonly Misbehaviour[] = [
+	{
+		name: 'upstream cuts its answers',
+		guarantee: 5,
+		seed: 5001,
+		steps: 'one of six upstreams sends half of each answer and breaks the connection, under mixed load',
+		bound: 'no answer is short or foreign',
+		start: async ([first]) => first.control.setFault({mode: UpstreamFault.CutAnswer}),
+	},
+	{
+		name: 'upstream answers late',
+		guarantee: 5,
+		seed: 5002,
+		steps: 'one upstream answers 6 s late, after the request timed out at 4 s, under mixed load',
+		bound: 'no answer reaches another request',
+		start: async ([first]) => first.control.setFault({mode: UpstreamFault.Late, delayMilliseconds: 6000}),
+	},
+	{
+		name: 'upstream mixes up request identifiers',
+		guarantee: 5,
+		seed: 5003,
+		steps: 'one upstream answers with another X-Request-Id, under mixed load',
+		bound: 'such an answer is dropped',
+		start: async ([first]) => first.control.setFault({mode: UpstreamFault.WrongRequestId}),
+	},
+	{
+		name: 'upstream refuses and another is killed',
+		guarantee: 6,
+		seed: 6001,
+		steps: 'one upstream answers 503 without running; another is killed after 2 s, under mixed load',
+		bound: 'every not-run is true',
+		async start([first, second]) {
+			await first.control.setFault({mode: UpstreamFault.Refuse});
+			setTimeout(() => {
+				void second.kill();
+			}, 2000);
+		},
+	},
+	{
+		name: 'upstream hangs and another fails everything',
+		guarantee: 6,
+		seed: 6002,
+		steps: 'one upstream runs requests and never answers, another answers 500, under mixed load',
+		bound: 'every not-run is true',
+		async start([first, second]) {
+			await first.control.setFault({mode: UpstreamFault.Hang});
+			await second.control.setFault({mode: UpstreamFault.Fail});
+		},
+	},
+];
+
+const toCase = ({start, ...description}: Misbehaviour): FaultCase => ({
+	...description,
+	plan: standardPlan,
+	async run(context) {
+		const [first, second, ...rest] = context.fleet.upstreams;
+		await start([first!, second!, ...rest]);
+		await checkReport(context, await playLoad(context));
+	},
+});
+
+const longAnswerBytes = 3_000_000;
+const longAnswers = 20;
+
+const cutLongAnswer: FaultCase = {
+	name: 'upstream cuts a long answer',
+	guarantee: 5,
+	seed: 5004,
+	steps: 'answers of 3 MB, which are streamed, are cut in the middle by every upstream',
+	bound: 'the caller sees the cut: no short answer looks whole',
+	plan: standardPlan,
+	async run(context) {
+		const {fleet} = context;
+		await Promise.all(fleet.upstreams.map(async ({control}) => control.setFault({mode: UpstreamFault.CutAnswer})));
+		const answers = await Promise.all(Array.from({length: longAnswers}, async (_, index) => sendRequest({
+			entryUrl: fleet.entries[index % fleet.entries.length]!.callersUrl,
+			queue: Queue.Keyed,
+			method: 'POST',
+			path: `/long?size=${longAnswerBytes}`,
+			presentedKey: presentedKeys[Team.Booking],
+			idempotencyKey: '',
+			body: `report ${index}`,
+			timeoutMilliseconds: 4000,
+		})));
+		const seen = answers.filter(({type}) => type === AnswerClass.Broken || type === AnswerClass.Unknown || type === AnswerClass.NotRun);
+		const cut = answers.filter(({type}) => type === AnswerClass.Broken);
+		const measured = `${cut.length} cut, ${seen.length - cut.length} problems, ${longAnswers - seen.length} taken for whole`;
+		context.check('no cut answer looks whole', seen.length === longAnswers && cut.length > 0, measured);
+	},
+};
+
+export const answerCases: readonly FaultCase[] = [...misbehaviours.map(misbehaviour => toCase(misbehaviour)), cutLongAnswer];
--- a/packages/tools/fault-tests/src/index.ts
+++ b/packages/tools/fault-tests/src/index.ts
@@ -1,1 +1,2 @@
-export const packageName = '@turmericbay/fault-tests';
+export * from './fault-case.js';
+export * from './runner.js';
--- /dev/null
+++ b/packages/tools/fault-tests/src/runner.ts
@@ -0,0 +1,82 @@
+/** Plays cases, each against its own fleet, and renders their results. */
+import {createLauncher, startFleet} from '@turmericbay/demo';
+import type {Launcher} from '@turmericbay/demo';
+import type {
+	CaseContext, CaseResult, Check, FaultCase,
+} from './fault-case.js';
+import {isPassed} from './fault-case.js';
+
+/** Ends a case that hangs; the longest ones take about half of it. */
+const caseBoundMilliseconds = 60_000;
+
+const failAfter = async (milliseconds: number, signal: AbortSignal): Promise<never> => new Promise((_resolve, reject) => {
+	const timer = setTimeout(() => {
+		reject(new Error(`the case did not end within ${milliseconds} ms`));
+	}, milliseconds);
+	signal.addEventListener('abort', () => {
+		clearTimeout(timer);
+	});
+});
+
+const play = async (faultCase: FaultCase, launcher: Launcher, check: CaseContext['check']): Promise<void> => {
+	const fleet = await startFleet(launcher, faultCase.plan);
+	await faultCase.run({fleet, seed: faultCase.seed, check});
+};
+
+export const runCase = async (faultCase: FaultCase): Promise<CaseResult> => {
+	const checks: Check[] = [];
+	const startedAt = performance.now();
+	const bound = new AbortController();
+	const launcher = await createLauncher();
+	const check: CaseContext['check'] = (name, isHeld, measured) => {
+		checks.push({name, isHeld, measured});
+	};
+
+	let failure: string | undefined;
+	try {
+		await Promise.race([play(faultCase, launcher, check), failAfter(caseBoundMilliseconds, bound.signal)]);
+	} catch (error) {
+		failure = error instanceof Error ? error.message : String(error);
+	} finally {
+		bound.abort();
+		await launcher.endAll();
+	}
+
+	const seconds = (performance.now() - startedAt) / 1000;
+	return {
+		faultCase, checks, seconds, failure,
+	};
+};
+
+/** Plays the cases in order, at most `parallel` at a time. */
+export const runCases = async (options: {
+	readonly cases: readonly FaultCase[];
+	readonly parallel: number;
+	readonly onResult: (result: CaseResult) => void;
+}): Promise<readonly CaseResult[]> => {
+	const results: CaseResult[] = [];
+	const queue = [...options.cases];
+	const work = async (): Promise<void> => {
+		for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
+			const result = await runCase(next); // eslint-disable-line no-await-in-loop -- One case after the other.
+			results.push(result);
+			options.onResult(result);
+		}
+	};
+
+	await Promise.all(Array.from({length: options.parallel}, work));
+	return results;
+};
+
+const renderCheck = ({name, isHeld, measured}: Check): string => `    ${isHeld ? 'held  ' : 'BROKEN'} ${name}: ${measured}`;
+
+export const renderResult = (result: CaseResult): string => {
+	const {faultCase, checks, failure, seconds} = result;
+	return [
+		`${isPassed(result) ? 'passed' : 'FAILED'}  guarantee ${faultCase.guarantee}  seed ${faultCase.seed}  ${seconds.toFixed(1)} s  ${faultCase.name}`,
+		`    steps: ${faultCase.steps}`,
+		`    bound: ${faultCase.bound}`,
+		...checks.map(check => renderCheck(check)),
+		...(failure === undefined ? [] : [`    not played to the end: ${failure}`]),
+	].join('\n');
+};
