Add locality, ejection and retry budgets to routing

Cause: the first routing table chose among all live upstreams by own load alone, and retries were bounded by their number only.

Change: selection prefers the own zone while it has headroom as measured from own and peers' requests, spills over to other zones, and takes the less loaded of two random choices. Failing upstreams are ejected within the pool's availability budget, which leaving instances draw on too; where the budget forbids it, recent failures count as load. Retries need a token of the pool and of the payer, 0.1 per request. A timeout counts against an upstream only if the caller allowed at least half of the queue's time, or a caller with tiny deadlines could eject healthy upstreams. Seats freed by a team at its limit are offered to its pools in turn.

Ruled out: ejecting beyond the budget when a whole zone fails, which the availability budget forbids.

--- a/packages/traffic/gateway/src/attempt.ts
+++ b/packages/traffic/gateway/src/attempt.ts
@@ -129,9 +129,19 @@
 	return withdrawn === undefined ? {result} : {result, withdrawn};
 };
 
-const attemptResult = (result: SendResult): AttemptResult => {
+const firstServerError = 500;
+
+/** A caller may name a deadline that no upstream could meet; only an upstream that had most of the usual time failed. */
+const hadEnoughTime = (exchange: Exchange, allowed: Allowed): boolean =>
+	exchange.deadline - exchange.arrivedAt >= allowed.queue.timeoutMilliseconds / 2;
+
+/** What the result says about the health of the upstream. */
+const attemptResult = (result: SendResult, enoughTime: boolean): AttemptResult => {
 	switch (result.type) {
-		case 'answer':
+		case 'answer': {
+			return result.head.status < firstServerError ? AttemptResult.Success : AttemptResult.Failure;
+		}
+
 		case 'streamed': {
 			return AttemptResult.Success;
 		}
@@ -141,10 +151,13 @@
 		}
 
 		case 'cut':
-		case 'crossed':
-		case 'timeout': {
+		case 'crossed': {
 			return AttemptResult.Failure;
 		}
+
+		case 'timeout': {
+			return enoughTime ? AttemptResult.Failure : AttemptResult.Neutral;
+		}
 	}
 };
 
@@ -209,7 +222,7 @@
 		const {result, withdrawn} = await sendTo(context, exchange, upstream, pool); // eslint-disable-line no-await-in-loop
 		const lingers = mayStillRun(result);
 		routing.finish({
-			upstream, result: attemptResult(result), now: clock.monotonicMilliseconds(), lingers,
+			upstream, result: attemptResult(result, hadEnoughTime(exchange, allowed)), now: clock.monotonicMilliseconds(), lingers,
 		});
 		if (result.type !== 'not-sent') {
 			const {outcome, settlement} = interpret(result, pool, isRepeatable(allowed.queue, exchange.method));
--- a/packages/traffic/gateway/src/gateway.ts
+++ b/packages/traffic/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 /** Wires the data path of one entry instance together. */
-import {createRoutingTable} from '@turmericbay/routing';
+import {createRetryBudget, createRoutingTable} from '@turmericbay/routing';
 import type {PoolName, TeamName} from '@turmericbay/types';
 import {createCallerServer} from './caller-server.js';
 import {createPoolQueue} from './pool-queue.js';
@@ -15,22 +15,30 @@
 /** How often queues are checked for seats that became free with time alone. */
 const refreshIntervalMilliseconds = 100;
 
+/** Each turn begins at another queue, so that a team at its limit is served in all its pools. */
+const offerSeats = (queues: ReadonlyMap<PoolName, PoolQueue>, turn: number, team: TeamName | undefined): void => {
+	const list = [...queues.values()];
+	for (let index = 0; index < list.length; index++) {
+		const queue = list[(index + turn) % list.length]!;
+		if (team === undefined) {
+			queue.refresh();
+		} else {
+			queue.unblock(team);
+		}
+	}
+};
+
 const createContext = (options: GatewayOptions, queues: Map<PoolName, PoolQueue>): FlowContext => {
 	const settings = {...defaultGatewaySettings, ...options.settings};
 	const {clock, random, zone, grants} = options;
 	const now = (): number => clock.monotonicMilliseconds();
 	const routing = createRoutingTable({zone, random});
+	let turn = 0;
 	const runs = createRunLedger({
 		grants,
 		routing,
 		onEnd(team) {
-			for (const queue of queues.values()) {
-				if (team === undefined) {
-					queue.refresh();
-				} else {
-					queue.unblock(team);
-				}
-			}
+			offerSeats(queues, turn++, team);
 		},
 	});
 	const openQueue = (pool: PoolName): PoolQueue => {
@@ -51,6 +59,7 @@
 		routing,
 		client: createUpstreamClient(settings),
 		runs,
+		retries: createRetryBudget(),
 		poolQueue: pool => queues.get(pool) ?? openQueue(pool),
 	};
 };
@@ -69,7 +78,7 @@
 	return {
 		pools: [...queues].map(([pool, queue]) => ({pool, queued: queue.queued(), inFlight: routing.inFlight({pool})})),
 		teams: [...new Set([...names, ...runs.teams()])].map(team => ({team, running: runs.running(team), queued: queuedOf(team)})),
-		upstreams: routing.upstreams().map(({record, ownInFlight}) => ({instance: record.instance, inFlight: ownInFlight})),
+		upstreams: routing.upstreams().map(({record, ownInFlight, lingering}) => ({instance: record.instance, inFlight: ownInFlight + lingering})),
 	};
 };
 
@@ -77,6 +86,7 @@
 	const queues = new Map<PoolName, PoolQueue>();
 	const context = createContext(options, queues);
 	const {routing, runs, client} = context;
+	const now = (): number => options.clock.monotonicMilliseconds();
 	const server = createCallerServer({
 		settings: context.settings,
 		handle: async (request, response) => handleRequest(context, request, response),
@@ -89,7 +99,7 @@
 	};
 
 	const followInstances = (): void => {
-		const {gone} = routing.updateInstances({instances: options.instances.instances()});
+		const {gone} = routing.updateInstances({instances: options.instances.instances(), now: now()});
 		for (const record of gone) {
 			client.retire(record);
 		}
@@ -99,7 +109,7 @@
 	};
 
 	const followDocument = (): void => {
-		routing.updatePools({pools: options.configuration.current()?.document.pools ?? {}});
+		routing.updatePools({pools: options.configuration.current()?.document.pools ?? {}, now: now()});
 		refresh();
 	};
 
--- a/packages/traffic/gateway/src/request-flow.ts
+++ b/packages/traffic/gateway/src/request-flow.ts
@@ -2,9 +2,11 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import {authorize} from '@turmericbay/admission';
+import {authorize, flowName} from '@turmericbay/admission';
 import type {AuthorizationDecision, KeyVerdict} from '@turmericbay/admission';
 import type {ConfigurationDocument} from '@turmericbay/document';
+import {backoffMilliseconds} from '@turmericbay/routing';
+import type {RetryBudget, RetryScope} from '@turmericbay/routing';
 import {Outcome, ProblemCode, problemKinds} from '@turmericbay/types';
 import type {PoolName, Problem} from '@turmericbay/types';
 import {runAttempt} from './attempt.js';
@@ -27,6 +29,7 @@
 
 export type FlowContext = AttemptContext & {
 	readonly poolQueue: (pool: PoolName) => PoolQueue;
+	readonly retries: RetryBudget;
 };
 
 const refuse = (code: ProblemCode, detail: string, retryAfterSeconds?: number): AttemptOutcome => ({
@@ -65,12 +68,20 @@
 		? exchange.unknownProblem
 		: problem;
 
-const backoff = async (context: FlowContext, exchange: Exchange): Promise<boolean> => {
-	const {backoffBaseMilliseconds, backoffMaximumMilliseconds} = context.settings;
+const retryScope = (exchange: Exchange, allowed: Allowed): RetryScope => ({
+	pool: allowed.queue.pool,
+	payer: flowName({team: allowed.team, queue: exchange.queueName}),
+});
+
+/** Waits before the next attempt; false if there must be none. */
+const backoff = async (context: FlowContext, exchange: Exchange, allowed: Allowed): Promise<boolean> => {
+	const {maximumAttempts, backoffBaseMilliseconds, backoffMaximumMilliseconds} = context.settings;
 	const {clock, random} = context.options;
-	const ceiling = Math.min(backoffMaximumMilliseconds, backoffBaseMilliseconds * (2 ** exchange.attempts));
-	const wait = Math.floor(ceiling * random());
-	if (clock.monotonicMilliseconds() + wait >= exchange.deadline) {
+	const wait = backoffMilliseconds({
+		attempt: exchange.attempts, baseMilliseconds: backoffBaseMilliseconds, maximumMilliseconds: backoffMaximumMilliseconds, random,
+	});
+	const inTime = clock.monotonicMilliseconds() + wait < exchange.deadline;
+	if (exchange.attempts >= maximumAttempts || !inTime || !context.retries.trySpend(retryScope(exchange, allowed))) {
 		return false;
 	}
 
@@ -79,6 +90,7 @@
 };
 
 const runWithRetries = async (context: FlowContext, exchange: Exchange, allowed: Allowed, document: ConfigurationDocument): Promise<FlowResult> => {
+	context.retries.recordRequest(retryScope(exchange, allowed));
 	for (;;) {
 		const result = await queueOnce(context, exchange, allowed, document); // eslint-disable-line no-await-in-loop
 		if (result.type === 'cancelled') {
@@ -94,8 +106,7 @@
 			exchange.unknownProblem = outcome.problem;
 		}
 
-		const retry = outcome.retryable && exchange.attempts < context.settings.maximumAttempts;
-		if (!retry || !await backoff(context, exchange)) { // eslint-disable-line no-await-in-loop
+		if (!outcome.retryable || !await backoff(context, exchange, allowed)) { // eslint-disable-line no-await-in-loop
 			return {...outcome, problem: withoutFalseRefusal(exchange, outcome.problem)};
 		}
 	}
--- /dev/null
+++ b/packages/traffic/routing/src/ejection.ts
@@ -0,0 +1,70 @@
+/** Takes failing upstreams out of selection for a while, within the pool's availability budget. */
+import {AttemptResult, isEjected} from './upstream.js';
+import type {Upstream} from './upstream.js';
+
+export const failuresUntilEjection = 5;
+const firstEjectionMilliseconds = 1000;
+const maximumEjectionMilliseconds = 60_000;
+
+export type PoolHealth = {
+	/** Live upstreams of the pool. */
+	readonly upstreams: readonly Upstream[];
+	/** Instances of the pool that the list shows as leaving; they draw on the same budget. */
+	readonly leaving: number;
+	readonly maximumUnavailable: number;
+};
+
+const countEjected = (upstreams: readonly Upstream[], now: number): number =>
+	upstreams.filter(upstream => isEjected(upstream, now)).length;
+
+const budget = ({maximumUnavailable, leaving}: PoolHealth): number => Math.max(0, maximumUnavailable - leaving);
+
+/** The last upstream in service stays: ejecting it would turn some failures into only failures. */
+const mayEject = (health: PoolHealth, now: number): boolean => {
+	const ejected = countEjected(health.upstreams, now);
+	return ejected < budget(health) && ejected + 1 < health.upstreams.length;
+};
+
+/** True if the result led to an ejection. */
+export const recordResult = ({upstream, result, health, now}: {
+	readonly upstream: Upstream;
+	readonly result: AttemptResult;
+	readonly health: PoolHealth;
+	readonly now: number;
+}): boolean => {
+	switch (result) {
+		case AttemptResult.Success: {
+			upstream.consecutiveFailures = 0;
+			upstream.ejections = 0;
+			upstream.ejectedUntil = undefined;
+			return false;
+		}
+
+		case AttemptResult.Neutral: {
+			return false;
+		}
+
+		case AttemptResult.Failure: {
+			// The count stays after an ejection, so one more failure ejects again for twice the time.
+			upstream.consecutiveFailures++;
+			if (upstream.consecutiveFailures < failuresUntilEjection || isEjected(upstream, now) || !mayEject(health, now)) {
+				return false;
+			}
+
+			upstream.ejectedUntil = now + Math.min(maximumEjectionMilliseconds, firstEjectionMilliseconds * (2 ** upstream.ejections));
+			upstream.ejections++;
+			return true;
+		}
+	}
+};
+
+/** Readmits upstreams whose ejection no longer fits the budget, those that would return first. */
+export const enforceBudget = (health: PoolHealth, now: number): void => {
+	const ejected = health.upstreams
+		.filter(upstream => isEjected(upstream, now))
+		.toSorted((left, right) => left.ejectedUntil! - right.ejectedUntil!);
+	const allowed = Math.min(budget(health), health.upstreams.length - 1);
+	for (const upstream of ejected.slice(0, Math.max(0, ejected.length - allowed))) {
+		upstream.ejectedUntil = undefined;
+	}
+};
--- a/packages/traffic/routing/src/index.ts
+++ b/packages/traffic/routing/src/index.ts
@@ -1,1 +1,3 @@
+export * from './retry-budget.js';
 export * from './routing-table.js';
+export * from './upstream.js';
--- /dev/null
+++ b/packages/traffic/routing/src/retry-budget.ts
@@ -0,0 +1,63 @@
+/**
+ * Bounds retries to a fraction of the traffic, per pool and per team, so that a
+ * failure of many upstreams does not multiply the load on the others.
+ */
+import type {PoolName, RandomSource} from '@turmericbay/types';
+
+export const retryRatio = 0.1;
+
+/** A caller of a quiet pool may retry too; a long calm spell must not save up a storm. */
+const initialRetries = 1;
+const maximumRetries = 10;
+
+export type RetryScope = {
+	readonly pool: PoolName;
+	/** Team, or the open queue that stands for its callers. */
+	readonly payer: string;
+};
+
+export type RetryBudget = {
+	/** Counts one request; retries are not counted. */
+	recordRequest(scope: RetryScope): void;
+	/** Takes one retry from both budgets; false if either has none. */
+	trySpend(scope: RetryScope): boolean;
+};
+
+export const createRetryBudget = ({ratio = retryRatio}: {readonly ratio?: number} = {}): RetryBudget => {
+	const pools = new Map<string, number>();
+	const payers = new Map<string, number>();
+
+	const balance = (balances: Map<string, number>, name: string): number => balances.get(name) ?? initialRetries;
+
+	const deposit = (balances: Map<string, number>, name: string): void => {
+		balances.set(name, Math.min(maximumRetries, balance(balances, name) + ratio));
+	};
+
+	return {
+		recordRequest({pool, payer}) {
+			deposit(pools, pool);
+			deposit(payers, payer);
+		},
+		trySpend({pool, payer}) {
+			if (balance(pools, pool) < 1 || balance(payers, payer) < 1) {
+				return false;
+			}
+
+			pools.set(pool, balance(pools, pool) - 1);
+			payers.set(payer, balance(payers, payer) - 1);
+			return true;
+		},
+	};
+};
+
+/**
+ * Exponential backoff with full jitter. Source: Brooker, "Exponential Backoff
+ * and Jitter", AWS Architecture Blog, 2015.
+ */
+export const backoffMilliseconds = ({attempt, baseMilliseconds, maximumMilliseconds, random}: {
+	/** 1 after the first attempt. */
+	readonly attempt: number;
+	readonly baseMilliseconds: number;
+	readonly maximumMilliseconds: number;
+	readonly random: RandomSource;
+}): number => Math.floor(Math.min(maximumMilliseconds, baseMilliseconds * (2 ** attempt)) * random());
--- a/packages/traffic/routing/src/routing-table.ts
+++ b/packages/traffic/routing/src/routing-table.ts
@@ -1,154 +1,190 @@
 /**
  * Upstreams as seen from one entry instance: the platform's list, own requests
  * in flight, and what peers reported. Selects the upstream at the moment of
- * sending. No I/O; `now` and random numbers are passed in.
+ * sending. No I/O; `now` (monotonic milliseconds) and random numbers are passed in.
  */
 import {InstanceRole, InstanceState} from '@turmericbay/types';
 import type {
 	AvailabilityZone, InstanceId, InstanceRecord, PoolName, RandomSource,
 } from '@turmericbay/types';
-
-export type PoolLimits = {
-	readonly slotsPerInstance: number;
-	readonly connectionsPerInstance: number;
-	readonly maximumUnavailable: number;
-};
-
-/** What one other entry instance reported in its last exchange. */
-export type PeerLoad = {
-	readonly instance: InstanceId;
-	readonly zone: AvailabilityZone;
-	readonly pools: ReadonlyArray<{readonly pool: PoolName; readonly queued: number; readonly inFlight: number}>;
-	readonly upstreams: ReadonlyArray<{readonly instance: InstanceId; readonly inFlight: number}>;
-};
-
-export enum AttemptResult {
-	Success = 'success',
-	Failure = 'failure',
-	/** Says nothing about the health of the upstream. */
-	Neutral = 'neutral',
-}
-
-export type Upstream = {
-	record: InstanceRecord;
-	ownInFlight: number;
-	/** Requests whose connection broke, while the upstream may still be running them. */
-	lingering: number;
-	peersInFlight: number;
-};
+import {enforceBudget, recordResult} from './ejection.js';
+import type {PoolHealth} from './ejection.js';
+import {selectUpstream} from './selection.js';
+import {allowance, createUpstream, isEjected} from './upstream.js';
+import type {
+	AttemptResult, PeerLoad, PoolLimits, Upstream,
+} from './upstream.js';
 
 export type RoutingTable = {
-	updateInstances(options: {readonly instances: readonly InstanceRecord[]}): {readonly gone: readonly InstanceRecord[]};
-	updatePools(options: {readonly pools: Readonly<Record<PoolName, PoolLimits>>}): void;
+	/** Returns the upstreams that must get no new work from now on. */
+	updateInstances(options: {readonly instances: readonly InstanceRecord[]; readonly now: number}): {readonly gone: readonly InstanceRecord[]};
+	updatePools(options: {readonly pools: Readonly<Record<PoolName, PoolLimits>>; readonly now: number}): void;
 	setPeerLoads(options: {readonly loads: readonly PeerLoad[]}): void;
 	/** Selects an upstream and counts the request as in flight there; undefined if none can take it. */
 	begin(options: {readonly pool: PoolName; readonly now: number; readonly excluded: ReadonlySet<InstanceId>}): Upstream | undefined;
 	/** Ends the request's turn; with `lingers` its slot stays taken until `endLingering`. */
-	finish(options: {readonly upstream: Upstream; readonly result: AttemptResult; readonly now: number; readonly lingers?: boolean}): void;
+	finish(options: {readonly upstream: Upstream; readonly result: AttemptResult; readonly now: number; readonly lingers?: boolean}): {readonly ejected: boolean};
 	endLingering(options: {readonly upstream: Upstream}): void;
 	/** Requests that the pool could take now beyond those in flight. */
 	freeSlots(options: {readonly pool: PoolName; readonly now: number}): number;
 	inFlight(options: {readonly pool: PoolName}): number;
+	/** Upstreams in service, and those out of service that still have requests in flight. */
 	upstreams(): readonly Upstream[];
 };
 
-const isServing = (record: InstanceRecord): boolean =>
-	record.role === InstanceRole.Upstream && record.state === InstanceState.Live;
+type PoolTable = {
+	upstreams: Upstream[];
+	/** Out of service, with requests still in flight. */
+	retired: Upstream[];
+	leaving: number;
+};
+
+const emptyPool = (): PoolTable => ({upstreams: [], retired: [], leaving: 0});
+
+const isUpstream = ({role}: InstanceRecord): boolean => role === InstanceRole.Upstream;
+
+const isSameRun = (left: InstanceRecord, right: InstanceRecord): boolean =>
+	left.instance === right.instance && left.incarnation === right.incarnation;
+
+const isBusy = ({ownInFlight, lingering}: Upstream): boolean => ownInFlight + lingering > 0;
+
+const sum = (upstreams: readonly Upstream[], value: (upstream: Upstream) => number): number => {
+	let total = 0;
+	for (const upstream of upstreams) {
+		total += value(upstream);
+	}
+
+	return total;
+};
+
+const groupByPool = (instances: readonly InstanceRecord[]): Map<PoolName, InstanceRecord[]> => {
+	const groups = new Map<PoolName, InstanceRecord[]>();
+	for (const record of instances) {
+		const group = groups.get(record.pool) ?? [];
+		group.push(record);
+		groups.set(record.pool, group);
+	}
+
+	return groups;
+};
+
+/** Keeps what is known about runs that stay, and retires the others. */
+const updatePool = (table: PoolTable, listed: readonly InstanceRecord[], peersInFlight: ReadonlyMap<InstanceId, number>): InstanceRecord[] => {
+	const known = [...table.upstreams, ...table.retired];
+	const live = listed.filter(({state}) => state === InstanceState.Live);
+	const upstreams = live.map(record => {
+		const upstream = known.find(candidate => isSameRun(candidate.record, record)) ?? createUpstream(record, peersInFlight.get(record.instance) ?? 0);
+		upstream.record = record;
+		return upstream;
+	});
+	const gone = table.upstreams.filter(upstream => !upstreams.includes(upstream));
+	table.retired = known.filter(upstream => !upstreams.includes(upstream) && isBusy(upstream));
+	table.upstreams = upstreams;
+	table.leaving = listed.length - live.length;
+	return gone.map(({record}) => record);
+};
 
 export const createRoutingTable = (options: {
 	readonly zone: AvailabilityZone;
 	readonly random: RandomSource;
 }): RoutingTable => {
-	const upstreams = new Map<InstanceId, Upstream>();
-	let pools: Readonly<Record<PoolName, PoolLimits>> = {};
+	const {zone, random} = options;
+	const tables = new Map<PoolName, PoolTable>();
+	const activePeers = new Map<PoolName, number>();
+	let limits = new Map<PoolName, PoolLimits>();
 	let peersInFlight = new Map<InstanceId, number>();
 
-	const free = (upstream: Upstream): number => {
-		const limits = pools[upstream.record.pool];
-		return limits === undefined ? 0 : Math.max(0, limits.slotsPerInstance - upstream.ownInFlight - upstream.lingering);
-	};
+	const tableOf = (pool: PoolName): PoolTable => tables.get(pool) ?? emptyPool();
 
-	const candidates = (pool: PoolName): Upstream[] =>
-		[...upstreams.values()].filter(({record}) => record.pool === pool);
+	const health = (pool: PoolName): PoolHealth => {
+		const {upstreams, leaving} = tableOf(pool);
+		return {upstreams, leaving, maximumUnavailable: limits.get(pool)?.maximumUnavailable ?? 0};
+	};
 
-	const chooseLessLoaded = (choices: readonly Upstream[]): Upstream | undefined => {
-		const first = choices[Math.floor(options.random() * choices.length)];
-		const second = choices[Math.floor(options.random() * choices.length)];
-		if (first === undefined || second === undefined) {
-			return undefined;
+	const enforceBudgets = (now: number): void => {
+		for (const pool of tables.keys()) {
+			enforceBudget(health(pool), now);
 		}
+	};
 
-		const load = (upstream: Upstream) => upstream.ownInFlight + upstream.peersInFlight;
-		return load(second) < load(first) ? second : first;
+	const dropIfIdle = (upstream: Upstream): void => {
+		const table = tables.get(upstream.record.pool);
+		if (table !== undefined && !isBusy(upstream) && table.retired.includes(upstream)) {
+			table.retired = table.retired.filter(candidate => candidate !== upstream);
+		}
 	};
 
 	return {
-		updateInstances({instances}) {
-			const serving = new Map(instances.filter(record => isServing(record)).map(record => [record.instance, record]));
-			const gone = [...upstreams.values()].map(({record}) => record).filter(record => serving.get(record.instance)?.incarnation !== record.incarnation);
-			for (const {instance} of gone) {
-				upstreams.delete(instance);
-			}
-
-			for (const [instance, record] of serving) {
-				const known = upstreams.get(instance);
-				if (known === undefined) {
-					upstreams.set(instance, {
-						record, ownInFlight: 0, lingering: 0, peersInFlight: peersInFlight.get(instance) ?? 0,
-					});
-				} else {
-					known.record = record;
-				}
+		updateInstances({instances, now}) {
+			const listed = groupByPool(instances.filter(record => isUpstream(record)));
+			const gone: InstanceRecord[] = [];
+			for (const pool of new Set([...tables.keys(), ...listed.keys()])) {
+				const table = tableOf(pool);
+				tables.set(pool, table);
+				gone.push(...updatePool(table, listed.get(pool) ?? [], peersInFlight));
 			}
 
+			enforceBudgets(now);
 			return {gone};
 		},
-		updatePools(update) {
-			pools = update.pools;
+		updatePools({pools, now}) {
+			limits = new Map(Object.entries(pools));
+			enforceBudgets(now);
 		},
 		setPeerLoads({loads}) {
 			peersInFlight = new Map();
-			for (const {instance, inFlight} of loads.flatMap(load => load.upstreams)) {
+			activePeers.clear();
+			for (const {instance, inFlight} of loads.flatMap(({upstreams}) => upstreams)) {
 				peersInFlight.set(instance, (peersInFlight.get(instance) ?? 0) + inFlight);
 			}
 
-			for (const upstream of upstreams.values()) {
-				upstream.peersInFlight = peersInFlight.get(upstream.record.instance) ?? 0;
+			for (const {pool, queued, inFlight} of loads.flatMap(({pools}) => pools)) {
+				activePeers.set(pool, (activePeers.get(pool) ?? 0) + (queued + inFlight > 0 ? 1 : 0));
+			}
+
+			for (const {upstreams} of tables.values()) {
+				for (const upstream of upstreams) {
+					upstream.peersInFlight = peersInFlight.get(upstream.record.instance) ?? 0;
+				}
 			}
 		},
-		begin({pool, excluded}) {
-			const able = candidates(pool).filter(upstream => free(upstream) > 0 && !excluded.has(upstream.record.instance));
-			const near = able.filter(({record}) => record.zone === options.zone);
-			const upstream = chooseLessLoaded(near.length > 0 ? near : able);
+		begin({pool, now, excluded}) {
+			const poolLimits = limits.get(pool);
+			const upstream = poolLimits === undefined
+				? undefined
+				: selectUpstream({
+					upstreams: tableOf(pool).upstreams, limits: poolLimits, activePeers: activePeers.get(pool) ?? 0, zone, excluded, random, now,
+				});
 			if (upstream !== undefined) {
 				upstream.ownInFlight++;
 			}
 
 			return upstream;
 		},
-		finish({upstream, lingers = false}) {
+		finish({upstream, result, now, lingers = false}) {
 			upstream.ownInFlight--;
 			upstream.lingering += lingers ? 1 : 0;
+			const ejected = recordResult({
+				upstream, result, health: health(upstream.record.pool), now,
+			});
+			dropIfIdle(upstream);
+			return {ejected};
 		},
 		endLingering({upstream}) {
 			upstream.lingering--;
+			dropIfIdle(upstream);
 		},
-		freeSlots({pool}) {
-			let sum = 0;
-			for (const upstream of candidates(pool)) {
-				sum += free(upstream);
-			}
-
-			return sum;
+		freeSlots({pool, now}) {
+			const poolLimits = limits.get(pool);
+			return poolLimits === undefined
+				? 0
+				: sum(tableOf(pool).upstreams, upstream =>
+					isEjected(upstream, now) ? 0 : allowance(upstream, poolLimits, activePeers.get(pool) ?? 0));
 		},
 		inFlight({pool}) {
-			let sum = 0;
-			for (const upstream of candidates(pool)) {
-				sum += upstream.ownInFlight;
-			}
-
-			return sum;
+			const {upstreams, retired} = tableOf(pool);
+			return sum(upstreams, ({ownInFlight}) => ownInFlight) + sum(retired, ({ownInFlight}) => ownInFlight);
 		},
-		upstreams: () => [...upstreams.values()],
+		upstreams: () => [...tables.values()].flatMap(({upstreams, retired}) => [...upstreams, ...retired]),
 	};
 };
--- /dev/null
+++ b/packages/traffic/routing/src/upstream.ts
@@ -0,0 +1,77 @@
+/** One upstream as seen from one entry instance. */
+import type {
+	AvailabilityZone, InstanceId, InstanceRecord, PoolName,
+} from '@turmericbay/types';
+
+export type PoolLimits = {
+	readonly slotsPerInstance: number;
+	readonly connectionsPerInstance: number;
+	readonly maximumUnavailable: number;
+};
+
+/** What one other entry instance reported in its last exchange. */
+export type PeerLoad = {
+	readonly instance: InstanceId;
+	readonly zone: AvailabilityZone;
+	readonly pools: ReadonlyArray<{readonly pool: PoolName; readonly queued: number; readonly inFlight: number}>;
+	readonly upstreams: ReadonlyArray<{readonly instance: InstanceId; readonly inFlight: number}>;
+};
+
+export enum AttemptResult {
+	Success = 'success',
+	Failure = 'failure',
+	/** Says nothing about the health of the upstream. */
+	Neutral = 'neutral',
+}
+
+export type Upstream = {
+	record: InstanceRecord;
+	ownInFlight: number;
+	/** Requests whose connection broke, while the upstream may still be running them. */
+	lingering: number;
+	/** Sum over the last reports of all peers. */
+	peersInFlight: number;
+	consecutiveFailures: number;
+	/** Ejections since the last success. */
+	ejections: number;
+	/** Monotonic time; undefined while not ejected. */
+	ejectedUntil: number | undefined;
+};
+
+export const createUpstream = (record: InstanceRecord, peersInFlight: number): Upstream => ({
+	record,
+	ownInFlight: 0,
+	lingering: 0,
+	peersInFlight,
+	consecutiveFailures: 0,
+	ejections: 0,
+	ejectedUntil: undefined,
+});
+
+export const isEjected = (upstream: Upstream, now: number): boolean =>
+	upstream.ejectedUntil !== undefined && now < upstream.ejectedUntil;
+
+const own = ({ownInFlight, lingering}: Upstream): number => ownInFlight + lingering;
+
+/** Slots that nobody is known to use. */
+export const sharedHeadroom = (upstream: Upstream, limits: PoolLimits): number =>
+	Math.max(0, limits.slotsPerInstance - own(upstream) - upstream.peersInFlight);
+
+/**
+ * Requests that this entry instance may still send to the upstream. Each entry
+ * instance may always use its even part of the slots: reports of peers are up to
+ * a tick old, and without that floor an instance that comes late could starve.
+ */
+export const allowance = (upstream: Upstream, limits: PoolLimits, activePeers: number): number => {
+	const evenPart = Math.max(1, Math.floor(limits.slotsPerInstance / (activePeers + 1)));
+	const bySlots = Math.max(sharedHeadroom(upstream, limits), evenPart - own(upstream));
+	const byConnections = limits.connectionsPerInstance - own(upstream) - upstream.peersInFlight;
+	return Math.max(0, Math.min(bySlots, byConnections));
+};
+
+/** Most that one failing upstream counts as loaded beyond its requests. */
+const maximumFailurePenalty = 8;
+
+/** Without the penalty, an upstream that fails at once would always look idle and draw the most traffic. */
+export const load = (upstream: Upstream): number =>
+	own(upstream) + upstream.peersInFlight + Math.min(maximumFailurePenalty, upstream.consecutiveFailures);
