Add claims: keys, partitions, owners, takeover and segments

Cause: a request that may not be repeated runs at most once, whichever entry instance its key reaches and whoever dies meanwhile. Ruled out: trusting that a session is alive for completeness (a session that lapsed and came back hides what was granted from memory, so records name the session under which they are complete); taking a refusal back into the table alone (an attempt that began before it can arrive later, so attempts carry when they began); dropping a handed-over partition only after the next read of the records (with the store failing in between it would be served from memory by two). Change: createClaims with the caller's and the owner's side, write slot that resolves lost answers, loader, merges, expiry.

--- a/packages/coordination/claims/src/index.ts
+++ b/packages/coordination/claims/src/index.ts
@@ -1,1 +1,10 @@
-export const packageName = '@turmericbay/claims';
+/** Idempotency claims: each key is sent at most once; see the README for an example. */
+export {createClaims} from './claims.js';
+export type {Claims, ClaimsOptions, ClaimsStatus} from './claims.js';
+export {
+	claimLifetimeMilliseconds, createTicket, judgeAge, KeyAge, parseKey, partitionCount,
+} from './key.js';
+export type {ParsedKey} from './key.js';
+export {Verdict} from './messages.js';
+export type {ClaimMessage, ClaimPeer, SettleMessage} from './messages.js';
+export type {StoreCounters} from './write-slot.js';
--- /dev/null
+++ b/packages/coordination/claims/src/messages.ts
@@ -0,0 +1,61 @@
+/** Messages between the instance that asks and the owner of a partition, as in the peer protocol. */
+import type {
+	ProcessIdentity, QueueName, Settlement, TeamName,
+} from '@turmericbay/types';
+
+/** The verdicts of the peer protocol; the names follow `ClaimVerdict` there. */
+export enum Verdict {
+	Granted = 'granted',
+	Running = 'running',
+	Run = 'run',
+	Unknown = 'unknown',
+	NotRecorded = 'not-recorded',
+	Reused = 'reused',
+	NotOwner = 'not-owner',
+	Expired = 'expired',
+}
+
+export type ClaimMessage = {
+	readonly key: string;
+	readonly team: TeamName;
+	readonly queue: QueueName;
+	/** SHA-256 of method, path and body. */
+	readonly fingerprint: Uint8Array;
+	/** As made by `formatAttempt`; unique, and carries when the attempt began. */
+	readonly attempt: string;
+};
+
+export type SettleMessage = {
+	readonly key: string;
+	readonly team: TeamName;
+	readonly queue: QueueName;
+	readonly attempt: string;
+	readonly settlement: Settlement;
+};
+
+export type ClaimPeer = {
+	/** Sends `Claim`; undefined if no answer came. */
+	claim(options: {readonly to: ProcessIdentity; readonly message: ClaimMessage}): Promise<Verdict | undefined>;
+	/** Sends `SettleClaim`; false if it was not recorded or no answer came. */
+	settle(options: {readonly to: ProcessIdentity; readonly message: SettleMessage}): Promise<boolean>;
+};
+
+export type AttemptParts = {
+	/** Wall clock of the asking instance, in milliseconds. */
+	readonly startedAt: number;
+	readonly sequence: number;
+	/** Instance and incarnation of the asking process. */
+	readonly source: string;
+};
+
+export const formatAttempt = ({startedAt, sequence, source}: AttemptParts): string =>
+	`${startedAt.toString(36)}.${sequence.toString(36)}.${source}`;
+
+export const parseAttempt = (attempt: string): AttemptParts | undefined => {
+	const groups = /^(?<started>[\da-z]{1,10})\.(?<sequence>[\da-z]{1,10})\.(?<source>.+)$/v.exec(attempt)?.groups;
+	return groups && {
+		startedAt: Number.parseInt(groups.started!, 36),
+		sequence: Number.parseInt(groups.sequence!, 36),
+		source: groups.source!,
+	};
+};
--- /dev/null
+++ b/packages/coordination/claims/src/question.ts
@@ -0,0 +1,25 @@
+/** Reads a peer's question. */
+import {Buffer} from 'node:buffer';
+import type {ClaimRequest} from './claim-table.js';
+import {judgeAge, KeyAge, parseKey} from './key.js';
+import {parseAttempt} from './messages.js';
+import type {ClaimMessage} from './messages.js';
+import type {Times} from './owned-partition.js';
+
+/** Undefined if the key or the attempt is malformed, or the key's time is not acceptable. */
+export const readQuestion = (message: ClaimMessage, time: Times): {readonly partition: number; readonly request: ClaimRequest} | undefined => {
+	const parsed = parseKey(message.key);
+	const attempt = parseAttempt(message.attempt);
+	return parsed && attempt && judgeAge({timeMilliseconds: parsed.timeMilliseconds, now: time.wall}) === KeyAge.Acceptable
+		? {
+			partition: parsed.partition,
+			request: {
+				...message,
+				key: parsed.key,
+				keyTime: parsed.timeMilliseconds,
+				fingerprint: Buffer.from(message.fingerprint).subarray(0, 16).toString('base64url'),
+				startedAt: attempt.startedAt,
+			},
+		}
+		: undefined;
+};
--- /dev/null
+++ b/packages/coordination/claims/src/records.ts
@@ -0,0 +1,54 @@
+/** What this process knows of the partitions' ownership records. */
+import {err, ok} from 'neverthrow';
+import type {Result} from 'neverthrow';
+import type {KeyValueStore, ProcessIdentity, StoreError} from '@turmericbay/types';
+import {partitionCount} from './key.js';
+import {decodeRecord, partitionOfKey, partitionsPrefix} from './partition-record.js';
+import type {StoredRecord} from './partition-record.js';
+
+export type Records = {
+	readonly byPartition: ReadonlyMap<number, StoredRecord>;
+	ownerOf(partition: number): ProcessIdentity | undefined;
+	/** Puts what a write of this process has made of a record. */
+	set(partition: number, stored: StoredRecord): void;
+	/** Reads all records in one call. */
+	read(): Promise<Result<{readonly bytes: number}, StoreError>>;
+};
+
+export const createRecords = (options: {
+	readonly store: KeyValueStore;
+	readonly noteListed: ((identity: ProcessIdentity) => void) | undefined;
+}): Records => {
+	let byPartition = new Map<number, StoredRecord>();
+	return {
+		get byPartition() {
+			return byPartition;
+		},
+		ownerOf: partition => byPartition.get(partition)?.record.owner,
+		set(partition, stored) {
+			byPartition.set(partition, stored);
+		},
+		async read() {
+			const result = await options.store.list({prefix: partitionsPrefix, limit: partitionCount});
+			if (result.isErr()) {
+				return err(result.error);
+			}
+
+			const next = new Map<number, StoredRecord>();
+			let bytes = 0;
+			for (const {key, value, modifiedRevision} of result.value.entries) {
+				const partition = partitionOfKey(key);
+				// A record that cannot be read keeps its last known content, so that nobody overwrites it.
+				const record = decodeRecord(value) ?? byPartition.get(partition ?? -1)?.record;
+				bytes += value.length;
+				if (partition !== undefined && record) {
+					next.set(partition, {record, revision: modifiedRevision});
+					options.noteListed?.(record.owner);
+				}
+			}
+
+			byPartition = next;
+			return ok({bytes});
+		},
+	};
+};
