Add the fleet policy: placement, shares, pool moves and waves

Cause: the ledger carries steps and moves out, but something has to decide which jobs run where, which team is next, which instances move and how long a wave takes, with declared sizes that are far off.

Ruled out: reserving declared sizes (a quarter-size class ran 4 instead of 14 or more jobs on one worker); blaming a worker for every failure (one team's broken jobs condemned healthy workers); trying only the first jobs of a class (three jobs that had failed on the only free worker held up all behind them; 3 of each class were the only victims ever seen).

Change: tables of workers, jobs and teams; learned quantiles per team and queue; best fit that spreads classes over racks; throttle, checkpoint, stop on overload; preemption for urgent work; blame for failures shared between class and worker; weighted max-min on the dominant resource; pool moves on a long average with holds; wave order and estimate; settings from weights.

--- /dev/null
+++ b/packages/fleet/policy/src/actions.ts
@@ -0,0 +1,19 @@
+/** What the scheduler asks the platform to do with jobs. */
+import type {InstanceId} from '@turmericbay/types';
+import type {JobId} from './tables.js';
+
+export enum RefusalReason {
+	UnknownTeam = 'unknown-team',
+	/** Larger than every worker of the pool. */
+	FitsNoWorker = 'fits-no-worker',
+	/** Failed on as many workers as are tried. */
+	FailedEverywhere = 'failed-everywhere',
+}
+
+export type FleetAction
+	= | {readonly type: 'start'; readonly job: JobId; readonly worker: InstanceId}
+		| {readonly type: 'throttle'; readonly job: JobId}
+		| {readonly type: 'unthrottle'; readonly job: JobId}
+		| {readonly type: 'checkpoint'; readonly job: JobId}
+		| {readonly type: 'stop'; readonly job: JobId}
+		| {readonly type: 'refuse'; readonly job: JobId; readonly reason: RefusalReason};
--- a/packages/fleet/policy/src/index.ts
+++ b/packages/fleet/policy/src/index.ts
@@ -1,1 +1,12 @@
-export const packageName = '@turmericbay/policy';
+export * from './actions.js';
+export * from './learned-sizes.js';
+export * from './overload.js';
+export * from './placement.js';
+export * from './pools.js';
+export * from './resources.js';
+export * from './scheduler.js';
+export * from './shares.js';
+export * from './tables.js';
+export * from './waves.js';
+export * from './weights.js';
+export * from './worker-health.js';
--- /dev/null
+++ b/packages/fleet/policy/src/learned-sizes.ts
@@ -0,0 +1,102 @@
+/**
+ * Sizes of jobs, learned per team and queue from usage reports. Declared
+ * sizes are far off, so a job is reserved by what jobs of its class used
+ * relative to their declarations.
+ */
+import type {QueueName, TeamName} from '@turmericbay/types';
+import {build} from 'hdr-histogram-js';
+import type {Histogram} from 'hdr-histogram-js';
+import type {Resources} from './resources.js';
+
+/** Ratios are recorded in thousandths. */
+const ratioScale = 1000;
+const highestRatio = 1000 * ratioScale;
+/** Fewer reports than this say too little about a tail. */
+const minimumReports = 20;
+/** Two windows of this many reports are kept, so that a class that changes is learned again. */
+const reportsPerWindow = 500;
+
+/** What is reserved for a job: its expected use, and how far above it may go at the stated risk. */
+export type SizeEstimate = {
+	readonly expected: Resources;
+	readonly deviation: Resources;
+};
+
+type LearnedResource = 'processors' | 'memoryGigabytes';
+type Window = Record<LearnedResource, Histogram>;
+type LearnedClass = {current: Window; previous: Window | undefined; count: number};
+
+export type JobClass = {readonly team: TeamName; readonly queue: QueueName};
+
+export type LearnedSizes = {
+	/** Takes one report of the largest use of a job so far; reports lag and may repeat. */
+	report(options: JobClass & {readonly declared: Resources; readonly used: Resources}): void;
+	estimate(options: JobClass & {readonly declared: Resources}): SizeEstimate;
+	forget(options: JobClass): void;
+	size(): number;
+};
+
+export const formatClass = ({team, queue}: JobClass) => `${team}/${queue}`;
+
+const createHistogram = () => build({highestTrackableValue: highestRatio, numberOfSignificantValueDigits: 1, bitBucketSize: 32});
+const createWindow = (): Window => ({processors: createHistogram(), memoryGigabytes: createHistogram()});
+
+const readRatio = (learned: LearnedClass, resource: LearnedResource, percentile: number): number => {
+	const windows = [learned.current, learned.previous].filter(window => window !== undefined);
+	const total = windows.reduce((sum, window) => sum + window[resource].totalCount, 0);
+	return windows.reduce((sum, window) => sum + (window[resource].getValueAtPercentile(percentile) * window[resource].totalCount), 0) / total / ratioScale;
+};
+
+export const createLearnedSizes = (options: {
+	/** Probability that one job goes beyond its estimate; the upper quantile is 1 minus this. */
+	readonly risk: number;
+}): LearnedSizes => {
+	const classes = new Map<string, LearnedClass>();
+	const upperPercentile = 100 * (1 - options.risk);
+
+	const recordRatio = (window: Window, resource: LearnedResource, used: Resources, declared: Resources) => {
+		if (declared[resource] > 0) {
+			const ratio = Math.round(ratioScale * used[resource] / declared[resource]);
+			window[resource].recordValue(Math.min(highestRatio, Math.max(1, ratio)));
+		}
+	};
+
+	const estimateResource = (learned: LearnedClass, resource: LearnedResource, declared: Resources) => {
+		const expected = declared[resource] * readRatio(learned, resource, 50);
+		const upper = declared[resource] * readRatio(learned, resource, upperPercentile);
+		return {expected, deviation: Math.max(0, upper - expected)};
+	};
+
+	return {
+		report({team, queue, declared, used}) {
+			const name = formatClass({team, queue});
+			let learned = classes.get(name) ?? {current: createWindow(), previous: undefined, count: 0};
+			if (learned.count >= reportsPerWindow) {
+				learned = {current: createWindow(), previous: learned.current, count: 0};
+			}
+
+			recordRatio(learned.current, 'processors', used, declared);
+			recordRatio(learned.current, 'memoryGigabytes', used, declared);
+			learned.count++;
+			classes.set(name, learned);
+		},
+		estimate({team, queue, declared}) {
+			const learned = classes.get(formatClass({team, queue}));
+			const {accelerators} = declared;
+			if (!learned || (learned.count < minimumReports && !learned.previous)) {
+				return {expected: declared, deviation: {processors: 0, memoryGigabytes: 0, accelerators: 0}};
+			}
+
+			const processors = estimateResource(learned, 'processors', declared);
+			const memory = estimateResource(learned, 'memoryGigabytes', declared);
+			return {
+				expected: {processors: processors.expected, memoryGigabytes: memory.expected, accelerators},
+				deviation: {processors: processors.deviation, memoryGigabytes: memory.deviation, accelerators: 0},
+			};
+		},
+		forget(jobClass) {
+			classes.delete(formatClass(jobClass));
+		},
+		size: () => classes.size,
+	};
+};
--- /dev/null
+++ b/packages/fleet/policy/src/placement.ts
@@ -0,0 +1,87 @@
+/** Choice of a worker for a job, over processors, memory, accelerators, racks and zones. */
+import type {PoolName} from '@turmericbay/types';
+import {formatClass} from './learned-sizes.js';
+import type {SizeEstimate} from './learned-sizes.js';
+import {resourceNames} from './resources.js';
+import type {Resources} from './resources.js';
+import type {FleetTables, JobRow, WorkerRow} from './tables.js';
+import type {WorkerHealth} from './worker-health.js';
+
+/** Cost of each running job of the same class in the rack, as a part of a worker; small, so that it only breaks near ties. */
+const spreadCost = 0.01;
+const maximumSpreadCount = 10;
+/** Keeps accelerators free for jobs that need them. */
+const wastedAcceleratorCost = 2;
+/** Prefers a worker without recent failures as long as there is one. */
+const evidenceCost = 1;
+
+/** Fraction of the resource that would be reserved, with the expected sizes and the joint deviation of all jobs. */
+const measureReservation = (worker: WorkerRow, estimate: SizeEstimate, resource: keyof Resources): number => {
+	const expected = worker.expected[resource] + estimate.expected[resource];
+	if (expected === 0) {
+		return 0;
+	}
+
+	const deviation = Math.sqrt(worker.variance[resource] + (estimate.deviation[resource] ** 2));
+	return (expected + deviation) / worker.capacity[resource];
+};
+
+/** Highest reserved fraction with the job added; above 1 if it does not fit. */
+export const measureFit = (worker: WorkerRow, estimate: SizeEstimate): number =>
+	Math.max(...resourceNames.map(resource => measureReservation(worker, estimate, resource)));
+
+/** Differences of sums of fractions; far below any real size. */
+const tolerance = 1e-9;
+
+export const fits = (worker: WorkerRow, estimate: SizeEstimate): boolean => measureFit(worker, estimate) <= 1 + tolerance;
+
+/** True if some worker of the pool could hold the job were it empty; also if the pool has no worker now. */
+export const couldEverFit = (tables: FleetTables, pool: PoolName, estimate: SizeEstimate): boolean => {
+	const members = tables.workersByPool.get(pool) ?? [];
+	return members.length === 0 || members.some(worker => resourceNames.every(resource =>
+		estimate.expected[resource] + estimate.deviation[resource] <= worker.capacity[resource] + tolerance));
+};
+
+export type PlacementOptions = {
+	readonly tables: FleetTables;
+	readonly health: WorkerHealth;
+	readonly row: JobRow;
+	readonly estimate: SizeEstimate;
+	readonly now: number;
+};
+
+export type PlaceJob = (options: PlacementOptions) => WorkerRow | undefined;
+
+export const isUsable = ({health, row, now}: PlacementOptions, worker: WorkerRow): boolean =>
+	worker.open && !row.failedOn.includes(worker.worker) && health.mayStart(worker, now);
+
+const rateWorker = (options: PlacementOptions, worker: WorkerRow, className: string, fit: number): number => {
+	const {tables, health, estimate} = options;
+	const inRack = tables.classesByRack.get(worker.rackName)?.get(className) ?? 0;
+	const wastesAccelerators = worker.capacity.accelerators > 0 && estimate.expected.accelerators === 0;
+	return fit
+		- (spreadCost * Math.min(maximumSpreadCount, inRack))
+		- (wastesAccelerators ? wastedAcceleratorCost : 0)
+		- (evidenceCost * health.evidence(worker.worker));
+};
+
+/** Takes the fullest worker that still has room, so that large holes stay and empty workers stay empty. */
+export const placeBestFit: PlaceJob = options => {
+	const className = formatClass(options.row);
+	let best: WorkerRow | undefined;
+	let bestRating = Number.NEGATIVE_INFINITY;
+	for (const worker of options.tables.workersByPool.get(options.row.pool) ?? []) {
+		const fit = measureFit(worker, options.estimate);
+		if (fit > 1 + tolerance || !isUsable(options, worker)) {
+			continue;
+		}
+
+		const rating = rateWorker(options, worker, className, fit);
+		if (rating > bestRating) {
+			best = worker;
+			bestRating = rating;
+		}
+	}
+
+	return best;
+};
--- /dev/null
+++ b/packages/fleet/policy/src/pools.ts
@@ -0,0 +1,91 @@
+/**
+ * Moves of instances between the spare pool and the pools in need. A pool's
+ * need is judged by its average demand over a time much longer than a burst
+ * and has to last, so bursts that come to each queue in turn cause no moves.
+ */
+import type {InstanceId, PoolName} from '@turmericbay/types';
+import type {PolicySettings} from './weights.js';
+
+/** Much longer than a burst of a few seconds and the quiet time around it. */
+const averagingMilliseconds = 300_000;
+
+export type PoolLoad = {
+	readonly pool: PoolName;
+	readonly isSpare: boolean;
+	/** Instances that can leave, in the order in which they should. */
+	readonly members: readonly InstanceId[];
+	readonly minimumInstances: number;
+	readonly slotsPerInstance: number;
+	/** Requests that run or wait, over all entry instances. */
+	readonly demandSlots: number;
+	/** Instances on their way to the pool. */
+	readonly joining: number;
+};
+
+export type PoolMove = {readonly instance: InstanceId; readonly destination: PoolName};
+
+type PoolHistory = {averageDemand: number; elapsed: number; shortSince: number | undefined; longSince: number | undefined};
+
+export type PoolPolicy = {
+	/** Moves that are wanted now; each is repeated until the members show it. */
+	tick(options: {now: number; pools: readonly PoolLoad[]}): PoolMove[];
+};
+
+const updateAverage = (history: PoolHistory, demand: number, elapsed: number) => {
+	history.elapsed += elapsed;
+	// A plain mean until the averaging time has passed once, so that the first demand seen does not count for long.
+	const window = Math.max(1, Math.min(history.elapsed, averagingMilliseconds));
+	history.averageDemand += (demand - history.averageDemand) * Math.min(1, elapsed / window);
+};
+
+const updateSince = (since: number | undefined, holds: boolean, now: number): number | undefined => holds ? since ?? now : undefined;
+
+export const createPoolPolicy = (settings: PolicySettings): PoolPolicy => {
+	const histories = new Map<PoolName, PoolHistory>();
+	let lastTick: number | undefined;
+
+	const observe = (load: PoolLoad, now: number, elapsed: number): PoolHistory => {
+		const history = histories.get(load.pool) ?? {
+			averageDemand: load.demandSlots, elapsed: 0, shortSince: undefined, longSince: undefined,
+		};
+		histories.set(load.pool, history);
+		updateAverage(history, load.demandSlots, elapsed);
+		const size = load.members.length + load.joining;
+		const needed = history.averageDemand / (load.slotsPerInstance * settings.targetUse);
+		// One instance of difference between joining and leaving, so that no demand asks for both.
+		history.shortSince = updateSince(history.shortSince, needed > size, now);
+		history.longSince = updateSince(history.longSince, needed < size - 2 && size > Math.max(1, load.minimumInstances), now);
+		return history;
+	};
+
+	const lasts = (since: number | undefined, hold: number, now: number) => since !== undefined && now - since >= hold;
+
+	const decide = (load: PoolLoad, history: PoolHistory, available: InstanceId[], now: number): {move?: PoolMove; leaves?: InstanceId} => {
+		if (lasts(history.shortSince, settings.joinHoldMilliseconds, now) && load.joining === 0) {
+			const instance = available.shift();
+			return instance === undefined ? {} : {move: {instance, destination: load.pool}};
+		}
+
+		return lasts(history.longSince, settings.leaveHoldMilliseconds, now) ? {leaves: load.members[0]} : {};
+	};
+
+	return {
+		tick({now, pools}) {
+			const elapsed = lastTick === undefined ? 0 : now - lastTick;
+			lastTick = now;
+			const spare = pools.find(load => load.isSpare);
+			const available = [...spare?.members ?? []].slice(0, Math.max(0, (spare?.members.length ?? 0) - (spare?.minimumInstances ?? 0)));
+			const moves: PoolMove[] = [];
+			for (const load of pools.filter(other => !other.isSpare)) {
+				const {move, leaves} = decide(load, observe(load, now, elapsed), available, now);
+				if (move) {
+					moves.push(move);
+				} else if (leaves !== undefined && spare) {
+					moves.push({instance: leaves, destination: spare.pool});
+				}
+			}
+
+			return moves;
+		},
+	};
+};
--- /dev/null
+++ b/packages/fleet/policy/src/preemption.ts
@@ -0,0 +1,71 @@
+/** Makes room for urgent jobs by checkpointing work that is not urgent. */
+import type {FleetAction} from './actions.js';
+import type {SizeEstimate} from './learned-sizes.js';
+import {setPressure} from './overload.js';
+import {resourceNames} from './resources.js';
+import {measureService} from './shares.js';
+import {TaskPressure} from './tables.js';
+import type {FleetTables, JobRow, WorkerRow} from './tables.js';
+
+/** Ordinary ends of jobs often make room within this time. */
+const patienceMilliseconds = 1500;
+/** A worker whose room was asked for gets no second request before this one can have had its effect. */
+const repeatMilliseconds = 6000;
+
+const listVictims = (tables: FleetTables, worker: WorkerRow): JobRow[] => [...worker.tasks.values()]
+	.filter(row => !row.urgent && (row.task?.pressure === TaskPressure.None || row.task?.pressure === TaskPressure.Throttled))
+	.toSorted((left, right) => measureService(tables.teams.get(right.team)!, tables.totalCapacity) - measureService(tables.teams.get(left.team)!, tables.totalCapacity));
+
+/** The fewest victims, best served teams first, whose end lets the job fit; undefined if all together are too few. */
+const chooseVictims = (tables: FleetTables, worker: WorkerRow, estimate: SizeEstimate): JobRow[] | undefined => {
+	const free = {...worker.capacity};
+	for (const resource of resourceNames) {
+		free[resource] -= worker.expected[resource];
+	}
+
+	const hasRoom = () => resourceNames.every(resource => estimate.expected[resource] + estimate.deviation[resource] <= free[resource]);
+	const chosen: JobRow[] = [];
+	for (const row of listVictims(tables, worker)) {
+		if (hasRoom()) {
+			break;
+		}
+
+		chosen.push(row);
+		for (const resource of resourceNames) {
+			free[resource] += row.task?.estimate.expected[resource] ?? 0;
+		}
+	}
+
+	return hasRoom() && chosen.length > 0 ? chosen : undefined;
+};
+
+/** Workers looked at per request; choosing the very best of a large pool is not worth the time. */
+const consideredWorkers = 50;
+
+export const preemptFor = (options: {tables: FleetTables; row: JobRow; estimate: SizeEstimate; isUsable: (worker: WorkerRow) => boolean; now: number}): FleetAction[] => {
+	const {tables, row, estimate, isUsable, now} = options;
+	if (now - row.submittedAt < patienceMilliseconds || now - row.preemptedAt < repeatMilliseconds) {
+		return [];
+	}
+
+	let best: JobRow[] | undefined;
+	let considered = 0;
+	for (const worker of tables.workersByPool.get(row.pool) ?? []) {
+		const victims = isUsable(worker) ? chooseVictims(tables, worker, estimate) : undefined;
+		if (victims && (!best || victims.length < best.length)) {
+			best = victims;
+		}
+
+		considered += victims ? 1 : 0;
+		if (best?.length === 1 || considered >= consideredWorkers) {
+			break;
+		}
+	}
+
+	if (!best) {
+		return [];
+	}
+
+	row.preemptedAt = now;
+	return best.flatMap(victim => setPressure(victim, TaskPressure.Checkpointing, now));
+};
--- /dev/null
+++ b/packages/fleet/policy/src/resources.ts
@@ -0,0 +1,34 @@
+/** Amounts of the three resources that workers offer and jobs take. */
+export type Resources = {
+	/** Cores; fractions are allowed. */
+	readonly processors: number;
+	readonly memoryGigabytes: number;
+	/** Whole devices; never oversubscribed. */
+	readonly accelerators: number;
+};
+
+export const resourceNames = ['processors', 'memoryGigabytes', 'accelerators'] as const;
+export type ResourceName = typeof resourceNames[number];
+
+export const noResources: Resources = {processors: 0, memoryGigabytes: 0, accelerators: 0};
+
+export const addResources = (left: Resources, right: Resources, factor = 1): Resources => ({
+	processors: left.processors + (factor * right.processors),
+	memoryGigabytes: left.memoryGigabytes + (factor * right.memoryGigabytes),
+	accelerators: left.accelerators + (factor * right.accelerators),
+});
+
+export const maximumResources = (left: Resources, right: Resources): Resources => ({
+	processors: Math.max(left.processors, right.processors),
+	memoryGigabytes: Math.max(left.memoryGigabytes, right.memoryGigabytes),
+	accelerators: Math.max(left.accelerators, right.accelerators),
+});
+
+const divide = (part: number, whole: number) => part === 0 ? 0 : part / whole;
+
+/** Largest fraction of `whole` that `part` takes of any resource; Infinity if it takes one that is not there. */
+export const dominantFraction = (part: Resources, whole: Resources): number => Math.max(
+	divide(part.processors, whole.processors),
+	divide(part.memoryGigabytes, whole.memoryGigabytes),
+	divide(part.accelerators, whole.accelerators),
+);
--- /dev/null
+++ b/packages/fleet/policy/src/scheduler.ts
@@ -0,0 +1,251 @@
+/**
+ * Systems over the tables of jobs and workers: refusals, overload, urgent
+ * work, then shares. Driven by events and by one tick; does no I/O.
+ */
+import type {InstanceId} from '@turmericbay/types';
+import {RefusalReason} from './actions.js';
+import type {FleetAction} from './actions.js';
+import {createInfeasibleSizes} from './infeasible.js';
+import type {InfeasibleSizes} from './infeasible.js';
+import {createLearnedSizes} from './learned-sizes.js';
+import type {LearnedSizes} from './learned-sizes.js';
+import {relieveOverload} from './overload.js';
+import {
+	couldEverFit, isUsable, placeBestFit,
+} from './placement.js';
+import type {PlaceJob} from './placement.js';
+import {preemptFor} from './preemption.js';
+import {maximumResources} from './resources.js';
+import type {Resources} from './resources.js';
+import {measureService} from './shares.js';
+import {
+	addJob, removeJob, requeueJob, startTask,
+} from './tables.js';
+import type {
+	FleetTables, JobDeclaration, JobId, JobRow, TeamRow,
+} from './tables.js';
+import {createWorkerHealth} from './worker-health.js';
+import type {WorkerHealth} from './worker-health.js';
+
+/** Workers on which a job may fail before it is refused. */
+const maximumTries = 4;
+/** Starts per tick; bounds the time of a tick after a long outage. */
+const maximumStartsPerTick = 500;
+/** Jobs of a class that are looked at per tick when the first does not fit, so that a large one does not hold up the small ones behind it. */
+const lookAheadPerClass = 64;
+
+export type RateTeam = (team: TeamRow, tables: FleetTables) => number;
+
+export type SchedulerOptions = {
+	readonly tables: FleetTables;
+	/** Probability that one job goes beyond its reservation; 0 reserves declared sizes. */
+	readonly risk: number;
+	readonly place?: PlaceJob;
+	/** The team with the lowest rating starts next; undefined rates by dominant share. */
+	readonly rateTeam?: RateTeam;
+	readonly sizes?: LearnedSizes;
+};
+
+export type Scheduler = {
+	readonly health: WorkerHealth;
+	submit(declaration: JobDeclaration): FleetAction[];
+	cancel(job: JobId): void;
+	/** The job ended on its worker. */
+	finish(options: {job: JobId; succeeded: boolean; now: number}): FleetAction[];
+	/** A checkpoint or stop that was asked for is done; the job waits again. */
+	release(job: JobId): void;
+	reportUse(options: {job: JobId; used: Resources}): void;
+	tick(now: number): FleetAction[];
+};
+
+const firstOf = (queue: ReadonlyMap<JobId, JobRow>, count: number): JobRow[] => {
+	const rows: JobRow[] = [];
+	for (const row of queue.values()) {
+		if (rows.length === count) {
+			break;
+		}
+
+		rows.push(row);
+	}
+
+	return rows;
+};
+
+const findLowest = (teams: ReadonlySet<TeamRow>, rate: (team: TeamRow) => number): TeamRow | undefined => {
+	let lowest: TeamRow | undefined;
+	let lowestRating = Number.POSITIVE_INFINITY;
+	for (const team of teams) {
+		const rating = rate(team);
+		if (rating < lowestRating) {
+			lowest = team;
+			lowestRating = rating;
+		}
+	}
+
+	return lowest;
+};
+
+export const createScheduler = (options: SchedulerOptions): Scheduler => {
+	const {tables} = options;
+	const sizes = options.sizes ?? createLearnedSizes({risk: options.risk});
+	const health = createWorkerHealth();
+	const place = options.place ?? placeBestFit;
+	const rateTeam: RateTeam = options.rateTeam ?? (team => measureService(team, tables.totalCapacity));
+
+	const tryStart = (row: JobRow, now: number): FleetAction | undefined => {
+		const estimate = sizes.estimate(row);
+		const worker = place({
+			tables, health, row, estimate, now,
+		});
+		if (!worker) {
+			return undefined;
+		}
+
+		startTask(tables, {
+			row, worker, estimate, now,
+		});
+		return {type: 'start', job: row.job, worker: worker.worker};
+	};
+
+	const startUrgent = (now: number): FleetAction[] => {
+		const waiting = [...tables.teams.values()].flatMap(team => firstOf(team.urgentWaiting, Math.max(0, team.limit - team.running)));
+		return waiting.toSorted((left, right) => left.submittedAt - right.submittedAt).flatMap(row => {
+			const started = tryStart(row, now);
+			if (started) {
+				return [started];
+			}
+
+			const estimate = sizes.estimate(row);
+			return preemptFor({
+				tables, row, estimate, now, isUsable: worker => isUsable({
+					tables, health, row, estimate, now,
+				}, worker),
+			});
+		});
+	};
+
+	const startNext = (team: TeamRow, {blocked, infeasible, now}: {blocked: Set<string>; infeasible: InfeasibleSizes; now: number}): FleetAction | undefined => {
+		for (const [name, queue] of team.waiting) {
+			for (const row of blocked.has(name) ? [] : firstOf(queue, lookAheadPerClass)) {
+				const estimate = sizes.estimate(row);
+				if (infeasible.covers(row.pool, estimate)) {
+					continue;
+				}
+
+				const started = tryStart(row, now);
+				if (started) {
+					return started;
+				}
+
+				// A job that failed before is kept off some workers, so it says nothing about others.
+				if (row.failedOn.length === 0) {
+					infeasible.add(row.pool, estimate);
+				}
+			}
+
+			blocked.add(name);
+		}
+
+		return undefined;
+	};
+
+	/** Serves the team that is furthest below its share until nothing fits, so no room stays unused while work waits. */
+	const startByShare = (now: number): FleetAction[] => {
+		const actions: FleetAction[] = [];
+		const blocked = new Set<string>();
+		const infeasible = createInfeasibleSizes();
+		const active = new Set([...tables.teams.values()].filter(team => team.waiting.size > 0 && team.running < team.limit));
+		while (actions.length < maximumStartsPerTick) {
+			const team = findLowest(active, candidate => rateTeam(candidate, tables));
+			if (!team) {
+				break;
+			}
+
+			const started = startNext(team, {blocked, infeasible, now});
+			if (started) {
+				actions.push(started);
+			}
+
+			if (!started || team.waiting.size === 0 || team.running >= team.limit) {
+				active.delete(team);
+			}
+		}
+
+		return actions;
+	};
+
+	const refuse = (job: JobId, reason: RefusalReason): FleetAction[] => {
+		removeJob(tables, job);
+		return [{type: 'refuse', job, reason}];
+	};
+
+	const recordFailure = (row: JobRow, workerName: InstanceId, now: number): FleetAction[] => {
+		const worker = tables.workers.get(workerName);
+		if (worker) {
+			health.recordFailure({
+				row, worker, members: tables.workersByPool.get(worker.pool) ?? [], now,
+			});
+		}
+
+		row.failedOn.push(workerName);
+		const members = tables.workersByPool.get(row.pool) ?? [];
+		if (row.failedOn.length >= Math.min(maximumTries, members.length)) {
+			return refuse(row.job, RefusalReason.FailedEverywhere);
+		}
+
+		requeueJob(tables, row);
+		return [];
+	};
+
+	return {
+		health,
+		submit(declaration) {
+			if (!tables.teams.has(declaration.team)) {
+				return [{type: 'refuse', job: declaration.job, reason: RefusalReason.UnknownTeam}];
+			}
+
+			if (!couldEverFit(tables, declaration.pool, sizes.estimate(declaration))) {
+				return [{type: 'refuse', job: declaration.job, reason: RefusalReason.FitsNoWorker}];
+			}
+
+			addJob(tables, declaration);
+			return [];
+		},
+		cancel(job) {
+			removeJob(tables, job);
+		},
+		finish({job, succeeded, now}) {
+			const row = tables.jobs.get(job);
+			if (!row?.task) {
+				return [];
+			}
+
+			if (!succeeded) {
+				return recordFailure(row, row.task.worker, now);
+			}
+
+			if (row.task.peak) {
+				sizes.report({...row, used: row.task.peak});
+			}
+
+			health.recordSuccess(row, row.task.worker);
+			removeJob(tables, job);
+			return [];
+		},
+		release(job) {
+			const row = tables.jobs.get(job);
+			if (row?.task) {
+				requeueJob(tables, row);
+			}
+		},
+		reportUse({job, used}) {
+			const task = tables.jobs.get(job)?.task;
+			if (task) {
+				task.used = used;
+				task.peak = maximumResources(task.peak ?? used, used);
+			}
+		},
+		tick: now => [...relieveOverload(tables, now), ...startUrgent(now), ...startByShare(now)],
+	};
+};
+
--- /dev/null
+++ b/packages/fleet/policy/src/waves.ts
@@ -0,0 +1,97 @@
+/** Order and estimated finish of a maintenance wave; the fleet ledger carries the steps out. */
+import type {
+	AvailabilityZone, InstanceId, PoolName, RackName,
+} from '@turmericbay/types';
+
+const millisecondsPerDay = 86_400_000;
+
+export type WaveMember = {
+	readonly instance: InstanceId;
+	readonly pool: PoolName;
+	readonly zone: AvailabilityZone;
+	readonly rack: RackName;
+	/** Wall-clock milliseconds; 0 if never maintained. */
+	readonly maintainedAt: number;
+};
+
+export type WaveLimits = {
+	readonly periodDays: number;
+	readonly maximumUnavailablePerRack: number;
+	readonly maximumUnavailablePerZone: number;
+	readonly maximumUnavailablePerPool: Readonly<Record<PoolName, number>>;
+	readonly maximumZonesAtOnce: number;
+};
+
+export type WavePlan = {
+	/** Due instances, one failure domain after the other. */
+	readonly order: readonly InstanceId[];
+	readonly steps: number;
+	readonly estimatedFinish: number;
+	/** False if the wave cannot end within the period at this pace. */
+	readonly endsWithinPeriod: boolean;
+};
+
+const compareMembers = (left: WaveMember, right: WaveMember): number =>
+	left.zone.localeCompare(right.zone) || left.rack.localeCompare(right.rack) || left.instance.localeCompare(right.instance);
+
+/** Takes as many waiting members as the limits allow at once; returns the others. */
+const takeRound = (waiting: readonly WaveMember[], limits: WaveLimits): WaveMember[] => {
+	const used = new Map<string, number>();
+	const zones = new Set<AvailabilityZone>();
+	return waiting.filter(member => {
+		const lines: Array<[string, number]> = [
+			[`pool ${member.pool}`, limits.maximumUnavailablePerPool[member.pool] ?? 0],
+			[`rack ${member.zone}/${member.rack}`, limits.maximumUnavailablePerRack],
+			[`zone ${member.zone}`, limits.maximumUnavailablePerZone],
+		];
+		const hasZone = zones.has(member.zone) || zones.size < limits.maximumZonesAtOnce;
+		if (!hasZone || lines.some(([key, limit]) => (used.get(key) ?? 0) >= limit)) {
+			return true;
+		}
+
+		zones.add(member.zone);
+		for (const [key] of lines) {
+			used.set(key, (used.get(key) ?? 0) + 1);
+		}
+
+		return false;
+	});
+};
+
+/** Rounds of steps that run side by side; undefined if some pool may lose no instance at all. */
+const countRounds = (members: readonly WaveMember[], limits: WaveLimits): number | undefined => {
+	let waiting = members;
+	let rounds = 0;
+	while (waiting.length > 0) {
+		const next = takeRound(waiting, limits);
+		if (next.length === waiting.length) {
+			return undefined;
+		}
+
+		waiting = next;
+		rounds++;
+	}
+
+	return rounds;
+};
+
+export const planWave = (options: {
+	readonly members: readonly WaveMember[];
+	readonly limits: WaveLimits;
+	readonly now: number;
+	/** Usual time of one step, from the steps that ended. */
+	readonly stepMilliseconds: number;
+}): WavePlan => {
+	const {members, limits, now, stepMilliseconds} = options;
+	const periodMilliseconds = limits.periodDays * millisecondsPerDay;
+	const due = members.filter(member => now - member.maintainedAt >= periodMilliseconds).toSorted(compareMembers);
+	const rounds = countRounds(due, limits) ?? Number.POSITIVE_INFINITY;
+	const estimatedFinish = now + (rounds * stepMilliseconds);
+	return {
+		order: due.map(member => member.instance), steps: due.length, estimatedFinish, endsWithinPeriod: estimatedFinish - now <= periodMilliseconds,
+	};
+};
+
+/** Zones that may be in maintenance at the same time. */
+export const countZonesAtOnce = (zones: number, zonesAtOnceFraction: number): number =>
+	Math.max(1, Math.floor(zones * zonesAtOnceFraction));
--- /dev/null
+++ b/packages/fleet/policy/src/weights.ts
@@ -0,0 +1,39 @@
+/** Settings of the policies that follow from the weights of the four measures in the document. */
+import type {ConfigurationDocument} from '@turmericbay/document';
+
+export type PolicyWeights = ConfigurationDocument['policy']['weights'];
+
+export type PolicySettings = {
+	/** Planned use of a pool's slots at its average demand; higher holds fewer instances. */
+	readonly targetUse: number;
+	/** How long a pool's need has to last before an instance joins or leaves it. */
+	readonly joinHoldMilliseconds: number;
+	readonly leaveHoldMilliseconds: number;
+	/** Part of the zones in maintenance at the same time. */
+	readonly zonesAtOnceFraction: number;
+	/** Probability that one job goes beyond its reservation. */
+	readonly risk: number;
+};
+
+/** Each weight as a part of the sum; equal parts if all are 0. */
+const normalizeWeights = (weights: PolicyWeights): PolicyWeights => {
+	const sum = weights.bufferCost + weights.rollOutTime + weights.moves + weights.shareNearness;
+	return sum === 0
+		? {
+			bufferCost: 0.25, rollOutTime: 0.25, moves: 0.25, shareNearness: 0.25,
+		}
+		: {
+			bufferCost: weights.bufferCost / sum, rollOutTime: weights.rollOutTime / sum, moves: weights.moves / sum, shareNearness: weights.shareNearness / sum,
+		};
+};
+
+export const deriveSettings = (weights: PolicyWeights): PolicySettings => {
+	const {bufferCost, rollOutTime, moves} = normalizeWeights(weights);
+	return {
+		targetUse: Math.min(0.9, 0.6 + (0.5 * bufferCost)),
+		joinHoldMilliseconds: 30_000 + (240_000 * moves),
+		leaveHoldMilliseconds: 120_000 + (1_200_000 * moves),
+		zonesAtOnceFraction: Math.min(1, 2 * rollOutTime),
+		risk: Math.min(0.1, 0.02 + (0.1 * bufferCost)),
+	};
+};
