Serve requests end to end through separate processes

Cause: the whole path has to run before anything is deepened.

Readiness now waits for the first confirmation, 5 s at most.

Change: daemon wired to gateway, grants, claims, document watch and session; demo with 9 entry instances over 3 zones and 12 upstreams.

--- a/packages/coordination/membership/src/directory.ts
+++ b/packages/coordination/membership/src/directory.ts
@@ -131,7 +131,9 @@
 	const note = (identity: ProcessIdentity, now: number) => {
 		const key = identityKey(identity);
 		if (!sightings.has(key)) {
-			sightings.set(key, {instance: identity.instance, shownAt: now, marginMilliseconds: hearsayMarginMilliseconds, goneSince: undefined});
+			sightings.set(key, {
+				instance: identity.instance, shownAt: now, marginMilliseconds: hearsayMarginMilliseconds, goneSince: undefined,
+			});
 		}
 	};
 
--- a/packages/programs/daemon/src/claims-service.ts
+++ b/packages/programs/daemon/src/claims-service.ts
@@ -1,26 +1,67 @@
-/** Claims as this instance makes them for its callers and answers them for its peers. */
-import {ClaimVerdict} from '@turmericbay/peer-protocol';
-import type {ClaimRequest, SettleClaimRequest} from '@turmericbay/peer-protocol';
-import type {ClaimPort} from '@turmericbay/types';
-import {ProblemCode} from '@turmericbay/types';
+/** Maps the claims package to the peer protocol, in both directions. */
+import {Verdict} from '@turmericbay/claims';
+import type {Claims, ClaimPeer} from '@turmericbay/claims';
+import {ClaimVerdict, Settlement as SettlementMessage} from '@turmericbay/peer-protocol';
+import type {PeerServiceImplementation} from '@turmericbay/peer-protocol';
+import {Settlement} from '@turmericbay/types';
+import type {ProcessIdentity} from '@turmericbay/types';
+import type {PeerExchange} from './peer-exchange.js';
 
-export type ClaimService = ClaimPort & {
-	answerClaim(request: ClaimRequest): Promise<{verdict: ClaimVerdict}>;
-	answerSettlement(request: SettleClaimRequest): Promise<{recorded: boolean}>;
-	/** From now on this instance hands its partitions over. */
-	startDraining(): void;
-	isDrained(): boolean;
+const verdictMessages: Readonly<Record<Verdict, ClaimVerdict>> = {
+	[Verdict.Granted]: ClaimVerdict.GRANTED,
+	[Verdict.Running]: ClaimVerdict.RUNNING,
+	[Verdict.Run]: ClaimVerdict.RUN,
+	[Verdict.Unknown]: ClaimVerdict.UNKNOWN,
+	[Verdict.NotRecorded]: ClaimVerdict.NOT_RECORDED,
+	[Verdict.Reused]: ClaimVerdict.REUSED,
+	[Verdict.NotOwner]: ClaimVerdict.NOT_OWNER,
+	[Verdict.Expired]: ClaimVerdict.EXPIRED,
 };
 
-/** Refuses every claim; requests that may not be repeated are then not run. */
-export const createRefusingClaims = (): ClaimService => ({
-	claim: async () => ({
-		type: 'refused',
-		problem: {code: ProblemCode.ClaimNotRecorded, detail: 'This instance records no claims.'},
-	}),
-	settle: () => undefined,
-	answerClaim: async () => ({verdict: ClaimVerdict.NOT_RECORDED}),
-	answerSettlement: async () => ({recorded: false}),
-	startDraining: () => undefined,
-	isDrained: () => true,
+const settlementMessages: Readonly<Record<Settlement, SettlementMessage>> = {
+	[Settlement.Run]: SettlementMessage.RUN,
+	[Settlement.NotRun]: SettlementMessage.NOT_RUN,
+	[Settlement.Unknown]: SettlementMessage.UNKNOWN,
+};
+
+const verdicts = new Map(Object.values(Verdict).map(verdict => [verdictMessages[verdict], verdict]));
+const settlements = new Map(Object.values(Settlement).map(settlement => [settlementMessages[settlement], settlement]));
+
+export const createClaimPeer = (options: {
+	readonly exchange: () => PeerExchange;
+	readonly identity: ProcessIdentity;
+}): ClaimPeer => ({
+	async claim({to, message}) {
+		const row = options.exchange().findRow(to.instance);
+		const answer = await row?.client.call(async (service, callOptions) => service.claim({...message, ...options.identity}, callOptions));
+		return answer?.isOk() ? verdicts.get(answer.value.verdict) : undefined;
+	},
+	async settle({to, message}) {
+		const row = options.exchange().findRow(to.instance);
+		const settlement = settlementMessages[message.settlement];
+		const answer = await row?.client.call(async (service, callOptions) => service.settleClaim({...message, settlement}, callOptions));
+		return answer?.isOk() ? answer.value.recorded : false;
+	},
+});
+
+/** The owner's side of `Claim` and `SettleClaim`. */
+export const createClaimHandlers = (claims: Claims): Pick<PeerServiceImplementation, 'claim' | 'settleClaim'> => ({
+	async claim({
+		key, team, queue, fingerprint, attempt,
+	}) {
+		const verdict = await claims.answerClaim({
+			key, team, queue, fingerprint, attempt,
+		});
+		return {verdict: verdictMessages[verdict]};
+	},
+	settleClaim({
+		key, team, queue, attempt, settlement,
+	}) {
+		const known = settlements.get(settlement);
+		return {
+			recorded: known !== undefined && claims.answerSettle({
+				key, team, queue, attempt, settlement: known,
+			}),
+		};
+	},
 });
--- a/packages/programs/daemon/src/daemon.ts
+++ b/packages/programs/daemon/src/daemon.ts
@@ -27,8 +27,14 @@
 /** Time that a planned stop takes at most to give back grants and claims. */
 const handBackBoundMilliseconds = 5000;
 
-const describeReadiness = (parts: EntryInstanceParts, isStopping: boolean): Readiness => {
-	if (isStopping) {
+/**
+ * An instance that starts during an outage may get no confirmation; after this
+ * time it becomes ready all the same, since open queues go on.
+ */
+const firstConfirmationBoundMilliseconds = 5000;
+
+const describeReadiness = (parts: EntryInstanceParts, options: {readonly isStopping: boolean; readonly runningMilliseconds: number}): Readiness => {
+	if (options.isStopping) {
 		return {type: 'not-ready', reason: 'shutting down'};
 	}
 
@@ -36,6 +42,10 @@
 		return {type: 'not-ready', reason: 'no document'};
 	}
 
+	if (parts.documentWatch.confirmationAgeMilliseconds() === undefined && options.runningMilliseconds < firstConfirmationBoundMilliseconds) {
+		return {type: 'not-ready', reason: 'the document is not confirmed yet'};
+	}
+
 	return parts.directory.ageMilliseconds() === undefined
 		? {type: 'not-ready', reason: 'no instance list'}
 		: {type: 'ready'};
@@ -48,7 +58,8 @@
 	const parts = createEntryInstance(options);
 	let isStopping = false;
 	let isReadyLogged = false;
-	const readiness = () => describeReadiness(parts, isStopping);
+	const createdAt = options.clock.monotonicMilliseconds();
+	const readiness = () => describeReadiness(parts, {isStopping, runningMilliseconds: options.clock.monotonicMilliseconds() - createdAt});
 
 	const onRejected = () => {
 		logger.log(LogEvent.PeerRejected);
--- a/packages/programs/daemon/src/document-peers.ts
+++ b/packages/programs/daemon/src/document-peers.ts
@@ -23,9 +23,12 @@
 		invoke: (service: PeerServiceClient, callOptions: CallOptions) => Promise<Answer>,
 	): Promise<Result<Answer, DocumentPeerError>> => {
 		const row = options.exchange().findRow(instance);
-		return row === undefined
-			? err({code: 'PEER_UNAVAILABLE', message: `there is no member ${instance}`})
-			: (await row.client.call(invoke)).mapErr(error => toUnavailable(error));
+		if (row === undefined) {
+			return err({code: 'PEER_UNAVAILABLE', message: `there is no member ${instance}`});
+		}
+
+		const answer = await row.client.call(invoke);
+		return answer.mapErr(error => toUnavailable(error));
 	};
 
 	return {
--- a/packages/programs/daemon/src/entry-instance.ts
+++ b/packages/programs/daemon/src/entry-instance.ts
@@ -3,6 +3,8 @@
  * systems at their intervals on one event loop.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createClaims} from '@turmericbay/claims';
+import type {Claims} from '@turmericbay/claims';
 import {createKeyAuthenticator} from '@turmericbay/document';
 import type {KeyAuthenticator} from '@turmericbay/document';
 import {chooseWatchers, createDocumentWatch} from '@turmericbay/document-watch';
@@ -19,8 +21,7 @@
 import type {Logger, Metrics, Tracing} from '@turmericbay/telemetry';
 import {InstanceRole, InstanceState} from '@turmericbay/types';
 import type {Clock, ProcessIdentity, RandomSource} from '@turmericbay/types';
-import {createRefusingClaims} from './claims-service.js';
-import type {ClaimService} from './claims-service.js';
+import {createClaimPeer} from './claims-service.js';
 import {logDocumentEvent} from './document-events.js';
 import {createDocumentPeers} from './document-peers.js';
 import {createEntryIncarnations} from './entry-incarnations.js';
@@ -50,7 +51,7 @@
 	readonly directory: ObservedDirectory;
 	readonly session: Session;
 	readonly grants: GrantHolder;
-	readonly claims: ClaimService;
+	readonly claims: Claims;
 	readonly gateway: Gateway;
 	readonly exchange: PeerExchange;
 	readonly listSource: InstanceListSource;
@@ -160,7 +161,17 @@
 		grants.setLimits({version, limits: listTeamLimits(document)});
 	});
 
-	const claims = createRefusingClaims();
+	const session = createSession({store: platform.store, clock, identity});
+	const claims = createClaims({
+		store: platform.store,
+		clock,
+		random,
+		identity,
+		zone,
+		directory,
+		session,
+		peer: createClaimPeer({exchange: () => exchange, identity}),
+	});
 	const gateway = createGateway({
 		configuration: documentWatch,
 		grants,
@@ -194,7 +205,7 @@
 	return {
 		documentWatch,
 		directory,
-		session: createSession({store: platform.store, clock, identity}),
+		session,
 		grants,
 		claims,
 		gateway,
--- a/packages/programs/daemon/src/main.ts
+++ b/packages/programs/daemon/src/main.ts
@@ -64,8 +64,12 @@
 		process.exit(0);
 	};
 
-	process.on('SIGTERM', stop);
-	process.on('SIGINT', stop);
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signal, () => {
+			void stop();
+		});
+	}
+
 	try {
 		await daemon.start();
 	} catch (error) {
--- a/packages/programs/daemon/src/peer-service.ts
+++ b/packages/programs/daemon/src/peer-service.ts
@@ -4,13 +4,14 @@
 import type {GrantHolder} from '@turmericbay/grant-ledger';
 import {ExchangeResponseSchema} from '@turmericbay/peer-protocol';
 import type {Knowledge, PeerServiceImplementation} from '@turmericbay/peer-protocol';
-import type {ClaimService} from './claims-service.js';
+import type {Claims} from '@turmericbay/claims';
+import {createClaimHandlers} from './claims-service.js';
 import type {InstanceListSource} from './instance-list-source.js';
 
 export const createPeerService = (options: {
 	readonly documentWatch: DocumentWatch;
 	readonly grants: GrantHolder;
-	readonly claims: ClaimService;
+	readonly claims: Claims;
 	readonly listSource: InstanceListSource;
 	readonly describeKnowledge: () => Knowledge;
 	readonly onKnowledge: (knowledge: Knowledge) => void;
@@ -29,8 +30,7 @@
 	},
 	getDocument: () => ({envelopeJson: options.documentWatch.currentJson()}),
 	pushDocument: ({envelopeJson}) => ({documentVersion: BigInt(options.documentWatch.receivePushed({envelopeJson}))}),
-	claim: async request => options.claims.answerClaim(request),
-	settleClaim: async request => options.claims.answerSettlement(request),
+	...createClaimHandlers(options.claims),
 	async transferGrant({team, units, instance, incarnation}) {
 		return {units: await options.grants.answerTransfer({team, units, holder: {instance, incarnation}})};
 	},
--- a/packages/programs/daemon/src/systems.ts
+++ b/packages/programs/daemon/src/systems.ts
@@ -20,6 +20,13 @@
 			parts.grants.tick();
 		},
 	},
+	{
+		name: 'claims',
+		intervalMilliseconds: 20,
+		run() {
+			parts.claims.tick();
+		},
+	},
 	{
 		name: 'session',
 		intervalMilliseconds: 500,
@@ -63,7 +70,9 @@
 		};
 
 		void runOnce();
-		return setInterval(runOnce, intervalMilliseconds);
+		return setInterval(() => {
+			void runOnce();
+		}, intervalMilliseconds);
 	});
 	return {
 		stop() {
--- /dev/null
+++ b/packages/tools/demo/src/main.ts
@@ -0,0 +1,152 @@
+/**
+ * The main job as separate processes on loopback: stand-ins for the platform
+ * and twelve upstreams, nine entry instances over three availability zones, a
+ * submitted document, requests of two teams, an upstream that leaves, an entry
+ * instance that is killed and one that is stopped. Prints counts that add up.
+ */
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createBalancer} from './balancer.js';
+import {createDemoDocument} from './demo-document.js';
+import {startFleet} from './fleet.js';
+import type {Fleet} from './fleet.js';
+import {createLauncher} from './launcher.js';
+import type {Launcher} from './launcher.js';
+import {planLoad, runLoad} from './load.js';
+import type {LoadReport, LoadSource} from './load.js';
+import {AnswerClass} from './send.js';
+
+const seed = 20_261_204;
+const loadMilliseconds = 12_000;
+const runMilliseconds = 20;
+/** The whole demo ends within this time, whatever hangs. */
+const boundMilliseconds = 60_000;
+
+const listSources = (keys: Readonly<Record<string, string>>): readonly LoadSource[] => [
+	{
+		team: 'franchise', presentedKey: keys.franchise, queue: 'book-pickup', method: 'GET', ratePerSecond: 60, runMilliseconds,
+	},
+	{
+		team: 'stables', presentedKey: keys.stables, queue: 'book-pickup', method: 'GET', ratePerSecond: 30, runMilliseconds,
+	},
+	{
+		team: 'franchise', presentedKey: keys.franchise, queue: 'issue-invoice', method: 'POST', ratePerSecond: 30, runMilliseconds, withIdempotencyKey: true,
+	},
+];
+
+type Event = {readonly atMilliseconds: number; readonly what: string};
+
+const disturb = async (fleet: Fleet, log: (what: string) => void): Promise<void> => {
+	const [, killed, stopped] = fleet.entries;
+	const [leaving] = fleet.upstreams;
+	await sleep(3000);
+	if (leaving !== undefined) {
+		log(`upstream ${leaving.name} is listed as leaving`);
+		await fleet.markLeaving(leaving);
+	}
+
+	await sleep(2500);
+	if (killed !== undefined) {
+		log(`entry instance ${killed.name} is killed`);
+		await killed.kill();
+		await fleet.platform.control.removeInstance(killed.record.instance);
+	}
+
+	await sleep(2500);
+	if (stopped !== undefined) {
+		log(`entry instance ${stopped.name} is stopped gracefully`);
+		const {code} = await stopped.stop();
+		log(`entry instance ${stopped.name} ended with code ${code}`);
+	}
+};
+
+/** Runs per idempotency key beyond the first, over all upstreams. */
+const countRepeatedRuns = async (fleet: Fleet): Promise<number> => {
+	const counts = new Map<string, number>();
+	const logs = await Promise.all(fleet.upstreams.map(async ({control}) => control.readRunLog()));
+	for (const {idempotencyKey} of logs.flat()) {
+		if (idempotencyKey !== '') {
+			counts.set(idempotencyKey, (counts.get(idempotencyKey) ?? 0) + 1);
+		}
+	}
+
+	return [...counts.values()].reduce((sum, count) => sum + count - 1, 0);
+};
+
+/** Answers that were not an upstream's, by queue and code. */
+const countRefusals = ({records}: LoadReport): ReadonlyMap<string, number> => {
+	const counts = new Map<string, number>();
+	for (const {planned, answer} of records) {
+		if (answer.type !== AnswerClass.Answered) {
+			const name = `${planned.source.queue} ${answer.code}`;
+			counts.set(name, (counts.get(name) ?? 0) + 1);
+		}
+	}
+
+	return counts;
+};
+
+const printReport = (report: LoadReport, repeatedRuns: number, events: readonly Event[]): boolean => {
+	const {sent, counts} = report;
+	const sum = Object.values(counts).reduce((total, count) => total + count, 0);
+	for (const {atMilliseconds, what} of events) {
+		console.log(`${(atMilliseconds / 1000).toFixed(1).padStart(6)} s  ${what}`);
+	}
+
+	const rows: ReadonlyArray<readonly [string, number]> = [
+		['sent', sent],
+		['answered once', counts[AnswerClass.Answered]],
+		['refused not-run', counts[AnswerClass.NotRun]],
+		['outcome unknown', counts[AnswerClass.Unknown]],
+		['already run', counts[AnswerClass.AlreadyRun]],
+		['connection broken', counts[AnswerClass.Broken]],
+		['wrong answer', counts[AnswerClass.Foreign]],
+		['run twice', repeatedRuns],
+	];
+	console.log('');
+	for (const [name, count] of rows) {
+		console.log(`${name.padEnd(18)} ${String(count).padStart(6)}`);
+	}
+
+	const isRight = sum === sent && sent > 0 && counts[AnswerClass.Answered] > 0 && repeatedRuns === 0 && counts[AnswerClass.Foreign] === 0;
+	for (const [name, count] of countRefusals(report)) {
+		console.log(`  ${name.padEnd(30)} ${String(count).padStart(4)}`);
+	}
+
+	console.log(`\n${isRight ? 'The counts add up.' : 'The counts do not add up.'}`);
+	return isRight;
+};
+
+const runDemo = async (launcher: Launcher): Promise<boolean> => {
+	const startedAt = performance.now();
+	const events: Event[] = [];
+	const log = (what: string) => {
+		events.push({atMilliseconds: performance.now() - startedAt, what});
+	};
+
+	const {document, keys} = createDemoDocument();
+	const fleet = await startFleet(launcher, {
+		zones: ['south', 'east', 'west'], entriesPerZone: 3, upstreamsPerZone: {pickups: 2, invoices: 2}, document,
+	});
+	log(`${fleet.entries.length} entry instances and ${fleet.upstreams.length} upstreams are ready`);
+	const balancer = createBalancer(fleet.entries);
+	const plan = planLoad({sources: listSources(keys), durationMilliseconds: loadMilliseconds, seed});
+	const [report] = await Promise.all([
+		runLoad({plan, seed, entryUrls: () => balancer.entryUrls()}),
+		disturb(fleet, log),
+	]);
+	balancer.stop();
+	return printReport(report, await countRepeatedRuns(fleet), events);
+};
+
+const launcher = await createLauncher();
+const watchdog = setTimeout(() => {
+	console.error(`the demo did not end within ${boundMilliseconds} ms`);
+	process.exit(1); // eslint-disable-line unicorn/no-process-exit -- The program itself, whose children end with it.
+}, boundMilliseconds);
+try {
+	process.exitCode = await runDemo(launcher) ? 0 : 1;
+} finally {
+	clearTimeout(watchdog);
+	await launcher.endAll();
+}
