--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -44,6 +44,7 @@
 	MaintenanceStepRecorded = 8001,
 	MaintenanceStopped = 8002,
 	InstanceFailureRecorded = 8003,
+	FleetLedgerFailed = 8004,
 	InternalError = 9001,
 }
 
@@ -222,6 +223,11 @@
 		message: 'An instance failed unplanned and draws on its budgets',
 		action: 'Replace the instance.',
 	},
+	[LogEvent.FleetLedgerFailed]: {
+		level: LogLevel.Warning,
+		message: 'The fleet ledger could not be read, changed or carried out',
+		action: 'No step begins until the platform answers; check the reason.',
+	},
 	[LogEvent.InternalError]: {
 		level: LogLevel.Error,
 		message: 'A fault inside the daemon',
--- a/packages/programs/daemon/src/entry-instance.ts
+++ b/packages/programs/daemon/src/entry-instance.ts
@@ -25,6 +25,8 @@
 import {logDocumentEvent} from './document-events.js';
 import {createDocumentPeers} from './document-peers.js';
 import {createEntryIncarnations} from './entry-incarnations.js';
+import {createFleetParts} from './fleet-parts.js';
+import type {FleetParts} from './fleet-parts.js';
 import {createGatewayTelemetry} from './gateway-telemetry.js';
 import {createInstanceListSource} from './instance-list-source.js';
 import type {InstanceListSource} from './instance-list-source.js';
@@ -55,6 +57,7 @@
 	readonly gateway: Gateway;
 	readonly exchange: PeerExchange;
 	readonly listSource: InstanceListSource;
+	readonly fleet: FleetParts;
 	readonly peerService: ReturnType<typeof createPeerService>;
 	setDraining(): void;
 };
@@ -102,7 +105,7 @@
 		zone,
 		document: documentWatch.answer(),
 		gateway: gateway.status(),
-		fleetRevision: 0,
+		fleetRevision: fleet.routing.appliedRevision(),
 		listAgeMilliseconds: directory.ageMilliseconds(),
 		listDigest: listSource.digest(),
 		draining,
@@ -172,11 +175,23 @@
 		session,
 		peer: createClaimPeer({exchange: () => exchange, identity}),
 	});
-	const gateway = createGateway({
+	const fleet = createFleetParts({
+		region: settings.instance.region,
+		identity,
+		store: platform.store,
+		control: platform.control,
+		directory,
+		configuration: documentWatch,
+		clock,
+		logger,
+		exchange: () => exchange,
+		gateway: () => gateway,
+	});
+	const gateway: Gateway = createGateway({
 		configuration: documentWatch,
 		grants,
 		claims,
-		instances: directory,
+		instances: fleet.routing,
 		clock,
 		random,
 		zone,
@@ -211,6 +226,7 @@
 		gateway,
 		exchange,
 		listSource,
+		fleet,
 		peerService,
 		setDraining() {
 			draining = true;
--- /dev/null
+++ b/packages/programs/daemon/src/fleet-parts.ts
@@ -0,0 +1,89 @@
+/** The fleet ledger with its view of the gateway and of the peers. */
+import type {ConfigurationPort} from '@turmericbay/document';
+import {createFleetLedger} from '@turmericbay/fleet-ledger';
+import type {Confirmation, FleetLedger, FleetLedgerEvent} from '@turmericbay/fleet-ledger';
+import type {Gateway} from '@turmericbay/gateway';
+import {LogEvent} from '@turmericbay/telemetry';
+import type {Logger} from '@turmericbay/telemetry';
+import type {
+	Clock, InstanceDirectory, KeyValueStore, ProcessIdentity, RegionName,
+} from '@turmericbay/types';
+import type {InstanceControl} from '@turmericbay/types';
+import {createFleetRouting} from './fleet-routing.js';
+import type {FleetRouting} from './fleet-routing.js';
+import type {PeerExchange, PeerRow} from './peer-exchange.js';
+
+export type FleetParts = {
+	readonly ledger: FleetLedger;
+	readonly routing: FleetRouting;
+	/** One round of the ledger; called each second. */
+	tick(): Promise<void>;
+};
+
+const toConfirmation = ({knowledge, member}: PeerRow): Confirmation[] => knowledge === undefined
+	? []
+	: [{
+		identity: {instance: member.instance, incarnation: knowledge.incarnation},
+		fleetRevision: Number(knowledge.fleetRevision),
+		busyInstances: new Set(knowledge.upstreams.map(({instance}) => instance)),
+	}];
+
+const logFleetEvent = (logger: Logger, event: FleetLedgerEvent): void => {
+	switch (event.type) {
+		case 'written': {
+			logger.log(LogEvent.MaintenanceStepRecorded, {revision: event.revision});
+			break;
+		}
+
+		case 'store-failed':
+		case 'state-malformed':
+		case 'state-went-back':
+		case 'control-failed': {
+			logger.log(LogEvent.FleetLedgerFailed, {kind: event.type, reason: event.message});
+			break;
+		}
+	}
+};
+
+export const createFleetParts = (options: {
+	readonly region: RegionName;
+	readonly identity: ProcessIdentity;
+	readonly store: KeyValueStore;
+	readonly control: InstanceControl;
+	readonly directory: InstanceDirectory;
+	readonly configuration: ConfigurationPort;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly exchange: () => PeerExchange;
+	readonly gateway: () => Gateway;
+}): FleetParts => {
+	const {directory, exchange, gateway} = options;
+	const routing = createFleetRouting({directory, ledger: () => ledger});
+	const ledger: FleetLedger = createFleetLedger({
+		region: options.region,
+		store: options.store,
+		control: options.control,
+		clock: options.clock,
+		identity: options.identity,
+		directory,
+		configuration: options.configuration,
+		peers: {confirmations: () => exchange().rows().flatMap(row => toConfirmation(row))},
+		observation: {
+			busyInstances: () => new Set(gateway().status().upstreams.filter(({inFlight}) => inFlight > 0).map(({instance}) => instance)),
+			isHealthy: () => true,
+			hasRunningTasks: () => false,
+		},
+		report(event) {
+			logFleetEvent(options.logger, event);
+		},
+	});
+
+	return {
+		ledger,
+		routing,
+		async tick() {
+			await ledger.tick();
+			routing.apply();
+		},
+	};
+};
--- a/packages/programs/daemon/src/systems.ts
+++ b/packages/programs/daemon/src/systems.ts
@@ -43,6 +43,7 @@
 		},
 	},
 	{name: 'document', intervalMilliseconds: 500, run: async () => parts.documentWatch.tick()},
+	{name: 'fleet', intervalMilliseconds: 1000, run: async () => parts.fleet.tick()},
 	{name: 'instance-list', intervalMilliseconds: 1000, run: async () => parts.listSource.tick()},
 ];
 
