Add the document watch: adoption, confirmation and submit

Cause: an accepted document has to be in force everywhere within seconds and must never revert; a withdrawn key must stop working within its bound.

Change: the decision core (which envelope to adopt, since when it is confirmed) without I/O; the adapter over KeyValueStore and a narrow peer interface; submit and withdraw by compare-and-swap of current and history in one transaction.

Ruled out: - Reading the whole document each second to confirm it: a document of a megabyte would use a hundred times an instance's network budget. The watchers compare the revision in a transaction without operations instead. - Clearing the pending mark after a read that shows nothing: a lost write can still take effect afterwards. The mark stays until the write is found or a rewrite of the unchanged value has made its comparison fail. - Letting a restarted instance vouch at once in the outage rule: its predecessor's lost write may be known to nobody. It counts as pending until it has read the platform 5 s after its start.

--- /dev/null
+++ b/packages/coordination/document-watch/src/platform-reader.ts
@@ -0,0 +1,100 @@
+/** Keeps the state up to date with the platform: a watch, cheap checks and full reads. */
+import type {
+	Clock, KeyValueStore, Revision, WatchHandle,
+} from '@turmericbay/types';
+import type {DocumentWatchEvent} from './ports.js';
+import type {DocumentState} from './state.js';
+import {currentKey} from './store-keys.js';
+
+export type PlatformReaderOptions = {
+	readonly store: KeyValueStore;
+	readonly state: DocumentState;
+	readonly clock: Clock;
+	readonly report: (event: DocumentWatchEvent) => void;
+};
+
+export type PlatformReader = {
+	/** Reads unless a read is under way; never rejects. */
+	read(): Promise<void>;
+	/** Moment at which the last read started. */
+	lastReadAt(): number | undefined;
+	setWatching(wanted: boolean): void;
+};
+
+export const createPlatformReader = ({store, state, clock, report}: PlatformReaderOptions): PlatformReader => {
+	let isReading = false;
+	let lastReadAt: number | undefined;
+	let watch: WatchHandle | undefined;
+
+	const fail = (message: string): void => {
+		state.recordPlatformFailure(message, clock.monotonicMilliseconds());
+	};
+
+	const readWhole = async (): Promise<void> => {
+		const startedAt = clock.monotonicMilliseconds();
+		const read = await store.read({key: currentKey});
+		if (read.isOk()) {
+			state.recordPlatformRead(startedAt, read.value);
+		} else {
+			fail(read.error.message);
+		}
+	};
+
+	/**
+	 * Compares the revision in a transaction without operations. The document
+	 * may have a megabyte, so reading it whole each second would be more than
+	 * an instance may use.
+	 */
+	const checkRevision = async (revision: Revision): Promise<void> => {
+		const startedAt = clock.monotonicMilliseconds();
+		const checked = await store.transact({conditions: [{key: currentKey, modifiedRevision: revision}], operations: []});
+		if (checked.isErr()) {
+			fail(checked.error.message);
+		} else if (checked.value.type === 'committed') {
+			state.recordUnchanged(startedAt, revision);
+		} else {
+			await readWhole();
+		}
+	};
+
+	const read = async (): Promise<void> => {
+		if (isReading) {
+			return;
+		}
+
+		isReading = true;
+		lastReadAt = clock.monotonicMilliseconds();
+		try {
+			const revision = state.revision();
+			await (revision === undefined ? readWhole() : checkRevision(revision));
+		} finally {
+			isReading = false;
+		}
+	};
+
+	const startWatch = (): WatchHandle => store.watch({
+		prefix: currentKey,
+		onChange(entries) {
+			for (const entry of entries.filter(({key}) => key === currentKey)) {
+				state.recordWatchedEntry(entry);
+			}
+		},
+		onEnd({message}) {
+			watch = undefined;
+			report({type: 'watch-ended', message});
+		},
+	});
+
+	return {
+		read,
+		lastReadAt: () => lastReadAt,
+		setWatching(wanted) {
+			if (wanted) {
+				watch ??= startWatch();
+			} else {
+				watch?.stop();
+				watch = undefined;
+			}
+		},
+	};
+};
