--- a/packages/programs/daemon/src/index.ts
+++ b/packages/programs/daemon/src/index.ts
@@ -1,1 +1,3 @@
-export const packageName = '@turmericbay/daemon';
+/** The daemon as a library, for tests; the program is main.ts. */
+export * from './daemon.js';
+export * from './entry-instance.js';
--- a/packages/traffic/routing/src/index.ts
+++ b/packages/traffic/routing/src/index.ts
@@ -1,1 +1,3 @@
-export const packageName = '@turmericbay/routing';
+export * from './retry-budget.js';
+export * from './routing-table.js';
+export * from './upstream.js';
