Add properties of grants and claims under faults

Cause: interleavings of kills, pauses, lost and late answers, outages, partitions and lagging lists need more than examples. Change: seeded fault scenarios over the simulated fleet; properties for the limits, for sends per key and for what callers are told. A lowered limit now suspends new starts until the ledger shows that the sum has come down: proportional caps alone let a holder under its cap start one while others still ran above theirs (seen: 17 to 18 running with the limit lowered to 15). A read that is asked for while another is under way is no longer lost.

--- a/packages/coordination/grant-ledger/src/holder.ts
+++ b/packages/coordination/grant-ledger/src/holder.ts
@@ -73,7 +73,7 @@
 
 	const notifyAvailable = () => {
 		for (const [team, usage] of ledger.usages) {
-			if (usage.starved && !draining && hasFreeUnit(usage)) {
+			if (usage.starved && !draining && hasFreeUnit(usage, now())) {
 				usage.starved = false;
 				for (const listener of listeners) {
 					listener(team);
@@ -160,7 +160,9 @@
 				ledger.usageOf(team);
 			}
 
-			for (const team of adoptLimits({usages: ledger.usages, limits, version})) {
+			for (const team of adoptLimits({
+				usages: ledger.usages, limits, version, now: now(),
+			})) {
 				ledger.requestRead(team);
 			}
 		},
@@ -198,7 +200,7 @@
 		},
 		tryAcquire({team}) {
 			const usage = ledger.usages.get(team);
-			if (!usage || draining || !hasFreeUnit(usage)) {
+			if (!usage || draining || !hasFreeUnit(usage, now())) {
 				ledger.usageOf(team).starved = true;
 				return false;
 			}
--- a/packages/coordination/grant-ledger/src/ledger.ts
+++ b/packages/coordination/grant-ledger/src/ledger.ts
@@ -132,9 +132,9 @@
 
 	const noteUnmet = (shard: ShardState, plan: ShardPlan, now: number) => {
 		const age = now - (shard.readAt ?? Number.NEGATIVE_INFINITY);
-		for (const [team, {belowBase}] of plan.plans) {
+		for (const [team, {belowBase, overLimit}] of plan.plans) {
 			unmet.delete(team);
-			shard.needsRead ||= belowBase && age > belowBaseMilliseconds;
+			shard.needsRead ||= (belowBase && age > belowBaseMilliseconds) || (overLimit && age > staleMilliseconds);
 		}
 
 		for (const team of plan.unmet) {
@@ -212,6 +212,7 @@
 	const finishRead = (index: number, outcome: LedgerOutcome, context: {ownKey: string; now: number}) => {
 		const shard = shards[index]!;
 		if (outcome.type !== 'read') {
+			shard.needsRead = true;
 			backOff(shard, context.now);
 			return;
 		}
@@ -219,7 +220,6 @@
 		shard.table = outcome.table;
 		shard.revision = outcome.revision;
 		shard.readAt = context.now;
-		shard.needsRead = false;
 		if (shard.uncertainRevision !== undefined && outcome.revision !== shard.uncertainRevision) {
 			shard.uncertainRevision = undefined;
 		}
@@ -264,6 +264,8 @@
 
 			let command: LedgerCommand | undefined;
 			if (isDueForRead(shard, context.tidies, now)) {
+				// A read that is asked for from now on needs another answer than this one.
+				shard.needsRead = false;
 				command = {type: 'read', shard: index};
 			} else if (now >= shard.planAt || context.draining || isUrgent(index)) {
 				shard.planAt = now + planIntervalMilliseconds;
--- a/packages/coordination/grant-ledger/src/plan.ts
+++ b/packages/coordination/grant-ledger/src/plan.ts
@@ -48,6 +48,8 @@
 	unmet: boolean;
 	/** The holder has less than its part of the zone's floor. */
 	belowBase: boolean;
+	/** More units are held than the limit allows. */
+	overLimit: boolean;
 };
 
 /**
@@ -146,9 +148,12 @@
 	if (free < 0) {
 		const share = Math.ceil(-free * plan.units / balance.sum);
 		usage.cap = Math.min(usage.cap, plan.units - share);
+		plan.overLimit = true;
 		return;
 	}
 
+	usage.suspendedUntil = Number.NEGATIVE_INFINITY;
+
 	const spare = Math.min(plan.units - balance.base, balance.zoneUnits - balance.floor);
 	const lacking = balance.reserved - free;
 	usage.cap = lacking > 0 && spare > 0
@@ -222,7 +227,7 @@
 	const ownKey = holderKey(context.self);
 	const before = options.row.holdings.get(ownKey)?.units ?? 0;
 	const plan: TeamPlan = {
-		row: options.row, units: before, worthWrite: false, given: [], reclaimed: 0, unmet: false, belowBase: false,
+		row: options.row, units: before, worthWrite: false, given: [], reclaimed: 0, unmet: false, belowBase: false, overLimit: false,
 	};
 	adoptLimit(plan, usage, context);
 	reclaim(plan, usage, context);
--- a/packages/coordination/grant-ledger/src/usage.ts
+++ b/packages/coordination/grant-ledger/src/usage.ts
@@ -7,6 +7,11 @@
 	inUse: number;
 	/** Upper bound for new starts while units have to be given back. */
 	cap: number;
+	/**
+	 * Nothing new starts before this time while a lowered limit is not in force
+	 * in the ledger; after the longest run time older work has ended anyway.
+	 */
+	suspendedUntil: number;
 	/** A unit was asked for in vain and the caller waits to hear of a free one. */
 	starved: boolean;
 	limit: number;
@@ -28,6 +33,7 @@
 	held: 0,
 	inUse: 0,
 	cap: Number.POSITIVE_INFINITY,
+	suspendedUntil: Number.NEGATIVE_INFINITY,
 	starved: false,
 	limit: 0,
 	version: 0,
@@ -40,7 +46,8 @@
 /** Units that may be in use at a time. */
 export const usableUnits = (usage: TeamUsage): number => Math.min(usage.held, usage.cap);
 
-export const hasFreeUnit = (usage: TeamUsage): boolean => usage.inUse < usableUnits(usage);
+export const hasFreeUnit = (usage: TeamUsage, now: number): boolean =>
+	usage.inUse < usableUnits(usage) && now >= usage.suspendedUntil;
 
 export const rollWindow = (usage: TeamUsage, now: number): void => {
 	if (now < usage.windowEndsAt) {
@@ -63,16 +70,17 @@
 };
 
 /**
- * Takes over the limits of a document. A lowered limit binds new starts at once:
- * each holder keeps its proportion, so the sum stays under the new limit without
- * a word between holders.
+ * Takes over the limits of a document. A lowered limit binds at once: nothing
+ * new starts until the ledger shows that the sum has come down, and each holder
+ * keeps its proportion, so that holders without the store stay under it as well.
  */
 export const adoptLimits = (options: {
 	readonly usages: Map<TeamName, TeamUsage>;
 	readonly limits: ReadonlyMap<TeamName, TeamLimit>;
 	readonly version: number;
+	readonly now: number;
 }): TeamName[] => {
-	const {usages, limits, version} = options;
+	const {usages, limits, version, now} = options;
 	const changed: TeamName[] = [];
 	for (const team of new Set([...usages.keys(), ...limits.keys()])) {
 		const usage = usages.get(team) ?? createUsage();
@@ -86,6 +94,7 @@
 
 		if (limit < usage.limit) {
 			usage.cap = Math.min(usage.cap, Math.floor(usage.held * limit / usage.limit));
+			usage.suspendedUntil = now + usage.longestRunMilliseconds;
 		}
 
 		usage.limit = limit;
--- /dev/null
+++ b/packages/coordination/membership/test/support/scenario.ts
@@ -0,0 +1,141 @@
+/** Faults as fast-check values, and how they are brought on a fleet. */
+import fc from 'fast-check';
+import type {Fleet} from './fleet.js';
+import type {Simulation} from './simulation.js';
+import {noStoreFaults} from './store.js';
+
+export type Fault
+	= | {readonly type: 'kill'; readonly position: number}
+		| {readonly type: 'pause'; readonly position: number}
+		| {readonly type: 'store-faults'; readonly position: number; readonly kind: keyof typeof noStoreFaults}
+		| {readonly type: 'cut-from-store'; readonly position: number}
+		| {readonly type: 'outage'}
+		| {readonly type: 'cut-zone'; readonly zone: string; readonly fromStore: boolean}
+		| {readonly type: 'peer-loss'}
+		| {readonly type: 'list-lag'}
+		| {readonly type: 'list-broken'};
+
+export type TimedFault = {readonly fault: Fault; readonly afterMilliseconds: number; readonly forMilliseconds: number};
+
+const storeFaultKinds = ['refused', 'requestLost', 'answerLost', 'appliedLate'] as const;
+
+export const timedFault = (options: {readonly count: number; readonly zones: readonly string[]}): fc.Arbitrary<TimedFault> => {
+	const position = fc.nat({max: options.count - 1});
+	return fc.record({
+		fault: fc.oneof(
+			fc.record({type: fc.constant('kill' as const), position}),
+			fc.record({type: fc.constant('pause' as const), position}),
+			fc.record({type: fc.constant('store-faults' as const), position, kind: fc.constantFrom(...storeFaultKinds)}),
+			fc.record({type: fc.constant('cut-from-store' as const), position}),
+			fc.record({type: fc.constant('outage' as const)}),
+			fc.record({type: fc.constant('cut-zone' as const), zone: fc.constantFrom(...options.zones), fromStore: fc.boolean()}),
+			fc.record({type: fc.constant('peer-loss' as const)}),
+			fc.record({type: fc.constant('list-lag' as const)}),
+			fc.record({type: fc.constant('list-broken' as const)}),
+		),
+		afterMilliseconds: fc.nat({max: 20_000}),
+		forMilliseconds: fc.integer({min: 100, max: 30_000}),
+	});
+};
+
+/** Brings the fault on and returns what ends it. */
+const begin = <Part>(fleet: Fleet<Part>, fault: Fault): (() => void) => {
+	const {network, members} = fleet;
+	switch (fault.type) {
+		case 'kill': {
+			fleet.kill(fault.position);
+			return () => {
+				if (!members[fault.position]!.process.isAlive()) {
+					fleet.restart(fault.position);
+				}
+			};
+		}
+
+		case 'pause': {
+			const {process} = members[fault.position]!;
+			process.pause();
+			return () => {
+				process.resume();
+			};
+		}
+
+		case 'store-faults': {
+			const {store} = members[fault.position]!;
+			store.faults = {...noStoreFaults, [fault.kind]: 0.5};
+			return () => {
+				store.faults = noStoreFaults;
+			};
+		}
+
+		case 'cut-from-store':
+		case 'outage':
+		case 'cut-zone': {
+			const affected = members.filter((member, position) => (fault.type === 'cut-zone'
+				? fault.fromStore && member.zone === fault.zone
+				: fault.type === 'outage' || position === fault.position));
+			for (const {store} of affected) {
+				store.reachable = false;
+			}
+
+			if (fault.type === 'cut-zone') {
+				network.cutZones.add(fault.zone);
+			}
+
+			return () => {
+				for (const {store} of affected) {
+					store.reachable = true;
+				}
+
+				if (fault.type === 'cut-zone') {
+					network.cutZones.delete(fault.zone);
+				}
+			};
+		}
+
+		case 'peer-loss': {
+			network.lossProbability = 0.5;
+			return () => {
+				network.lossProbability = 0;
+			};
+		}
+
+		case 'list-lag': {
+			network.listLagMilliseconds = 15_000;
+			return () => {
+				network.listLagMilliseconds = 3000;
+			};
+		}
+
+		case 'list-broken': {
+			network.listBroken = true;
+			return () => {
+				network.listBroken = false;
+			};
+		}
+	}
+};
+
+/** Schedules the faults one after the other; they may overlap. */
+export const scheduleFaults = <Part>(simulation: Simulation, fleet: Fleet<Part>, faults: readonly TimedFault[]): void => {
+	let at = 0;
+	for (const {fault, afterMilliseconds, forMilliseconds} of faults) {
+		at += afterMilliseconds;
+		simulation.after(at, () => {
+			simulation.after(forMilliseconds, begin(fleet, fault));
+		});
+	}
+};
+
+/** Ends whatever is still wrong. */
+export const heal = <Part>(fleet: Fleet<Part>): void => {
+	Object.assign(fleet.network, {lossProbability: 0, listLagMilliseconds: 3000, listBroken: false});
+	fleet.network.cutZones.clear();
+	for (const [position, {process, store}] of fleet.members.entries()) {
+		store.reachable = true;
+		store.faults = noStoreFaults;
+		process.resume();
+		if (!process.isAlive()) {
+			fleet.restart(position);
+		}
+	}
+};
