Gate readiness on the fleet ledger; show the wave in the demo

Cause: since routing follows the fleet ledger, an entry instance cannot route before it has read the ledger; ready instances refused 191 of 1,469 requests.

Change: readiness waits for the ledger; free ports are searched below the range of outgoing connections (one demo in five failed to listen).

--- a/packages/coordination/fleet-ledger/src/ledger.ts
+++ b/packages/coordination/fleet-ledger/src/ledger.ts
@@ -45,6 +45,8 @@
 	 * service, and for a starting process until others know that it has to confirm.
 	 */
 	effectivePool(instance: InstanceId): PoolName | undefined;
+	/** True once pools can be told; until then no instance gets work. */
+	isOpen(): boolean;
 	/** Revision that the routing table follows, for the exchange with peers; 0 before the first read. */
 	fleetRevision(): number;
 	state(): FleetState | undefined;
@@ -209,6 +211,7 @@
 			const known = states.current();
 			return known && isOpen ? resolvePool(known, instance) : undefined;
 		},
+		isOpen: () => isOpen && states.current() !== undefined,
 		fleetRevision: () => states.current()?.revision ?? 0,
 		state: () => states.current(),
 	};
--- a/packages/programs/daemon/src/daemon.ts
+++ b/packages/programs/daemon/src/daemon.ts
@@ -46,6 +46,10 @@
 		return {type: 'not-ready', reason: 'the document is not confirmed yet'};
 	}
 
+	if (!parts.fleet.ledger.isOpen()) {
+		return {type: 'not-ready', reason: 'the fleet ledger is not known yet'};
+	}
+
 	return parts.directory.ageMilliseconds() === undefined
 		? {type: 'not-ready', reason: 'no instance list'}
 		: {type: 'ready'};
--- a/packages/tools/demo/src/launcher.ts
+++ b/packages/tools/demo/src/launcher.ts
@@ -74,18 +74,39 @@
 const upstreamProgram = fileURLToPath(new URL('upstream-main.js', import.meta.resolve('@turmericbay/fakes')));
 const daemonProgram = fileURLToPath(new URL('../../../../programs/daemon/dist/src/main.js', import.meta.url));
 
+/**
+ * Below the range from which Linux takes the local ports of outgoing
+ * connections: a port from that range may be taken between the search and the
+ * start of the daemon that is to listen on it.
+ */
+const firstPort = 10_000;
+const lastPort = 32_000;
+
+const isPortFree = async (port: number): Promise<boolean> => new Promise(resolve => {
+	const server = createServer();
+	server.once('error', () => {
+		resolve(false);
+	});
+	server.listen(port, loopbackAddress, () => {
+		server.close(() => {
+			resolve(true);
+		});
+	});
+});
+
+/** The start differs between launchers, so that two that run at a time rarely try the same ports. */
 const findFreePorts = async (count: number): Promise<readonly number[]> => {
-	const servers = await Promise.all(Array.from({length: count}, async () => {
-		const server = createServer().listen(0, loopbackAddress);
-		await once(server, 'listening');
-		return server;
-	}));
-	return Promise.all(servers.map(async server => {
-		const address = server.address();
-		server.close();
-		await once(server, 'close');
-		return typeof address === 'object' && address !== null ? address.port : 0;
-	}));
+	const found: number[] = [];
+	let port = firstPort + Math.floor(Math.random() * (lastPort - firstPort));
+	while (found.length < count) {
+		port = port >= lastPort ? firstPort : port + 1;
+		// eslint-disable-next-line no-await-in-loop -- Probes one port after the other.
+		if (await isPortFree(port)) {
+			found.push(port);
+		}
+	}
+
+	return found;
 };
 
 type ReadyLine = {readonly port: number; readonly controlPort: number};
--- a/packages/tools/demo/src/main.ts
+++ b/packages/tools/demo/src/main.ts
@@ -136,6 +136,8 @@
 		disturb(fleet, log),
 	]);
 	balancer.stop();
+	const orders = await fleet.platform.control.readOrders();
+	log(`the maintenance wave has rebooted ${orders.filter(({type}) => type === 'reboot').length} upstreams`);
 	return printReport(report, await countRepeatedRuns(fleet), events);
 };
 
