Add answers of other requests, double answers and outages to the fault cases

Cause: a trial against a throwaway entry instance without claims, limits or keys (a scratch copy) passed all cases of guarantee 5, although it passed answers with a wrong X-Request-Id on: the case did not look for them.

Ruled out: judging mix-ups by the answer's body alone, since the right body under a wrong identifier also has to be dropped.

--- a/packages/platform/fakes/src/index.ts
+++ b/packages/platform/fakes/src/index.ts
@@ -8,5 +8,7 @@
 export * from './platform-server.js';
 export * from './run-ledger.js';
 export * from './service-discovery.js';
+export {UpstreamFault} from './upstream-answer.js';
+export type {UpstreamFaultSetting} from './upstream-answer.js';
 export * from './upstream-control.js';
 export * from './upstream-server.js';
--- a/packages/platform/fakes/src/upstream-control.ts
+++ b/packages/platform/fakes/src/upstream-control.ts
@@ -15,7 +15,7 @@
 	listen, parseJson, sendJson, toListener,
 } from './http.js';
 import type {UpstreamServer} from './upstream-server.js';
-import {UpstreamFault} from './upstream-server.js';
+import {UpstreamFault} from './upstream-answer.js';
 
 const faultBody = z.strictObject({
 	mode: z.enum(UpstreamFault),
--- a/packages/platform/fakes/src/upstream-server.ts
+++ b/packages/platform/fakes/src/upstream-server.ts
@@ -6,38 +6,15 @@
  * in the answer), `label` (kept in the run record). The answer is JSON with
  * `instance`, `requestId`, `idempotencyKey`, `method`, `path`, `body` and `padding`.
  */
-import {Buffer} from 'node:buffer';
-import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {
-	closeServer, listen, readBody, readHeader,
-} from './http.js';
+import {closeServer, listen} from './http.js';
 import type {RunLedger, RunRecord} from './run-ledger.js';
 import {createRunLedger} from './run-ledger.js';
-
-export enum UpstreamFault {
-	None = 'none',
-	/** Runs the request and never answers. */
-	Hang = 'hang',
-	/** Runs the request and answers after a delay. */
-	Late = 'late',
-	/** Runs the request and breaks the connection in the middle of the answer. */
-	CutAnswer = 'cut-answer',
-	/** Answers 503 without running the request. */
-	Refuse = 'refuse',
-	/** Runs the request and answers 500. */
-	Fail = 'fail',
-	/** Runs the request and answers with another request's identifier. */
-	WrongRequestId = 'wrong-request-id',
-}
-
-export type UpstreamFaultSetting = {
-	readonly mode: UpstreamFault;
-	/** Number of requests affected; all if left out. */
-	readonly count?: number;
-	readonly delayMilliseconds?: number;
-};
+import type {Received, UpstreamFaultSetting} from './upstream-answer.js';
+import {
+	createAnswerWriter, receive, refuse, UpstreamFault,
+} from './upstream-answer.js';
 
 export type UpstreamServer = {
 	readonly port: number;
@@ -54,9 +31,6 @@
 
 export const defaultSlots = 8;
 const defaultLateMilliseconds = 500;
-/** Longer request bodies are answered with their SHA-256 hash only. */
-const maximumEchoedBytes = 4096;
-
 /** Lets at most `slots` holders in; the others wait in order of arrival. */
 const createSlots = (slots: number) => {
 	const waiting: Array<() => void> = [];
@@ -100,69 +74,6 @@
 	};
 };
 
-type Received = {
-	readonly method: string;
-	readonly path: string;
-	readonly query: URLSearchParams;
-	readonly requestId: string;
-	readonly idempotencyKey: string;
-	readonly body: Uint8Array;
-};
-
-const receive = async (request: IncomingMessage): Promise<Received> => {
-	const url = new URL(request.url ?? '/', 'http://upstream');
-	return {
-		method: request.method ?? '',
-		path: url.pathname,
-		query: url.searchParams,
-		requestId: readHeader(request, 'x-request-id') ?? '',
-		idempotencyKey: readHeader(request, 'idempotency-key') ?? '',
-		body: await readBody(request),
-	};
-};
-
-const createAnswerBody = (instance: string, received: Received): string => {
-	const {
-		method, path, query, requestId, idempotencyKey, body,
-	} = received;
-	return JSON.stringify({
-		instance,
-		requestId,
-		idempotencyKey,
-		method,
-		path,
-		body: body.length <= maximumEchoedBytes ? new TextDecoder().decode(body) : undefined,
-		bodyHash: createHash('sha256').update(body).digest('hex'),
-		padding: 'x'.repeat(Number(query.get('size') ?? 0)),
-	});
-};
-
-const answer = (response: ServerResponse, options: {
-	readonly received: Received;
-	readonly text: string;
-	readonly mode: UpstreamFault;
-}): void => {
-	const {received, text, mode} = options;
-	response.writeHead(mode === UpstreamFault.Fail ? 500 : 200, {
-		'Content-Type': 'application/json',
-		'Content-Length': Buffer.byteLength(text),
-		'X-Request-Id': mode === UpstreamFault.WrongRequestId ? `${received.requestId}-other` : received.requestId,
-	});
-	if (mode !== UpstreamFault.CutAnswer) {
-		response.end(text);
-		return;
-	}
-
-	response.write(text.slice(0, Math.ceil(text.length / 2)), () => {
-		response.destroy();
-	});
-};
-
-const refuse = (response: ServerResponse, received: Received): void => {
-	response.writeHead(503, {'Content-Length': 0, 'X-Request-Id': received.requestId});
-	response.end();
-};
-
 /** Starts an upstream on a loopback port. */
 export const startUpstreamServer = async (options: {
 	readonly instance: string;
@@ -174,6 +85,7 @@
 	const ledger = createRunLedger({onStart: options.onRunStart});
 	const slots = createSlots(options.slots ?? defaultSlots);
 	const faults = createFaultSource();
+	const answer = createAnswerWriter(options.instance);
 	let runMilliseconds = options.runMilliseconds ?? 0;
 	let received = 0;
 	let isDraining = false;
@@ -215,7 +127,7 @@
 		}
 
 		prepareAnswer(response);
-		answer(response, {received: incoming, text: createAnswerBody(options.instance, incoming), mode: fault.mode});
+		answer(response, incoming, fault);
 	};
 
 	const {port, server, close} = await listen({
--- a/packages/platform/fakes/test/upstream.test.ts
+++ b/packages/platform/fakes/test/upstream.test.ts
@@ -1,3 +1,4 @@
+import {createConnection} from 'node:net';
 import {setImmediate as nextTurn, setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionContext} from 'ava';
 import test from 'ava';
@@ -74,6 +75,27 @@
 	});
 }
 
+// Guards against a mix-up that the stand-in only pretends to make.
+test('an upstream can give the answer of the request before, and an answer twice', async t => {
+	const upstream = await startUpstream(t);
+	await send(upstream, '?label=first');
+	upstream.setFault({mode: UpstreamFault.OtherAnswer, count: 1});
+	const other = await fetch(`http://127.0.0.1:${upstream.port}/other`, {headers: {'x-request-id': 'request-2'}});
+	t.is(other.headers.get('x-request-id'), 'request-1');
+	t.like(await other.json(), {requestId: 'request-1', path: '/price'});
+
+	upstream.setFault({mode: UpstreamFault.DoubleAnswer, delayMilliseconds: 1});
+	const socket = createConnection(upstream.port, '127.0.0.1').setEncoding('utf8');
+	socket.write('GET /twice HTTP/1.1\r\nHost: x\r\nX-Request-Id: request-3\r\n\r\n');
+	let text = '';
+	socket.on('data', chunk => {
+		text += String(chunk);
+	});
+	await until(() => text.split('"requestId":"request-3"').length === 3);
+	socket.destroy();
+	t.is(text.split('HTTP/1.1 200 OK').length, 3);
+});
+
 // Guards against a limit measured at upstreams that run more than their slots.
 test('an upstream runs no more requests at a time than it has slots', async t => {
 	const upstream = await startUpstream(t);
--- a/packages/tools/fault-tests/src/cases/answers.ts
+++ b/packages/tools/fault-tests/src/cases/answers.ts
@@ -34,7 +34,8 @@
 	readonly seed: number;
 	readonly steps: string;
 	readonly bound: string;
-	readonly start: (upstreams: readonly [UpstreamProcess, UpstreamProcess, ...UpstreamProcess[]]) => Promise<unknown>;
+	/** May return the names of upstreams whose answers must all be dropped. */
+	readonly start: (upstreams: readonly [UpstreamProcess, UpstreamProcess, ...UpstreamProcess[]]) => Promise<readonly string[] | void>;
 };
 
 const misbehaviours: readonly Misbehaviour[] = [
@@ -55,12 +56,27 @@
 		start: async ([first]) => first.control.setFault({mode: UpstreamFault.Late, delayMilliseconds: 6000}),
 	},
 	{
-		name: 'upstream mixes up request identifiers',
+		name: 'upstream gives the answers of other requests',
 		guarantee: 5,
 		seed: 5003,
-		steps: 'one upstream answers with another X-Request-Id, under mixed load',
-		bound: 'such an answer is dropped',
-		start: async ([first]) => first.control.setFault({mode: UpstreamFault.WrongRequestId}),
+		steps: 'one upstream answers each request with the answer to the one before, another with a wrong X-Request-Id, under mixed load',
+		bound: 'such answers are dropped',
+		async start([first, second]) {
+			await first.control.setFault({mode: UpstreamFault.OtherAnswer});
+			await second.control.setFault({mode: UpstreamFault.WrongRequestId});
+			return [first.name, second.name];
+		},
+	},
+	{
+		name: 'upstream answers twice',
+		guarantee: 5,
+		seed: 5005,
+		steps: 'two upstreams send each answer again on the same connection, 2 ms and 20 ms later, under mixed load',
+		bound: 'the second answer reaches no other request',
+		async start([first, second]) {
+			await first.control.setFault({mode: UpstreamFault.DoubleAnswer, delayMilliseconds: 2});
+			await second.control.setFault({mode: UpstreamFault.DoubleAnswer, delayMilliseconds: 20});
+		},
 	},
 	{
 		name: 'upstream refuses and another is killed',
@@ -93,8 +109,11 @@
 	plan: standardPlan,
 	async run(context) {
 		const [first, second, ...rest] = context.fleet.upstreams;
-		await start([first!, second!, ...rest]);
-		await checkReport(context, await playLoad(context));
+		const dropped = await start([first!, second!, ...rest]) ?? [];
+		const report = await playLoad(context);
+		await checkReport(context, report);
+		const passed = report.records.filter(({answer}) => answer.type === AnswerClass.Answered && dropped.includes(answer.upstream));
+		context.check('wrong answers are dropped', passed.length === 0, `${passed.length} passed on`);
 	},
 });
 
--- a/packages/tools/fault-tests/src/cases/leaving.ts
+++ b/packages/tools/fault-tests/src/cases/leaving.ts
@@ -3,12 +3,12 @@
 import {
 	AnswerClass, createBalancer, planLoad, runLoad,
 } from '@turmericbay/demo';
-import type {LoadReport} from '@turmericbay/demo';
+import type {EntryProcess, LoadReport} from '@turmericbay/demo';
 import {readSharedClock} from '@turmericbay/fakes';
 import type {CaseContext, FaultCase} from '../fault-case.js';
-import {checkOwnAnswers, checkRefusals} from '../observations.js';
+import {checkAtMostOnce, checkOwnAnswers, checkRefusals} from '../observations.js';
 import {
-	createMixedSources, describeCounts, standardPlan,
+	createMixedSources, createOnceRequests, describeCounts, sendOnce, standardPlan,
 } from '../setup.js';
 
 const boundMilliseconds = 3000;
@@ -97,4 +97,35 @@
 	},
 };
 
-export const leavingCases: readonly FaultCase[] = [leavingUpstream, plannedStop, stopUpstream];
+const rollingReplacement: FaultCase = {
+	name: 'all entry instances replaced one after the other under load',
+	guarantee: 9,
+	seed: 9003,
+	steps: 'mixed load through a balancer for 16 s; each entry instance in turn gets SIGTERM and is started again; keys sent before are resent afterwards',
+	bound: 'no request is cut; no key runs twice',
+	plan: standardPlan,
+	async run(context) {
+		const {fleet, seed} = context;
+		const before = createOnceRequests({count: 20, seed, runMilliseconds: 10});
+		const first = await Promise.all(before.map(async (request, index) => sendOnce(fleet.entries[index % fleet.entries.length]!.callersUrl, request)));
+		const balancer = createBalancer(fleet.entries);
+		const load = startLoad(context, {durationMilliseconds: 16_000, runMilliseconds: 50, entryUrls: balancer.entryUrls});
+		const replaced: EntryProcess[] = [];
+		for (const entry of fleet.entries) {
+			await entry.stop(); // eslint-disable-line no-await-in-loop -- One after the other.
+			replaced.push(await fleet.restartEntry(entry)); // eslint-disable-line no-await-in-loop
+		}
+
+		const report = await load;
+		balancer.stop();
+		const resent = await Promise.all(before.map(async (request, index) => sendOnce(replaced[index % replaced.length]!.callersUrl, request)));
+		const served = first.filter(({type}) => type === AnswerClass.Answered).length;
+		const again = resent.filter(({type}) => type === AnswerClass.Answered).length;
+		context.check('no request was cut', report.counts[AnswerClass.Broken] === 0, describeCounts(report));
+		context.check('keys are known after the replacement', served === before.length && again === 0, `${served} answered before, ${again} answered again`);
+		await checkAtMostOnce(context, before.map(({idempotencyKey}) => idempotencyKey));
+		await checkRefusals(context, report.records);
+	},
+};
+
+export const leavingCases: readonly FaultCase[] = [leavingUpstream, plannedStop, stopUpstream, rollingReplacement];
--- a/packages/tools/fault-tests/src/main.ts
+++ b/packages/tools/fault-tests/src/main.ts
@@ -6,6 +6,7 @@
 import {configurationCases} from './cases/configuration.js';
 import {leavingCases} from './cases/leaving.js';
 import {limitCases} from './cases/limits.js';
+import {outageCases} from './cases/outage.js';
 import {isPassed} from './fault-case.js';
 import {renderResult, runCases} from './runner.js';
 
@@ -17,7 +18,7 @@
 	},
 });
 
-const allCases = [...atMostOnceCases, ...answerCases, ...leavingCases, ...configurationCases, ...limitCases];
+const allCases = [...atMostOnceCases, ...outageCases, ...answerCases, ...leavingCases, ...configurationCases, ...limitCases];
 const cases = allCases.filter(({name, seed}) => name.includes(values.only) || String(seed) === values.only);
 const startedAt = performance.now();
 const results = await runCases({
