--- a/packages/coordination/membership/src/directory.ts
+++ b/packages/coordination/membership/src/directory.ts
@@ -4,7 +4,7 @@
  */
 import {InstanceRole} from '@turmericbay/types';
 import type {
-	Clock, InstanceDirectory, InstanceRecord, ProcessIdentity,
+	Clock, InstanceDirectory, InstanceId, InstanceRecord, ProcessIdentity,
 } from '@turmericbay/types';
 
 /**
@@ -27,6 +27,12 @@
 
 const defaultReadsToConfirm = 5;
 
+/**
+ * Stands for a listed instance of which it is not known which process runs on
+ * it: none of its processes can be proven gone by such a list.
+ */
+export const unknownIncarnation = '';
+
 export enum OfferRefusal {
 	/** The list is not newer than the newest one seen. */
 	Older = 'older',
@@ -48,11 +54,9 @@
 	 * because it wrote a record that only listed processes write.
 	 */
 	noteListed(identity: ProcessIdentity): void;
-	/** Milliseconds since the proof was first complete; undefined without proof. */
-	goneForMilliseconds(identity: ProcessIdentity): number | undefined;
 } & InstanceDirectory;
 
-type Sighting = {shownAt: number; marginMilliseconds: number; goneSince: number | undefined};
+type Sighting = {readonly instance: InstanceId; shownAt: number; marginMilliseconds: number; goneSince: number | undefined};
 
 const identityKey = ({instance, incarnation}: ProcessIdentity): string => JSON.stringify([instance, incarnation]);
 
@@ -90,10 +94,18 @@
 	const sightings = new Map<string, Sighting>();
 	const update = (records: readonly InstanceRecord[], readAt: number, now: number) => {
 		const shown = new Set<string>();
+		const shownAsAnyRun = new Set<InstanceId>();
 		for (const record of records) {
+			if (record.incarnation === unknownIncarnation) {
+				shownAsAnyRun.add(record.instance);
+				continue;
+			}
+
 			const key = identityKey(record);
 			shown.add(key);
-			sightings.set(key, {shownAt: readAt, marginMilliseconds: proofMarginMilliseconds, goneSince: undefined});
+			sightings.set(key, {
+				instance: record.instance, shownAt: readAt, marginMilliseconds: proofMarginMilliseconds, goneSince: undefined,
+			});
 		}
 
 		for (const [key, sighting] of sightings) {
@@ -101,6 +113,11 @@
 				continue;
 			}
 
+			if (shownAsAnyRun.has(sighting.instance) && sighting.goneSince === undefined) {
+				sighting.shownAt = readAt;
+				continue;
+			}
+
 			if (readAt - sighting.shownAt >= sighting.marginMilliseconds) {
 				sighting.goneSince ??= now;
 			}
@@ -114,11 +131,15 @@
 	const note = (identity: ProcessIdentity, now: number) => {
 		const key = identityKey(identity);
 		if (!sightings.has(key)) {
-			sightings.set(key, {shownAt: now, marginMilliseconds: hearsayMarginMilliseconds, goneSince: undefined});
+			sightings.set(key, {instance: identity.instance, shownAt: now, marginMilliseconds: hearsayMarginMilliseconds, goneSince: undefined});
 		}
 	};
 
-	return {update, note, goneSince: (identity: ProcessIdentity) => sightings.get(identityKey(identity))?.goneSince};
+	return {
+		update,
+		note,
+		isGone: (identity: ProcessIdentity) => sightings.get(identityKey(identity))?.goneSince !== undefined,
+	};
 };
 
 export const createInstanceDirectory = (options: {
@@ -170,13 +191,9 @@
 		noteListed(identity) {
 			sightings.note(identity, clock.monotonicMilliseconds());
 		},
-		goneForMilliseconds(identity) {
-			const since = sightings.goneSince(identity);
-			return since === undefined ? undefined : clock.monotonicMilliseconds() - since;
-		},
 		instances: () => adopted,
 		ageMilliseconds: () => adoptedReadAt === undefined ? undefined : clock.monotonicMilliseconds() - adoptedReadAt,
-		isProvenGone: identity => sightings.goneSince(identity) !== undefined,
+		isProvenGone: identity => sightings.isGone(identity),
 		subscribe(listener) {
 			listeners.push(listener);
 		},
