Give each launcher a loopback address of its own

Ruled out: ports below the ephemeral range, which other launchers on the machine would choose as well.

Change: everything that a launcher starts listens on 127.x.y.z, chosen at random; outgoing connections start from 127.0.0.1 and cannot take its ports.

--- a/packages/platform/fakes/src/http.ts
+++ b/packages/platform/fakes/src/http.ts
@@ -79,9 +79,9 @@
 	return typeof address === 'object' && address !== null ? address.port : 0;
 };
 
-export const listen = async (options: {readonly listener: RequestListener; readonly port?: number}): Promise<ListeningServer> => {
+export const listen = async (options: {readonly listener: RequestListener; readonly port?: number; readonly host?: string}): Promise<ListeningServer> => {
 	const server = createServer(options.listener);
-	server.listen(options.port ?? 0, loopbackAddress);
+	server.listen(options.port ?? 0, options.host ?? loopbackAddress);
 	await once(server, 'listening');
 	return {port: readPort(server), server, close: async () => closeServer(server)};
 };
--- a/packages/platform/fakes/src/platform-control.ts
+++ b/packages/platform/fakes/src/platform-control.ts
@@ -45,6 +45,7 @@
 export const startPlatformControl = async (options: {
 	readonly state: PlatformState;
 	readonly port?: number;
+	readonly host?: string;
 }): Promise<ListeningServer> => {
 	const {engine, fleet, faults, counters} = options.state;
 	const app = polka();
@@ -89,5 +90,5 @@
 	addReport('/orders', () => fleet.orders());
 	addReport('/counters', () => counters.read());
 	addReport('/revision', () => ({revision: engine.revision()}));
-	return listen({listener: toListener(app), port: options.port});
+	return listen({listener: toListener(app), port: options.port, host: options.host});
 };
--- a/packages/platform/fakes/src/platform-main.ts
+++ b/packages/platform/fakes/src/platform-main.ts
@@ -7,6 +7,7 @@
 
 const {values} = parseArgs({
 	options: {
+		host: {type: 'string'},
 		port: {type: 'string', default: '0'},
 		'control-port': {type: 'string', default: '0'},
 		'list-lag': {type: 'string', default: '0'},
@@ -15,11 +16,12 @@
 });
 
 const server = await startPlatformServer({
+	host: values.host,
 	port: Number(values.port),
 	lagMilliseconds: Number(values['list-lag']),
 	rebootMilliseconds: Number(values['reboot-time']),
 });
-const control = await startPlatformControl({state: server, port: Number(values['control-port'])});
+const control = await startPlatformControl({state: server, host: values.host, port: Number(values['control-port'])});
 
 runProgram({
 	ready: {port: server.port, controlPort: control.port, processId: process.pid},
--- a/packages/platform/fakes/src/platform-server.ts
+++ b/packages/platform/fakes/src/platform-server.ts
@@ -177,13 +177,14 @@
 export const startPlatformServer = async (options: {
 	readonly clock?: Clock;
 	readonly port?: number;
+	readonly host?: string;
 	readonly lagMilliseconds?: number;
 	readonly rebootMilliseconds?: number;
 } = {}): Promise<PlatformServer> => {
 	const state = createPlatformState({...options, clock: options.clock ?? createSystemClock()});
 	const openWatches = new Set<() => void>();
 	const handler = createHandler(state, openWatches);
-	let listening: ListeningServer = await listen({listener: handler, port: options.port});
+	let listening: ListeningServer = await listen({listener: handler, port: options.port, host: options.host});
 	const {port} = listening;
 	let transition = Promise.resolve();
 	state.faults.subscribe(() => {
@@ -195,7 +196,7 @@
 			if (state.faults.isRefusing()) {
 				await closeServer(listening.server);
 			} else if (!listening.server.listening) {
-				listening = await listen({listener: handler, port});
+				listening = await listen({listener: handler, port, host: options.host});
 			}
 		});
 	});
--- a/packages/platform/fakes/src/upstream-control.ts
+++ b/packages/platform/fakes/src/upstream-control.ts
@@ -26,6 +26,7 @@
 export const startUpstreamControl = async (options: {
 	readonly upstream: UpstreamServer;
 	readonly port?: number;
+	readonly host?: string;
 }): Promise<ListeningServer> => {
 	const {upstream} = options;
 	const {ledger} = upstream;
@@ -59,5 +60,5 @@
 			body: {received: upstream.received(), running: ledger.running(), maximumRunning: ledger.maximumRunning()},
 		});
 	});
-	return listen({listener: toListener(app), port: options.port});
+	return listen({listener: toListener(app), port: options.port, host: options.host});
 };
--- a/packages/platform/fakes/src/upstream-main.ts
+++ b/packages/platform/fakes/src/upstream-main.ts
@@ -9,6 +9,7 @@
 const {values} = parseArgs({
 	options: {
 		instance: {type: 'string', default: 'upstream'},
+		host: {type: 'string'},
 		port: {type: 'string', default: '0'},
 		'control-port': {type: 'string', default: '0'},
 		slots: {type: 'string', default: String(defaultSlots)},
@@ -20,6 +21,7 @@
 const runLog = values['run-log'];
 const upstream = await startUpstreamServer({
 	instance: values.instance,
+	host: values.host,
 	port: Number(values.port),
 	slots: Number(values.slots),
 	runMilliseconds: Number(values['run-time']),
@@ -30,7 +32,7 @@
 		}
 	},
 });
-const control = await startUpstreamControl({upstream, port: Number(values['control-port'])});
+const control = await startUpstreamControl({upstream, host: values.host, port: Number(values['control-port'])});
 
 runProgram({
 	ready: {port: upstream.port, controlPort: control.port, processId: process.pid},
--- a/packages/platform/fakes/src/upstream-server.ts
+++ b/packages/platform/fakes/src/upstream-server.ts
@@ -78,6 +78,7 @@
 export const startUpstreamServer = async (options: {
 	readonly instance: string;
 	readonly port?: number;
+	readonly host?: string;
 	readonly slots?: number;
 	readonly runMilliseconds?: number;
 	readonly onRunStart?: (run: RunRecord) => void;
@@ -132,6 +133,7 @@
 
 	const {port, server, close} = await listen({
 		port: options.port,
+		host: options.host,
 		listener(request, response) {
 			handle(request, response).catch(() => {
 				// The caller broke the connection while sending; nothing was run.
--- a/packages/tools/demo/src/control-clients.ts
+++ b/packages/tools/demo/src/control-clients.ts
@@ -5,10 +5,8 @@
 import type {InstanceId, InstanceRecord} from '@turmericbay/types';
 import {request} from 'undici';
 
-const loopback = 'http://127.0.0.1';
-
-const callControl = async (port: number, path: string, body?: unknown): Promise<unknown> => {
-	const response = await request(`${loopback}:${port}${path}`, body === undefined
+const callControl = async (baseUrl: string, path: string, body?: unknown): Promise<unknown> => {
+	const response = await request(`${baseUrl}${path}`, body === undefined
 		? {method: 'GET'}
 		: {method: 'POST', body: JSON.stringify(body)});
 	const answer = await response.body.json();
@@ -20,10 +18,10 @@
 };
 
 // The stand-in and this client are built from one source tree, so the answers are not checked again.
-const read = async <Answer>(port: number, path: string): Promise<Answer> => await callControl(port, path) as Answer; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+const read = async <Answer>(baseUrl: string, path: string): Promise<Answer> => await callControl(baseUrl, path) as Answer; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 
-const command = (port: number, path: string) => async (body: unknown): Promise<void> => {
-	await callControl(port, path, body);
+const command = (baseUrl: string, path: string) => async (body: unknown): Promise<void> => {
+	await callControl(baseUrl, path, body);
 };
 
 export type PlatformControlClient = {
@@ -39,17 +37,17 @@
 	resetCounters(): Promise<void>;
 };
 
-export const createPlatformControlClient = (port: number): PlatformControlClient => ({
-	setFaults: command(port, '/faults'),
-	refuseConnections: async enabled => command(port, '/faults/refuse-connections')({enabled}),
-	clearFaults: async () => command(port, '/faults/clear')({}),
-	setInstance: command(port, '/instances'),
-	removeInstance: async instance => command(port, '/instances/remove')({instance}),
-	setListLag: async milliseconds => command(port, '/instances/lag')({milliseconds}),
-	readOrders: async () => read(port, '/orders'),
-	readInstances: async () => read(port, '/instances'),
-	readCounters: async () => read(port, '/counters'),
-	resetCounters: async () => command(port, '/counters/reset')({}),
+export const createPlatformControlClient = (baseUrl: string): PlatformControlClient => ({
+	setFaults: command(baseUrl, '/faults'),
+	refuseConnections: async enabled => command(baseUrl, '/faults/refuse-connections')({enabled}),
+	clearFaults: async () => command(baseUrl, '/faults/clear')({}),
+	setInstance: command(baseUrl, '/instances'),
+	removeInstance: async instance => command(baseUrl, '/instances/remove')({instance}),
+	setListLag: async milliseconds => command(baseUrl, '/instances/lag')({milliseconds}),
+	readOrders: async () => read(baseUrl, '/orders'),
+	readInstances: async () => read(baseUrl, '/instances'),
+	readCounters: async () => read(baseUrl, '/counters'),
+	resetCounters: async () => command(baseUrl, '/counters/reset')({}),
 });
 
 export type UpstreamStatistics = {
@@ -67,11 +65,11 @@
 	reset(): Promise<void>;
 };
 
-export const createUpstreamControlClient = (port: number): UpstreamControlClient => ({
-	setFault: command(port, '/fault'),
-	setRunTime: async milliseconds => command(port, '/run-time')({milliseconds}),
-	readRuns: async () => read(port, '/runs'),
-	readRunLog: async () => read(port, '/run-log'),
-	readStatistics: async () => read(port, '/statistics'),
-	reset: async () => command(port, '/reset')({}),
+export const createUpstreamControlClient = (baseUrl: string): UpstreamControlClient => ({
+	setFault: command(baseUrl, '/fault'),
+	setRunTime: async milliseconds => command(baseUrl, '/run-time')({milliseconds}),
+	readRuns: async () => read(baseUrl, '/runs'),
+	readRunLog: async () => read(baseUrl, '/run-log'),
+	readStatistics: async () => read(baseUrl, '/statistics'),
+	reset: async () => command(baseUrl, '/reset')({}),
 });
--- a/packages/tools/demo/src/entry-settings.ts
+++ b/packages/tools/demo/src/entry-settings.ts
@@ -11,18 +11,19 @@
 export type EntryPlace = {
 	readonly instance: InstanceId;
 	readonly zone: AvailabilityZone;
+	/** Loopback address of all its listeners. */
+	readonly host: string;
 	readonly ports: EntryPorts;
 };
 
 /** Further settings by section and key; they win over those below. */
 export type SettingOverrides = Readonly<Record<string, Readonly<Record<string, string | number>>>>;
 
-export const loopbackAddress = '127.0.0.1';
 /** For loopback only: these secrets stand in the source. */
 export const operatorToken = 'operator-token-on-loopback';
 const peerSecret = 'peer-secret-on-loopback';
 
-const listen = (port: number): string => `${loopbackAddress}:${port}`;
+const listen = (host: string, port: number): string => `${host}:${port}`;
 
 export const renderEntrySettings = (options: {
 	readonly place: EntryPlace;
@@ -31,17 +32,17 @@
 	readonly overrides?: SettingOverrides;
 }): string => {
 	const {place, members, platformPort, overrides = {}} = options;
-	const platform = `http://${listen(platformPort)}`;
+	const platform = `http://${listen(place.host, platformPort)}`;
 	const others = members.filter(({instance}) => instance !== place.instance);
 	const sections: SettingOverrides = {
 		instance: {id: place.instance, zone: place.zone, region: 'region-1'},
-		callers: {listen: listen(place.ports.callers)},
-		operations: {listen: listen(place.ports.operations), token: operatorToken},
+		callers: {listen: listen(place.host, place.ports.callers)},
+		operations: {listen: listen(place.host, place.ports.operations), token: operatorToken},
 		peers: {
-			listen: listen(place.ports.peers),
+			listen: listen(place.host, place.ports.peers),
 			secret: peerSecret,
 			// The INI library takes a dot in a section for a subsection, but leaves keys as they are.
-			...Object.fromEntries(others.map(({instance, zone, ports}) => [`member.${instance}`, `${zone},${listen(ports.peers)}`])),
+			...Object.fromEntries(others.map(({instance, zone, host, ports}) => [`member.${instance}`, `${zone},${listen(host, ports.peers)}`])),
 		},
 		platform: {'key-value': platform, instances: platform},
 		shutdown: {'balancer-lag-seconds': 1, 'bound-seconds': 20},
--- a/packages/tools/demo/src/fleet.ts
+++ b/packages/tools/demo/src/fleet.ts
@@ -45,7 +45,7 @@
 	const ports = await launcher.findFreePorts(names.length * portsPerEntry);
 	return names.map((name, index) => {
 		const [callers = 0, operations = 0, peers = 0] = ports.slice(index * portsPerEntry);
-		return {...name, ports: {callers, operations, peers}};
+		return {...name, host: launcher.host, ports: {callers, operations, peers}};
 	});
 };
 
--- a/packages/tools/demo/src/launcher.ts
+++ b/packages/tools/demo/src/launcher.ts
@@ -6,6 +6,7 @@
 	mkdtemp, readFile, rm, writeFile,
 } from 'node:fs/promises';
 import {createServer} from 'node:net';
+import {randomInt} from 'node:crypto';
 import {once} from 'node:events';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -21,7 +22,7 @@
 import type {PlatformControlClient, UpstreamControlClient} from './control-clients.js';
 import {createPlatformControlClient, createUpstreamControlClient} from './control-clients.js';
 import type {EntryPlace, SettingOverrides} from './entry-settings.js';
-import {loopbackAddress, renderEntrySettings} from './entry-settings.js';
+import {renderEntrySettings} from './entry-settings.js';
 import {answersOk} from './health-check.js';
 
 export type PlatformProcess = ManagedProcess & {readonly port: number; readonly control: PlatformControlClient};
@@ -42,7 +43,9 @@
 };
 
 export type Launcher = {
-	/** Ports that were free a moment ago, no two of them the same. */
+	/** Loopback address of everything that this launcher starts. */
+	readonly host: string;
+	/** Ports of `host` that were free a moment ago, no two of them the same. */
 	findFreePorts(count: number): Promise<readonly number[]>;
 	startPlatform(options?: {readonly listLagMilliseconds?: number; readonly rebootMilliseconds?: number}): Promise<PlatformProcess>;
 	startUpstream(options: {
@@ -74,9 +77,16 @@
 const upstreamProgram = fileURLToPath(new URL('upstream-main.js', import.meta.resolve('@turmericbay/fakes')));
 const daemonProgram = fileURLToPath(new URL('../../../../programs/daemon/dist/src/main.js', import.meta.url));
 
-const findFreePorts = async (count: number): Promise<readonly number[]> => {
+/**
+ * A loopback address of its own for each launcher. Outgoing connections start
+ * from 127.0.0.1 and take ports there, so a port that is closed for a while,
+ * as during a restart, would be lost to them on that address.
+ */
+const chooseHost = (): string => `127.${randomInt(1, 255)}.${randomInt(0, 256)}.${randomInt(1, 255)}`;
+
+const findFreePorts = async (host: string, count: number): Promise<readonly number[]> => {
 	const servers = await Promise.all(Array.from({length: count}, async () => {
-		const server = createServer().listen(0, loopbackAddress);
+		const server = createServer().listen(0, host);
 		await once(server, 'listening');
 		return server;
 	}));
@@ -131,6 +141,7 @@
 };
 
 export const createLauncher = async (): Promise<Launcher> => {
+	const host = chooseHost();
 	const folder = await mkdtemp(path.join(tmpdir(), 'turmericbay-'));
 	const running = new Set<ManagedProcess>();
 	const stopWatchingExit = endOnExit(running);
@@ -152,17 +163,18 @@
 
 	const startStandIn = async (options: {readonly name: string; readonly file: string; readonly parameters: readonly string[]}) => {
 		const run = nextRun(options.name);
-		const {managed, readyLine} = await startProcessWithReadyLine({...options, logFile: run.logFile});
+		const {managed, readyLine} = await startProcessWithReadyLine({...options, parameters: ['--host', host, ...options.parameters], logFile: run.logFile});
 		return {managed: track(managed), ready: parseReadyLine(readyLine), incarnation: run.incarnation};
 	};
 
 	return {
-		findFreePorts,
+		host,
+		findFreePorts: async count => findFreePorts(host, count),
 		async startPlatform({listLagMilliseconds = 0, rebootMilliseconds = 1000} = {}) {
 			const {managed, ready} = await startStandIn({
 				name: 'platform', file: platformProgram, parameters: ['--list-lag', String(listLagMilliseconds), '--reboot-time', String(rebootMilliseconds)],
 			});
-			return {...managed, port: ready.port, control: createPlatformControlClient(ready.controlPort)};
+			return {...managed, port: ready.port, control: createPlatformControlClient(`http://${host}:${ready.controlPort}`)};
 		},
 		async startUpstream({instance, pool, zone, rack = `${zone}-rack-1`, slots = 8, runMilliseconds = 0}) {
 			const runLog = path.join(folder, `${instance}-runs-${startCount}`);
@@ -171,10 +183,10 @@
 				name: instance, file: upstreamProgram, parameters: ['--instance', instance, '--slots', String(slots), '--run-time', String(runMilliseconds), '--run-log', runLog],
 			});
 			const record: InstanceRecord = {
-				instance, incarnation, address: `${loopbackAddress}:${ready.port}`, role: InstanceRole.Upstream, pool, zone, rack, state: InstanceState.Live,
+				instance, incarnation, address: `${host}:${ready.port}`, role: InstanceRole.Upstream, pool, zone, rack, state: InstanceState.Live,
 			};
 			return {
-				...managed, record, control: createUpstreamControlClient(ready.controlPort), readStartedRuns: async () => readRunLog(runLog),
+				...managed, record, control: createUpstreamControlClient(`http://${host}:${ready.controlPort}`), readStartedRuns: async () => readRunLog(runLog),
 			};
 		},
 		async startEntry({place, members, platformPort, overrides}) {
@@ -187,7 +199,7 @@
 			const managed = track(startProcess({
 				name: instance, file: daemonProgram, parameters: ['--settings', settingsFile], logFile,
 			}));
-			const operationsUrl = `http://${loopbackAddress}:${ports.operations}`;
+			const operationsUrl = `http://${host}:${ports.operations}`;
 			await waitUntil({
 				what: `${instance} starts`,
 				async condition() {
@@ -200,7 +212,7 @@
 				boundMilliseconds: defaultReadyBoundMilliseconds,
 			});
 			const record: InstanceRecord = {
-				instance, incarnation, address: `${loopbackAddress}:${ports.callers}`, role: InstanceRole.Entry, pool: 'entry', zone, rack: `${zone}-rack-1`, state: InstanceState.Live,
+				instance, incarnation, address: `${host}:${ports.callers}`, role: InstanceRole.Entry, pool: 'entry', zone, rack: `${zone}-rack-1`, state: InstanceState.Live,
 			};
 			return {
 				...managed, place, record, callersUrl: `http://${record.address}`, operationsUrl,
--- a/packages/tools/demo/src/zone-links.ts
+++ b/packages/tools/demo/src/zone-links.ts
@@ -8,7 +8,6 @@
 import {createConnection, createServer} from 'node:net';
 import type {AvailabilityZone} from '@turmericbay/types';
 import type {EntryPlace} from './entry-settings.js';
-import {loopbackAddress} from './entry-settings.js';
 
 type Link = {
 	readonly port: number;
@@ -27,7 +26,7 @@
 	from.on('error', () => undefined);
 };
 
-const createLink = async (targetPort: number): Promise<Link> => {
+const createLink = async (host: string, targetPort: number): Promise<Link> => {
 	const sockets = new Set<Socket>();
 	let isCut = false;
 
@@ -42,13 +41,13 @@
 	};
 
 	const server = createServer(incoming => {
-		const outgoing = createConnection(targetPort, loopbackAddress);
+		const outgoing = createConnection(targetPort, host);
 		forward(incoming, outgoing);
 		forward(outgoing, incoming);
 		add(incoming);
 		add(outgoing);
 	});
-	server.listen(0, loopbackAddress);
+	server.listen(0, host);
 	await once(server, 'listening');
 	const address = server.address();
 	return {
@@ -83,7 +82,7 @@
 export const createZoneLinks = async (members: readonly EntryPlace[]): Promise<ZoneLinks> => {
 	const zones = [...new Set(members.map(({zone}) => zone))];
 	const pairs = zones.flatMap(from => members.filter(({zone}) => zone !== from).map(member => ({from, member})));
-	const links = await Promise.all(pairs.map(async ({from, member}) => ({from, member, link: await createLink(member.ports.peers)})));
+	const links = await Promise.all(pairs.map(async ({from, member}) => ({from, member, link: await createLink(member.host, member.ports.peers)})));
 	return {
 		membersSeenFrom: zone => members.map(member => {
 			const found = links.find(({from, member: {instance}}) => from === zone && instance === member.instance);
--- a/packages/tools/demo/test/launcher.test.ts
+++ b/packages/tools/demo/test/launcher.test.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
 import test from 'ava';
-import {createLauncher, loopbackAddress, renderEntrySettings} from '../src/index.js';
+import {createLauncher, renderEntrySettings} from '../src/index.js';
 import type {EntryPlace} from '../src/index.js';
 
 const isAlive = (processId: number): boolean => {
@@ -40,11 +40,13 @@
 
 // Guards against settings that the daemon refuses or that name an instance as its own peer.
 test('settings list the other members and take overrides', t => {
-	const place = (index: number): EntryPlace => ({instance: `entry-${index}`, zone: 'zone-a', ports: {callers: index, operations: index + 10, peers: index + 20}});
+	const place = (index: number): EntryPlace => ({
+		instance: `entry-${index}`, zone: 'zone-a', host: '127.0.0.9', ports: {callers: index, operations: index + 10, peers: index + 20},
+	});
 	const text = renderEntrySettings({
 		place: place(1), members: [place(1), place(2)], platformPort: 9, overrides: {shutdown: {'bound-seconds': 3}, requests: {'body-limit-bytes': 10}},
 	});
-	t.true(text.includes(`member.entry-2=zone-a,${loopbackAddress}:22`));
+	t.true(text.includes('member.entry-2=zone-a,127.0.0.9:22'));
 	t.false(text.includes('member.entry-1'));
 	t.true(text.includes('bound-seconds=3'));
 	t.true(text.includes('balancer-lag-seconds=1'));
--- a/packages/tools/demo/test/zone-links.test.ts
+++ b/packages/tools/demo/test/zone-links.test.ts
@@ -1,26 +1,30 @@
 import {once} from 'node:events';
 import {createConnection, createServer} from 'node:net';
 import test from 'ava';
-import {createZoneLinks, loopbackAddress} from '../src/index.js';
+import {createZoneLinks} from '../src/index.js';
 import type {EntryPlace} from '../src/index.js';
 
+const host = '127.0.0.1';
+
 // Guards against a cut zone that still hears others, and against bytes lost by healing.
 test('a link holds bytes back while its zone is cut off and delivers them afterwards', async t => {
 	const server = createServer(socket => {
 		socket.pipe(socket);
 	});
-	server.listen(0, loopbackAddress);
+	server.listen(0, host);
 	await once(server, 'listening');
 	const address = server.address();
 	const port = typeof address === 'object' && address !== null ? address.port : 0;
-	const place = (instance: string, zone: string): EntryPlace => ({instance, zone, ports: {callers: 1, operations: 2, peers: port}});
+	const place = (instance: string, zone: string): EntryPlace => ({
+		instance, zone, host, ports: {callers: 1, operations: 2, peers: port},
+	});
 	const members = [place('entry-1', 'zone-a'), place('entry-2', 'zone-b')];
 	const links = await createZoneLinks(members);
 	const [own, other] = links.membersSeenFrom('zone-a');
 	t.is(own!.ports.peers, port);
 	t.not(other!.ports.peers, port);
 
-	const socket = createConnection(other!.ports.peers, loopbackAddress).setEncoding('utf8');
+	const socket = createConnection(other!.ports.peers, host).setEncoding('utf8');
 	const received: string[] = [];
 	socket.on('data', (text: string) => {
 		received.push(text);
@@ -30,7 +34,7 @@
 	links.setZoneCut('zone-b', true);
 	socket.write(' during');
 	// A direct round trip through the same server shows that the cut link had its chance.
-	const direct = createConnection(port, loopbackAddress).setEncoding('utf8');
+	const direct = createConnection(port, host).setEncoding('utf8');
 	direct.write('x');
 	await once(direct, 'data');
 	t.deepEqual(received, ['before']);
