--- a/packages/programs/daemon/src/entry-instance.ts
+++ b/packages/programs/daemon/src/entry-instance.ts
@@ -3,6 +3,8 @@
  * systems at their intervals on one event loop.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createClaims} from '@turmericbay/claims';
+import type {Claims} from '@turmericbay/claims';
 import {createKeyAuthenticator} from '@turmericbay/document';
 import type {KeyAuthenticator} from '@turmericbay/document';
 import {chooseWatchers, createDocumentWatch} from '@turmericbay/document-watch';
@@ -19,11 +21,12 @@
 import type {Logger, Metrics, Tracing} from '@turmericbay/telemetry';
 import {InstanceRole, InstanceState} from '@turmericbay/types';
 import type {Clock, ProcessIdentity, RandomSource} from '@turmericbay/types';
-import {createRefusingClaims} from './claims-service.js';
-import type {ClaimService} from './claims-service.js';
+import {createClaimPeer} from './claims-service.js';
 import {logDocumentEvent} from './document-events.js';
 import {createDocumentPeers} from './document-peers.js';
 import {createEntryIncarnations} from './entry-incarnations.js';
+import {createFleetParts} from './fleet-parts.js';
+import type {FleetParts} from './fleet-parts.js';
 import {createGatewayTelemetry} from './gateway-telemetry.js';
 import {createInstanceListSource} from './instance-list-source.js';
 import type {InstanceListSource} from './instance-list-source.js';
@@ -50,10 +53,11 @@
 	readonly directory: ObservedDirectory;
 	readonly session: Session;
 	readonly grants: GrantHolder;
-	readonly claims: ClaimService;
+	readonly claims: Claims;
 	readonly gateway: Gateway;
 	readonly exchange: PeerExchange;
 	readonly listSource: InstanceListSource;
+	readonly fleet: FleetParts;
 	readonly peerService: ReturnType<typeof createPeerService>;
 	setDraining(): void;
 };
@@ -101,7 +105,7 @@
 		zone,
 		document: documentWatch.answer(),
 		gateway: gateway.status(),
-		fleetRevision: 0,
+		fleetRevision: fleet.routing.appliedRevision(),
 		listAgeMilliseconds: directory.ageMilliseconds(),
 		listDigest: listSource.digest(),
 		draining,
@@ -160,12 +164,34 @@
 		grants.setLimits({version, limits: listTeamLimits(document)});
 	});
 
-	const claims = createRefusingClaims();
-	const gateway = createGateway({
+	const session = createSession({store: platform.store, clock, identity});
+	const claims = createClaims({
+		store: platform.store,
+		clock,
+		random,
+		identity,
+		zone,
+		directory,
+		session,
+		peer: createClaimPeer({exchange: () => exchange, identity}),
+	});
+	const fleet = createFleetParts({
+		region: settings.instance.region,
+		identity,
+		store: platform.store,
+		control: platform.control,
+		directory,
+		configuration: documentWatch,
+		clock,
+		logger,
+		exchange: () => exchange,
+		gateway: () => gateway,
+	});
+	const gateway: Gateway = createGateway({
 		configuration: documentWatch,
 		grants,
 		claims,
-		instances: directory,
+		instances: fleet.routing,
 		clock,
 		random,
 		zone,
@@ -194,12 +220,13 @@
 	return {
 		documentWatch,
 		directory,
-		session: createSession({store: platform.store, clock, identity}),
+		session,
 		grants,
 		claims,
 		gateway,
 		exchange,
 		listSource,
+		fleet,
 		peerService,
 		setDraining() {
 			draining = true;
--- a/packages/programs/daemon/src/systems.ts
+++ b/packages/programs/daemon/src/systems.ts
@@ -20,6 +20,13 @@
 			parts.grants.tick();
 		},
 	},
+	{
+		name: 'claims',
+		intervalMilliseconds: 20,
+		run() {
+			parts.claims.tick();
+		},
+	},
 	{
 		name: 'session',
 		intervalMilliseconds: 500,
@@ -36,6 +43,7 @@
 		},
 	},
 	{name: 'document', intervalMilliseconds: 500, run: async () => parts.documentWatch.tick()},
+	{name: 'fleet', intervalMilliseconds: 1000, run: async () => parts.fleet.tick()},
 	{name: 'instance-list', intervalMilliseconds: 1000, run: async () => parts.listSource.tick()},
 ];
 
@@ -63,7 +71,9 @@
 		};
 
 		void runOnce();
-		return setInterval(runOnce, intervalMilliseconds);
+		return setInterval(() => {
+			void runOnce();
+		}, intervalMilliseconds);
 	});
 	return {
 		stop() {
