Add the command line, the operator service and the review of documents

Cause: operators need to submit, review, withdraw and show documents and to see the status, over any entry instance, with exit codes that scripts can act on.

Ruled out: - The command library's own JSON for usage errors: it prints the parsed flags, the operators' token among them. Only the message is taken now, and a test checks that the token appears in no output. - Reporting `not-applied` for a repeated change as final: the earlier request may still be under way elsewhere, so the exit code is 75 (outcome unknown). - A token check in the handlers: createOperatorHandler already compares it in constant time in front of them.

--- /dev/null
+++ b/packages/configuration/operator-service/src/index.ts
@@ -0,0 +1,3 @@
+export {createOperatorService} from './operator-service.js';
+export type {OperatorServiceOptions} from './operator-service.js';
+export type * from './status-source.js';
--- /dev/null
+++ b/packages/configuration/operator-service/test/operator-service.test.ts
@@ -0,0 +1,66 @@
+import {
+	Code, ConnectError, createClient, createRouterTransport,
+} from '@connectrpc/connect';
+import test from 'ava';
+import type {HistoryError} from '@turmericbay/document-watch';
+import {operatorMessages} from '@turmericbay/peer-protocol';
+import {err} from 'neverthrow';
+import {createOperatorService} from '../src/index.js';
+
+const createFailingClient = (error: HistoryError) => {
+	const implementation = createOperatorService({
+		documentWatch: {
+			current: () => undefined,
+			currentJson: () => '',
+			submitDocument: async () => ({type: 'outcome-unknown', message: 'lost'}),
+			withdrawDocument: async () => ({type: 'not-applied', message: 'down'}),
+			listHistory: async () => err(error),
+			readVersion: async () => err(error),
+			status: () => ({
+				version: 0, confirmationAgeMilliseconds: undefined, platformReachable: false, fault: '', pendingChanges: [],
+			}),
+		},
+		statusSource: {
+			entryInstances: () => [],
+			pools: () => [],
+			teams: () => [],
+			maintenance: () => ({
+				steps: [], failedInstances: [], done: 0, remaining: 0, blockedReason: '',
+			}),
+		},
+	});
+	return createClient(operatorMessages.OperatorService, createRouterTransport(router => {
+		router.service(operatorMessages.OperatorService, implementation);
+	}));
+};
+
+// Guards against failures of the platform that look like a missing version, and the other way round.
+test('history errors keep their meaning', async t => {
+	const cases: ReadonlyArray<readonly [HistoryError['code'], Code]> = [
+		['HISTORY_UNAVAILABLE', Code.Unavailable],
+		['VERSION_NOT_FOUND', Code.NotFound],
+		['VERSION_UNREADABLE', Code.FailedPrecondition],
+	];
+	const answers = await Promise.all(cases.map(async ([code]) => {
+		const client = createFailingClient({code, message: code});
+		return Promise.all([t.throwsAsync(client.showDocument({version: 3n})), t.throwsAsync(client.listHistory({}))]);
+	}));
+	t.deepEqual(
+		answers.map(errors => errors.map(error => ConnectError.from(error).code)),
+		cases.map(([, expected]) => [expected, expected]),
+	);
+});
+
+// Guards against an instance without a document that fails instead of saying so, and against outcomes that change on the way.
+test('an instance without a document answers', async t => {
+	const client = createFailingClient({code: 'HISTORY_UNAVAILABLE', message: 'down'});
+	const missing = await t.throwsAsync(client.showDocument({}));
+	t.is(ConnectError.from(missing).code, Code.NotFound);
+	const review = await client.reviewDocument({documentJson: '{"schemaVersion":1,"pools":{},"teams":{},"queues":{}}'});
+	t.deepEqual([review.currentVersion, review.faults, review.changes], [0n, [], []]);
+	const submitted = await client.submitDocument({documentJson: '{}', changeId: 'change-1'});
+	const withdrawn = await client.withdrawDocument({changeId: 'change-2'});
+	t.deepEqual([submitted.verdict, withdrawn.verdict], [operatorMessages.SubmitVerdict.OUTCOME_UNKNOWN, operatorMessages.SubmitVerdict.NOT_APPLIED]);
+	const status = await client.getStatus({});
+	t.deepEqual([status.entryInstances, status.documentFault], [[], '']);
+});
--- a/packages/programs/command-line/src/index.ts
+++ b/packages/programs/command-line/src/index.ts
@@ -1,1 +1,3 @@
-export const packageName = '@turmericbay/command-line';
+export {commands} from './commands.js';
+export {ExitCode} from './outcome.js';
+export type {CommandOutcome, Failure, Success} from './outcome.js';
--- /dev/null
+++ b/packages/programs/command-line/src/local-actions.ts
@@ -0,0 +1,31 @@
+/** Commands that need no entry instance. */
+import {createTeamKey} from '@turmericbay/document';
+import type {TeamKey} from '@turmericbay/document';
+import {formatSettingsFaults, loadSettings} from '@turmericbay/settings';
+import {ExitCode, fail, succeed} from './outcome.js';
+import type {CommandOutcome} from './outcome.js';
+
+/** The whole key appears in this outcome only. */
+export const createKey = ({create = createTeamKey}: {readonly create?: () => TeamKey} = {}): CommandOutcome => {
+	const {presentedKey, declaration} = create();
+	return succeed({
+		text: [
+			'key, shown only now; give it to the team:',
+			presentedKey,
+			'declaration; add it to the keys of the team in the document:',
+			JSON.stringify(declaration),
+		].join('\n'),
+		data: {key: presentedKey, declaration},
+	});
+};
+
+export const checkSettings = ({text, fileName}: {readonly text: string; readonly fileName: string}): CommandOutcome => loadSettings({text, fileName}).match(
+	(): CommandOutcome => succeed({text: `${fileName}: no faults`, data: {fileName, faults: []}}),
+	faults => fail({
+		exitCode: ExitCode.BadSettings,
+		code: 'BAD_SETTINGS',
+		message: `the settings have ${faults.length} ${faults.length === 1 ? 'fault' : 'faults'}\n${formatSettingsFaults(faults)}`,
+		next: 'correct the file and check it again; docs/settings.md lists all settings',
+		data: {faults},
+	}),
+);
