--- a/packages/configuration/document/src/schema.ts
+++ b/packages/configuration/document/src/schema.ts
@@ -36,7 +36,7 @@
 }
 
 const poolSchema = z.strictObject({
-	kind: z.enum(PoolKind),
+	kind: z.enum(PoolKind).describe('What the instances do: answer requests, or run tasks of jobs.'),
 	slotsPerInstance: positiveInteger.default(8).describe('Requests that one upstream runs at a time.'),
 	connectionsPerInstance: positiveInteger.default(64).describe('Connections that one upstream accepts.'),
 	maximumUnavailable: nonNegativeInteger.default(1).describe('Instances of the pool that may be out of service at a time, planned or not.'),
@@ -46,15 +46,15 @@
 });
 
 const keySchema = z.strictObject({
-	id: z.string().regex(/^[\da-z]{8,32}$/v, 'expected 8 to 32 lower-case letters and digits'),
-	salt: z.string().regex(/^[\da-f]{32}$/v, 'expected 16 bytes in hexadecimal'),
-	hash: z.string().regex(/^[\da-f]{64}$/v, 'expected a SHA-256 hash in hexadecimal'),
+	id: z.string().regex(/^[\da-z]{8,32}$/v, 'expected 8 to 32 lower-case letters and digits').describe('Part of the key that is no secret; each id stands once in the document.'),
+	salt: z.string().regex(/^[\da-f]{32}$/v, 'expected 16 bytes in hexadecimal').describe('16 random bytes in hexadecimal.'),
+	hash: z.string().regex(/^[\da-f]{64}$/v, 'expected a SHA-256 hash in hexadecimal').describe('SHA-256 hash of salt and secret in hexadecimal.'),
 });
 
 const teamSchema = z.strictObject({
 	share: z.number().positive().describe('Weight of the team when everything is full.'),
 	limit: nonNegativeInteger.describe('Upper limit of running requests and jobs across the whole fleet.'),
-	keys: z.array(keySchema).default([]),
+	keys: z.array(keySchema).default([]).describe('Keys that the team may present; several are valid at a time, so that they can be changed without a gap.'),
 });
 
 const whenUnconfirmedSchema = z.discriminatedUnion('action', [
@@ -66,40 +66,40 @@
 ]);
 
 const queueSchema = z.strictObject({
-	pool: name,
-	access: z.enum(QueueAccess).default(QueueAccess.Team),
+	pool: name.describe('Pool whose upstreams run the requests.'),
+	access: z.enum(QueueAccess).default(QueueAccess.Team).describe('Whether a team key is needed; open queues have no team limit.'),
 	teams: z.array(name).default([]).describe('Teams that may use the queue; empty means all teams.'),
-	repeatability: z.enum(Repeatability).default(Repeatability.ByMethod),
+	repeatability: z.enum(Repeatability).default(Repeatability.ByMethod).describe('Which requests may be sent again after a failure; with never each needs an idempotency key.'),
 	timeoutMilliseconds: positiveInteger.max(600_000).default(10_000).describe('Time from arrival to answer if the caller names none.'),
 	maximumRunMilliseconds: positiveInteger.max(3_600_000).default(30_000).describe('Longest time that an upstream can go on running a request, also after its connection broke.'),
 	maximumQueued: positiveInteger.default(200).describe('Requests that one entry instance queues.'),
-	urgent: z.boolean().default(false),
-	whenUnconfirmed: whenUnconfirmedSchema.default({action: UnconfirmedAction.Refuse}),
+	urgent: z.boolean().default(false).describe('Its requests go ahead of those of other queues of the pool.'),
+	whenUnconfirmed: whenUnconfirmedSchema.default({action: UnconfirmedAction.Refuse}).describe('What happens to keyed requests once the document has not been confirmed for 5 s.'),
 });
 
 const maintenanceSchema = z.strictObject({
-	periodDays: positiveInteger.default(21),
-	enabled: z.boolean().default(false),
-	maximumUnavailablePerRack: positiveInteger.default(1),
-	maximumUnavailablePerZone: positiveInteger.default(4),
+	periodDays: positiveInteger.default(21).describe('Every instance is maintained once in this time.'),
+	enabled: z.boolean().default(false).describe('Whether maintenance waves run.'),
+	maximumUnavailablePerRack: positiveInteger.default(1).describe('Instances of one rack that may be out of service at a time, planned or not.'),
+	maximumUnavailablePerZone: positiveInteger.default(4).describe('Instances of one availability zone that may be out of service at a time, planned or not.'),
 });
 
 const policySchema = z.strictObject({
 	weights: z.strictObject({
-		bufferCost: z.number().min(0).default(1),
-		rollOutTime: z.number().min(0).default(1),
-		moves: z.number().min(0).default(1),
-		shareNearness: z.number().min(0).default(1),
-	}),
+		bufferCost: z.number().min(0).default(1).describe('Weight of the cost of idle capacity.'),
+		rollOutTime: z.number().min(0).default(1).describe('Weight of the time that a maintenance wave takes.'),
+		moves: z.number().min(0).default(1).describe('Weight of the number of moves between pools.'),
+		shareNearness: z.number().min(0).default(1).describe('Weight of how near each team comes to its share.'),
+	}).describe('Weights of the four measures; see docs/measures.md.'),
 });
 
 export const documentSchema = z.strictObject({
-	schemaVersion: z.literal(documentSchemaVersion),
-	pools: z.record(name, poolSchema),
-	teams: z.record(name, teamSchema),
-	queues: z.record(name, queueSchema),
-	maintenance: maintenanceSchema.prefault({}),
-	policy: policySchema.prefault({weights: {}}),
+	schemaVersion: z.literal(documentSchemaVersion).describe('Version of the document format.'),
+	pools: z.record(name, poolSchema).describe('Pools by name.'),
+	teams: z.record(name, teamSchema).describe('Teams by name.'),
+	queues: z.record(name, queueSchema).describe('Queues by name.'),
+	maintenance: maintenanceSchema.prefault({}).describe('Maintenance waves.'),
+	policy: policySchema.prefault({weights: {}}).describe('What the fleet policy aims at.'),
 });
 
 /** A checked document with all defaults filled in. */
