Add the measuring tool and feed the pool policy running requests

Cause: the fleet policy could not be compared with plain baselines. The pool policy also averaged waiting requests, which counts the load of a burst a second time; it now averages running ones, whose mean is the offered load.

Ruled out: a cluster simulator (the core is driven tick by tick against small stand-ins); counting instances on their way as free (a policy that moves all the time would look cheap).

--- a/packages/fleet/policy/src/pools.ts
+++ b/packages/fleet/policy/src/pools.ts
@@ -16,8 +16,11 @@
 	readonly members: readonly InstanceId[];
 	readonly minimumInstances: number;
 	readonly slotsPerInstance: number;
-	/** Requests that run or wait, over all entry instances. */
-	readonly demandSlots: number;
+	/**
+	 * Requests that run, over all entry instances. Their average is the offered
+	 * load; waiting requests would count the load of a burst a second time.
+	 */
+	readonly busySlots: number;
 	/** Instances on their way to the pool. */
 	readonly joining: number;
 };
@@ -46,10 +49,10 @@
 
 	const observe = (load: PoolLoad, now: number, elapsed: number): PoolHistory => {
 		const history = histories.get(load.pool) ?? {
-			averageDemand: load.demandSlots, elapsed: 0, shortSince: undefined, longSince: undefined,
+			averageDemand: load.busySlots, elapsed: 0, shortSince: undefined, longSince: undefined,
 		};
 		histories.set(load.pool, history);
-		updateAverage(history, load.demandSlots, elapsed);
+		updateAverage(history, load.busySlots, elapsed);
 		const size = load.members.length + load.joining;
 		const needed = history.averageDemand / (load.slotsPerInstance * settings.targetUse);
 		// One instance of difference between joining and leaving, so that no demand asks for both.
--- a/packages/fleet/policy/test/fleet.test.ts
+++ b/packages/fleet/policy/test/fleet.test.ts
@@ -35,7 +35,7 @@
 	let moves = 0;
 	for (let now = 0; now < minutes * 60 * second; now += second) {
 		const pools = [...members].map(([pool, size], index): PoolLoad => ({
-			pool, isSpare: pool === 'spare', minimumInstances: 2, slotsPerInstance: 8, joining: 0, demandSlots: index === 0 ? 0 : demandAt(index, now),
+			pool, isSpare: pool === 'spare', minimumInstances: 2, slotsPerInstance: 8, joining: 0, busySlots: index === 0 ? 0 : demandAt(index, now),
 			members: Array.from({length: size}, (_, member) => `${pool}/${member}`),
 		}));
 		for (const {instance, destination} of policy.tick({now, pools})) {
--- a/packages/tools/measure/src/index.ts
+++ b/packages/tools/measure/src/index.ts
@@ -1,1 +1,4 @@
-export const packageName = '@turmericbay/measure';
+export * from './measure.js';
+export * from './policies.js';
+export * from './report.js';
+export * from './sites.js';
