Read learned quantiles once per 20 reports

Ruled out: fewer look-ahead jobs (large jobs would hold up small ones).

Change: the ratios of a class are kept until 20 more reports have come.

--- a/packages/fleet/policy/src/learned-sizes.ts
+++ b/packages/fleet/policy/src/learned-sizes.ts
@@ -13,6 +13,8 @@
 const highestRatio = 1000 * ratioScale;
 /** Fewer reports than this say too little about a tail. */
 const minimumReports = 20;
+/** Quantiles are read again after this many reports; reading walks the whole histogram and each search for a worker asks for them. */
+const reportsPerReading = 20;
 /** Two windows of this many reports are kept, so that a class that changes is learned again. */
 const reportsPerWindow = 500;
 
@@ -24,7 +26,8 @@
 
 type LearnedResource = 'processors' | 'memoryGigabytes';
 type Window = Record<LearnedResource, Histogram>;
-type LearnedClass = {current: Window; previous: Window | undefined; count: number};
+type Ratios = Record<LearnedResource, {readonly middle: number; readonly upper: number}>;
+type LearnedClass = {current: Window; previous: Window | undefined; count: number; ratios: Ratios | undefined};
 
 export type JobClass = {readonly team: TeamName; readonly queue: QueueName};
 
@@ -61,23 +64,31 @@
 		}
 	};
 
+	const readResource = (learned: LearnedClass, resource: LearnedResource) =>
+		({middle: readRatio(learned, resource, 50), upper: readRatio(learned, resource, upperPercentile)});
+
 	const estimateResource = (learned: LearnedClass, resource: LearnedResource, declared: Resources) => {
-		const expected = declared[resource] * readRatio(learned, resource, 50);
-		const upper = declared[resource] * readRatio(learned, resource, upperPercentile);
-		return {expected, deviation: Math.max(0, upper - expected)};
+		learned.ratios ??= {processors: readResource(learned, 'processors'), memoryGigabytes: readResource(learned, 'memoryGigabytes')};
+		const {middle, upper} = learned.ratios[resource];
+		return {expected: declared[resource] * middle, deviation: declared[resource] * Math.max(0, upper - middle)};
 	};
 
 	return {
 		report({team, queue, declared, used}) {
 			const name = formatClass({team, queue});
-			let learned = classes.get(name) ?? {current: createWindow(), previous: undefined, count: 0};
+			let learned = classes.get(name) ?? {
+				current: createWindow(), previous: undefined, count: 0, ratios: undefined,
+			};
 			if (learned.count >= reportsPerWindow) {
-				learned = {current: createWindow(), previous: learned.current, count: 0};
+				learned = {
+					current: createWindow(), previous: learned.current, count: 0, ratios: learned.ratios,
+				};
 			}
 
 			recordRatio(learned.current, 'processors', used, declared);
 			recordRatio(learned.current, 'memoryGigabytes', used, declared);
 			learned.count++;
+			learned.ratios = learned.count % reportsPerReading === 0 ? undefined : learned.ratios;
 			classes.set(name, learned);
 		},
 		estimate({team, queue, declared}) {
