--- a/packages/configuration/operator-service/src/operator-service.ts
+++ b/packages/configuration/operator-service/src/operator-service.ts
@@ -76,6 +76,7 @@
 
 const createStatusHandlers = ({documentWatch, statusSource}: OperatorServiceOptions) => ({
 	async getStatus() {
+		await statusSource.refresh();
 		return {
 			entryInstances: statusSource.entryInstances().map(({documentVersion, confirmationAgeMilliseconds, ...report}) => ({
 				...report, documentVersion: BigInt(documentVersion), ...toMilliseconds(confirmationAgeMilliseconds),
@@ -104,6 +105,7 @@
 			}));
 		},
 		async reviewDocument({documentJson}) {
+			await statusSource.refresh();
 			const current = documentWatch.current();
 			const currentVersion = BigInt(current?.version ?? 0);
 			return parseDocument({text: documentJson}).match(
--- a/packages/configuration/operator-service/src/status-source.ts
+++ b/packages/configuration/operator-service/src/status-source.ts
@@ -44,6 +44,8 @@
 };
 
 export type StatusSource = {
+	/** Asks the other entry instances for their figures; ends within a bounded time. */
+	refresh(): Promise<void>;
 	/** All known entry instances, the answering one included. */
 	entryInstances(): readonly EntryInstanceReport[];
 	pools(): readonly PoolReport[];
--- a/packages/configuration/operator-service/test/operator-service.test.ts
+++ b/packages/configuration/operator-service/test/operator-service.test.ts
@@ -24,6 +24,7 @@
 			entryInstances: () => [],
 			pools: () => [],
 			teams: () => [],
+			refresh: async () => undefined,
 			maintenance: () => ({
 				steps: [], failedInstances: [], done: 0, remaining: 0, blockedReason: '',
 			}),
--- a/packages/programs/command-line/test/scripted-entry-instance.ts
+++ b/packages/programs/command-line/test/scripted-entry-instance.ts
@@ -75,6 +75,7 @@
 			team: 'pricing', share: 1, limit: 5, granted: 5, running: 4, queued: 0,
 		},
 	],
+	refresh: async () => undefined,
 	maintenance: () => ({
 		steps: [{instance: 'wash-1', pool: 'wash', phase: 'draining'}], failedInstances: ['wash-3'], done: 1, remaining: 2, estimatedSeconds: 840, blockedReason: 'pool wash has no budget left',
 	}),
--- a/packages/programs/daemon/src/entry-instance.ts
+++ b/packages/programs/daemon/src/entry-instance.ts
@@ -35,6 +35,7 @@
 import type {PeerExchange} from './peer-exchange.js';
 import {createPeerService} from './peer-service.js';
 import type {PlatformParts} from './platform-parts.js';
+import {listOwnTeams} from './status-source.js';
 import {listTeamLimits} from './team-limits.js';
 
 export type EntryInstanceOptions = {
@@ -59,6 +60,7 @@
 	readonly listSource: InstanceListSource;
 	readonly fleet: FleetParts;
 	readonly peerService: ReturnType<typeof createPeerService>;
+	describeKnowledge(): Knowledge;
 	setDraining(): void;
 };
 
@@ -212,6 +214,7 @@
 		claims,
 		listSource,
 		describeKnowledge: describe,
+		listTeams: () => listOwnTeams({gateway, grants}),
 		onKnowledge({instance, documentVersion}) {
 			void documentWatch.noticePeerVersion({instance, version: Number(documentVersion)});
 		},
@@ -228,6 +231,7 @@
 		listSource,
 		fleet,
 		peerService,
+		describeKnowledge: describe,
 		setDraining() {
 			draining = true;
 		},
--- a/packages/programs/daemon/src/peer-service.ts
+++ b/packages/programs/daemon/src/peer-service.ts
@@ -3,7 +3,7 @@
 import type {DocumentWatch} from '@turmericbay/document-watch';
 import type {GrantHolder} from '@turmericbay/grant-ledger';
 import {ExchangeResponseSchema} from '@turmericbay/peer-protocol';
-import type {Knowledge, PeerServiceImplementation} from '@turmericbay/peer-protocol';
+import type {Knowledge, PeerServiceImplementation, TeamLoad} from '@turmericbay/peer-protocol';
 import type {Claims} from '@turmericbay/claims';
 import {createClaimHandlers} from './claims-service.js';
 import type {InstanceListSource} from './instance-list-source.js';
@@ -14,9 +14,11 @@
 	readonly claims: Claims;
 	readonly listSource: InstanceListSource;
 	readonly describeKnowledge: () => Knowledge;
+	/** Figures of the teams at this instance, for a status call elsewhere. */
+	readonly listTeams: () => ReadonlyArray<Pick<TeamLoad, 'team' | 'running' | 'queued' | 'granted'>>;
 	readonly onKnowledge: (knowledge: Knowledge) => void;
 }): PeerServiceImplementation => ({
-	exchange({knowledge, wantsListNewerThanMs}) {
+	exchange({knowledge, wantsListNewerThanMs, wantsTeams}) {
 		if (knowledge !== undefined) {
 			options.onKnowledge(knowledge);
 		}
@@ -26,6 +28,7 @@
 			knowledge: options.describeKnowledge(),
 			listed: [...listed ?? []],
 			listIncluded: listed !== undefined,
+			teams: wantsTeams ? [...options.listTeams()] : [],
 		});
 	},
 	getDocument: () => ({envelopeJson: options.documentWatch.currentJson()}),
