--- a/packages/common/settings/src/index.ts
+++ b/packages/common/settings/src/index.ts
@@ -1,3 +1,4 @@
+export {formatSettingsTable} from './documentation.js';
 export {formatSettingsFaults, loadSettings} from './load.js';
 export {settingsTable} from './schema.js';
 export {formatNetworkAddress, parseNetworkAddress} from './values.js';
--- /dev/null
+++ b/packages/common/settings/test/documentation.test.ts
@@ -0,0 +1,20 @@
+import {readFile} from 'node:fs/promises';
+import test from 'ava';
+import {formatSettingsFaults, formatSettingsTable, loadSettings} from '../src/index.js';
+
+const page = await readFile(new URL('../../../../../docs/settings.md', import.meta.url), 'utf8');
+
+// Guards against a page that describes other settings than the daemon reads.
+test('the table of docs/settings.md is current', t => {
+	const lines = page.split('\n');
+	t.deepEqual(formatSettingsTable().split('\n').filter(line => !lines.includes(line)), []);
+	t.is(lines.filter(line => line.startsWith('| `[')).length, formatSettingsTable().split('\n').length - 2);
+});
+
+// Guards against an example that the daemon refuses.
+test('the example of docs/settings.md has no faults', t => {
+	const example = /```ini\n(?<text>[^`]+)```/v.exec(page)?.groups?.text ?? '';
+	const faults = loadSettings({text: example, fileName: 'settings.md'}).match(() => '', formatSettingsFaults);
+	t.is(faults, '');
+	t.true(example.length > 100);
+});
