Keep the room that preemption makes for the urgent job

Smaller jobs took the room while victims left one after the other, and victims were chosen without the joint deviation of the jobs that stay, so the room was often too small.

Ruled out: the limits of the teams (starts at a limit are not counted); failed first tries (only first starts are counted).

The deviation is kept from sinking below 0 by rounding, which would have made a worker unusable.

--- a/packages/fleet/policy/src/placement.ts
+++ b/packages/fleet/policy/src/placement.ts
@@ -15,25 +15,28 @@
 /** Prefers a worker without recent failures as long as there is one. */
 const evidenceCost = 1;
 
+export type ReservedRoom = Pick<WorkerRow, 'capacity' | 'expected' | 'variance'>;
+
 /** Fraction of the resource that would be reserved, with the expected sizes and the joint deviation of all jobs. */
-const measureReservation = (worker: WorkerRow, estimate: SizeEstimate, resource: keyof Resources): number => {
+const measureReservation = (worker: ReservedRoom, estimate: SizeEstimate, resource: keyof Resources): number => {
 	const expected = worker.expected[resource] + estimate.expected[resource];
 	if (expected === 0) {
 		return 0;
 	}
 
-	const deviation = Math.sqrt(worker.variance[resource] + (estimate.deviation[resource] ** 2));
+	// Sums of fractions that were added and taken away can end just below 0.
+	const deviation = Math.sqrt(Math.max(0, worker.variance[resource] + (estimate.deviation[resource] ** 2)));
 	return (expected + deviation) / worker.capacity[resource];
 };
 
 /** Highest reserved fraction with the job added; above 1 if it does not fit. */
-export const measureFit = (worker: WorkerRow, estimate: SizeEstimate): number =>
+export const measureFit = (worker: ReservedRoom, estimate: SizeEstimate): number =>
 	Math.max(...resourceNames.map(resource => measureReservation(worker, estimate, resource)));
 
 /** Differences of sums of fractions; far below any real size. */
 const tolerance = 1e-9;
 
-export const fits = (worker: WorkerRow, estimate: SizeEstimate): boolean => measureFit(worker, estimate) <= 1 + tolerance;
+export const fits = (worker: ReservedRoom, estimate: SizeEstimate): boolean => measureFit(worker, estimate) <= 1 + tolerance;
 
 /** True if some worker of the pool could hold the job were it empty; also if the pool has no worker now. */
 export const couldEverFit = (tables: FleetTables, pool: PoolName, estimate: SizeEstimate): boolean => {
@@ -53,7 +56,10 @@
 export type PlaceJob = (options: PlacementOptions) => WorkerRow | undefined;
 
 export const isUsable = ({health, row, now}: PlacementOptions, worker: WorkerRow): boolean =>
-	worker.open && !row.failedOn.includes(worker.worker) && health.mayStart(worker, now);
+	worker.open
+	&& (worker.heldFor === undefined || worker.heldFor.job === row.job || now >= worker.heldFor.until)
+	&& !row.failedOn.includes(worker.worker)
+	&& health.mayStart(worker, now);
 
 const rateWorker = (options: PlacementOptions, worker: WorkerRow, className: string, fit: number): number => {
 	const {tables, health, estimate} = options;
--- a/packages/fleet/policy/src/preemption.ts
+++ b/packages/fleet/policy/src/preemption.ts
@@ -2,13 +2,14 @@
 import type {FleetAction} from './actions.js';
 import type {SizeEstimate} from './learned-sizes.js';
 import {setPressure} from './overload.js';
-import {resourceNames} from './resources.js';
+import {fits} from './placement.js';
+import {addResources, noResources, squareResources} from './resources.js';
 import {measureService} from './shares.js';
-import {TaskPressure} from './tables.js';
+import {holdWorker, TaskPressure} from './tables.js';
 import type {FleetTables, JobRow, WorkerRow} from './tables.js';
 
 /** Ordinary ends of jobs often make room within this time. */
-const patienceMilliseconds = 1500;
+const patienceMilliseconds = 3000;
 /** A worker whose room was asked for gets no second request before this one can have had its effect. */
 const repeatMilliseconds = 6000;
 
@@ -18,27 +19,25 @@
 
 /** The fewest victims, best served teams first, whose end lets the job fit; undefined if all together are too few. */
 const chooseVictims = (tables: FleetTables, worker: WorkerRow, estimate: SizeEstimate): JobRow[] | undefined => {
-	const free = {...worker.capacity};
-	for (const resource of resourceNames) {
-		free[resource] -= worker.expected[resource];
-	}
-
-	const hasRoom = () => resourceNames.every(resource => estimate.expected[resource] + estimate.deviation[resource] <= free[resource]);
+	const {capacity} = worker;
+	let {expected, variance} = worker;
 	const chosen: JobRow[] = [];
+	const hasRoom = () => fits({capacity, expected, variance}, estimate);
 	for (const row of listVictims(tables, worker)) {
 		if (hasRoom()) {
 			break;
 		}
 
 		chosen.push(row);
-		for (const resource of resourceNames) {
-			free[resource] += row.task?.estimate.expected[resource] ?? 0;
-		}
+		expected = addResources(expected, row.task?.estimate.expected ?? noResources, -1);
+		variance = addResources(variance, squareResources(row.task?.estimate.deviation ?? noResources), -1);
 	}
 
 	return hasRoom() && chosen.length > 0 ? chosen : undefined;
 };
 
+/** Longer than the checkpoints and stops that make the room. */
+const holdMilliseconds = 8000;
 /** Workers looked at per request; choosing the very best of a large pool is not worth the time. */
 const consideredWorkers = 50;
 
@@ -48,16 +47,16 @@
 		return [];
 	}
 
-	let best: JobRow[] | undefined;
+	let best: {worker: WorkerRow; victims: JobRow[]} | undefined;
 	let considered = 0;
 	for (const worker of tables.workersByPool.get(row.pool) ?? []) {
 		const victims = isUsable(worker) ? chooseVictims(tables, worker, estimate) : undefined;
-		if (victims && (!best || victims.length < best.length)) {
-			best = victims;
+		if (victims && (!best || victims.length < best.victims.length)) {
+			best = {worker, victims};
 		}
 
 		considered += victims ? 1 : 0;
-		if (best?.length === 1 || considered >= consideredWorkers) {
+		if (best?.victims.length === 1 || considered >= consideredWorkers) {
 			break;
 		}
 	}
@@ -67,5 +66,7 @@
 	}
 
 	row.preemptedAt = now;
-	return best.flatMap(victim => setPressure(victim, TaskPressure.Checkpointing, now));
+	// Otherwise smaller jobs take the room as the victims leave one after the other.
+	holdWorker(row, best.worker, now + holdMilliseconds);
+	return best.victims.flatMap(victim => setPressure(victim, TaskPressure.Checkpointing, now));
 };
--- a/packages/fleet/policy/src/resources.ts
+++ b/packages/fleet/policy/src/resources.ts
@@ -24,6 +24,9 @@
 	accelerators: Math.max(left.accelerators, right.accelerators),
 });
 
+export const squareResources = ({processors, memoryGigabytes, accelerators}: Resources): Resources =>
+	({processors: processors ** 2, memoryGigabytes: memoryGigabytes ** 2, accelerators: accelerators ** 2});
+
 const divide = (part: number, whole: number) => part === 0 ? 0 : part / whole;
 
 /** Largest fraction of `whole` that `part` takes of any resource; Infinity if it takes one that is not there. */
--- a/packages/fleet/policy/src/tables.ts
+++ b/packages/fleet/policy/src/tables.ts
@@ -8,7 +8,7 @@
 } from '@turmericbay/types';
 import {formatClass} from './learned-sizes.js';
 import type {SizeEstimate} from './learned-sizes.js';
-import {addResources, noResources} from './resources.js';
+import {addResources, noResources, squareResources} from './resources.js';
 import type {Resources} from './resources.js';
 
 export type JobId = string;
@@ -47,8 +47,9 @@
 	task: Task | undefined;
 	/** Workers on which the job failed. */
 	readonly failedOn: InstanceId[];
-	/** Last time room was asked for by taking it from others. */
+	/** Last time room was asked for by taking it from others, and where. */
 	preemptedAt: number;
+	heldWorker: WorkerRow | undefined;
 };
 
 export type WorkerDeclaration = {
@@ -65,6 +66,8 @@
 	/** False while drained, set aside or listed as leaving. */
 	open: boolean;
 	readonly tasks: Map<JobId, JobRow>;
+	/** Room that others made for this job is kept for it until then. */
+	heldFor: {readonly job: JobId; readonly until: number} | undefined;
 	expected: Resources;
 	/** Sum of the squared deviations of the tasks. */
 	variance: Resources;
@@ -99,7 +102,7 @@
 
 export const addWorker = (tables: FleetTables, declaration: WorkerDeclaration): WorkerRow => {
 	const row: WorkerRow = {
-		...declaration, rackName: `${declaration.zone}/${declaration.rack}`, open: true, tasks: new Map(), expected: noResources, variance: noResources,
+		...declaration, rackName: `${declaration.zone}/${declaration.rack}`, open: true, tasks: new Map(), heldFor: undefined, expected: noResources, variance: noResources,
 	};
 	tables.workers.set(row.worker, row);
 	const members = tables.workersByPool.get(row.pool) ?? [];
@@ -131,7 +134,22 @@
 	team.waiting.set(name, queue);
 };
 
+export const holdWorker = (row: JobRow, worker: WorkerRow, until: number) => {
+	releaseHold(row);
+	row.heldWorker = worker;
+	worker.heldFor = {job: row.job, until};
+};
+
+const releaseHold = (row: JobRow) => {
+	if (row.heldWorker?.heldFor?.job === row.job) {
+		row.heldWorker.heldFor = undefined;
+	}
+
+	row.heldWorker = undefined;
+};
+
 const dequeue = (team: TeamRow, row: JobRow) => {
+	releaseHold(row);
 	team.urgentWaiting.delete(row.job);
 	const name = formatClass(row);
 	const queue = team.waiting.get(name);
@@ -149,16 +167,13 @@
 	}
 
 	const row: JobRow = {
-		...declaration, task: undefined, failedOn: [], preemptedAt: Number.NEGATIVE_INFINITY,
+		...declaration, task: undefined, failedOn: [], preemptedAt: Number.NEGATIVE_INFINITY, heldWorker: undefined,
 	};
 	tables.jobs.set(row.job, row);
 	enqueue(team, row);
 	return row;
 };
 
-const squareResources = ({processors, memoryGigabytes, accelerators}: Resources): Resources =>
-	({processors: processors ** 2, memoryGigabytes: memoryGigabytes ** 2, accelerators: accelerators ** 2});
-
 const reserve = (worker: WorkerRow, estimate: SizeEstimate, factor: 1 | -1) => {
 	worker.expected = addResources(worker.expected, estimate.expected, factor);
 	worker.variance = addResources(worker.variance, squareResources(estimate.deviation), factor);
