Plan pools fuller and average longer where moves weigh more

Change: planned use from 0.66 + 0.3 x weight of buffer cost instead of 0.6 + 0.5 x; averaging time from 180 s + 900 s x weight of moves.

--- a/packages/fleet/policy/src/pools.ts
+++ b/packages/fleet/policy/src/pools.ts
@@ -6,9 +6,6 @@
 import type {InstanceId, PoolName} from '@turmericbay/types';
 import type {PolicySettings} from './weights.js';
 
-/** Much longer than a burst of a few seconds and the quiet time around it. */
-const averagingMilliseconds = 300_000;
-
 export type PoolLoad = {
 	readonly pool: PoolName;
 	readonly isSpare: boolean;
@@ -34,7 +31,7 @@
 	tick(options: {now: number; pools: readonly PoolLoad[]}): PoolMove[];
 };
 
-const updateAverage = (history: PoolHistory, demand: number, elapsed: number) => {
+const updateAverage = (history: PoolHistory, demand: number, {elapsed, averagingMilliseconds}: {elapsed: number; averagingMilliseconds: number}) => {
 	history.elapsed += elapsed;
 	// A plain mean until the averaging time has passed once, so that the first demand seen does not count for long.
 	const window = Math.max(1, Math.min(history.elapsed, averagingMilliseconds));
@@ -52,7 +49,7 @@
 			averageDemand: load.busySlots, elapsed: 0, shortSince: undefined, longSince: undefined,
 		};
 		histories.set(load.pool, history);
-		updateAverage(history, load.busySlots, elapsed);
+		updateAverage(history, load.busySlots, {elapsed, averagingMilliseconds: settings.averagingMilliseconds});
 		const size = load.members.length + load.joining;
 		const needed = history.averageDemand / (load.slotsPerInstance * settings.targetUse);
 		// One instance of difference between joining and leaving, so that no demand asks for both.
--- a/packages/fleet/policy/src/weights.ts
+++ b/packages/fleet/policy/src/weights.ts
@@ -6,6 +6,8 @@
 export type PolicySettings = {
 	/** Planned use of a pool's slots at its average demand; higher holds fewer instances. */
 	readonly targetUse: number;
+	/** Time over which demand is averaged; much longer than a burst of a few seconds and the quiet time around it. */
+	readonly averagingMilliseconds: number;
 	/** How long a pool's need has to last before an instance joins or leaves it. */
 	readonly joinHoldMilliseconds: number;
 	readonly leaveHoldMilliseconds: number;
@@ -30,7 +32,8 @@
 export const deriveSettings = (weights: PolicyWeights): PolicySettings => {
 	const {bufferCost, rollOutTime, moves} = normalizeWeights(weights);
 	return {
-		targetUse: Math.min(0.9, 0.6 + (0.5 * bufferCost)),
+		targetUse: Math.min(0.9, 0.66 + (0.3 * bufferCost)),
+		averagingMilliseconds: 180_000 + (900_000 * moves),
 		joinHoldMilliseconds: 30_000 + (240_000 * moves),
 		leaveHoldMilliseconds: 120_000 + (1_200_000 * moves),
 		zonesAtOnceFraction: Math.min(1, 2 * rollOutTime),
