--- a/packages/programs/daemon/src/status-source.ts
+++ b/packages/programs/daemon/src/status-source.ts
@@ -111,8 +111,9 @@
 					zone: member.zone,
 					reachable,
 					documentVersion: Number(knowledge?.documentVersion ?? 0n),
-					platformReachable: knowledge?.platformReachable ?? false,
-					confirmationAgeMilliseconds: knowledge?.confirmationAgeMs === undefined ? undefined : Number(knowledge.confirmationAgeMs),
+					platformReachable: reachable && knowledge?.platformReachable === true,
+					// What an unreachable instance said earlier is no longer true of it.
+					confirmationAgeMilliseconds: !reachable || knowledge?.confirmationAgeMs === undefined ? undefined : Number(knowledge.confirmationAgeMs),
 				})),
 			];
 		},
--- a/packages/tools/demo/src/fleet.ts
+++ b/packages/tools/demo/src/fleet.ts
@@ -20,6 +20,8 @@
 	readonly listLagMilliseconds?: number;
 	/** The configuration document as it would be submitted. */
 	readonly document: unknown;
+	/** Submits the first document; by default through the operator service. */
+	readonly submitFirst?: (entry: EntryProcess) => Promise<void>;
 	readonly overrides?: SettingOverrides;
 };
 
@@ -92,7 +94,7 @@
 	const entries = await Promise.all(members.map(async place => startEntry(place)));
 	const [first] = entries;
 	if (first !== undefined) {
-		await submit(plan.document, {at: first, reviewedVersion: 0});
+		await (plan.submitFirst?.(first) ?? submit(plan.document, {at: first, reviewedVersion: 0}));
 		await launcher.waitUntilReady(entries);
 	}
 
--- a/packages/tools/demo/src/launcher.ts
+++ b/packages/tools/demo/src/launcher.ts
@@ -45,6 +45,8 @@
 export type Launcher = {
 	/** Loopback address of everything that this launcher starts. */
 	readonly host: string;
+	/** Temporary folder that `endAll` removes. */
+	readonly folder: string;
 	/** Ports of `host` that were free a moment ago, no two of them the same. */
 	findFreePorts(count: number): Promise<readonly number[]>;
 	startPlatform(options?: {readonly listLagMilliseconds?: number; readonly rebootMilliseconds?: number}): Promise<PlatformProcess>;
@@ -169,6 +171,7 @@
 
 	return {
 		host,
+		folder,
 		findFreePorts: async count => findFreePorts(host, count),
 		async startPlatform({listLagMilliseconds = 0, rebootMilliseconds = 1000} = {}) {
 			const {managed, ready} = await startStandIn({
--- a/packages/tools/demo/src/main.ts
+++ b/packages/tools/demo/src/main.ts
@@ -1,7 +1,7 @@
 /**
  * The main job as separate processes on loopback: stand-ins for the platform
  * and twelve upstreams, nine entry instances over three availability zones, a
- * submitted document, requests of two teams, an upstream that leaves, an entry
+ * document submitted with the command line, requests of two teams, an upstream that leaves, an entry
  * instance that is killed and one that is stopped. Prints counts that add up.
  */
 import process from 'node:process';
@@ -14,6 +14,7 @@
 import type {Launcher} from './launcher.js';
 import {planLoad, runLoad} from './load.js';
 import type {LoadReport, LoadSource} from './load.js';
+import {runOperatorCommand, submitFirstDocument} from './operator-commands.js';
 import {AnswerClass} from './send.js';
 
 const seed = 20_261_204;
@@ -127,6 +128,10 @@
 	const {document, keys} = createDemoDocument();
 	const fleet = await startFleet(launcher, {
 		zones: ['south', 'east', 'west'], entriesPerZone: 3, upstreamsPerZone: {pickups: 2, invoices: 2}, document,
+		async submitFirst({operationsUrl}) {
+			const output = await submitFirstDocument({operationsUrl, folder: launcher.folder, document});
+			log(`command line: ${output.split('\n')[0] ?? ''}`);
+		},
 	});
 	log(`${fleet.entries.length} entry instances and ${fleet.upstreams.length} upstreams are ready`);
 	const balancer = createBalancer(fleet.entries);
@@ -138,6 +143,9 @@
 	balancer.stop();
 	const orders = await fleet.platform.control.readOrders();
 	log(`the maintenance wave has rebooted ${orders.filter(({type}) => type === 'reboot').length} upstreams`);
+	const operationsUrl = fleet.entries.find(entry => entry.isRunning())?.operationsUrl ?? '';
+	const status = await runOperatorCommand({operationsUrl, words: ['status']});
+	console.log(status);
 	return printReport(report, await countRepeatedRuns(fleet), events);
 };
 
