Answer each fault on the data path with one true problem

Cause: the first gateway passed healthy traffic only. Faults of callers and upstreams could give an untyped answer, two answers, or a wrong outcome.

Change: bytes that follow a pending request and cannot be parsed close the connection without an answer, since the caller would take it as the answer to the request that is running. A caller that sends a little too much is read to its end before 413, since closing earlier resets the connection and can destroy the answer. Requests without Host get a problem instead of the bare 400 of Node.js. Headers that undici refuses are the caller's fault, not the upstream's. A refused retry after a lost answer keeps the outcome unknown. close() waits for requests, also those whose callers hung up, up to the bound; then queued requests get DRAINING and connections are cut. Faults inside the gateway answer 502 unknown and free the unit.

--- a/packages/traffic/gateway/src/answer-reader.ts
+++ b/packages/traffic/gateway/src/answer-reader.ts
@@ -20,14 +20,12 @@
 	/** False if the receiver cannot take more for now; `onReady` is called once it can. */
 	write(chunk: Uint8Array, onReady: () => void): boolean;
 	end(): void;
-	/** Makes the loss visible to the receiver by destroying its connection. */
-	cut(): void;
 };
 
 export type ReaderVerdict
 	= | {readonly type: 'answer'; readonly head: AnswerHead; readonly body: Uint8Array}
 		| {readonly type: 'streamed'; readonly status: number}
-		| {readonly type: 'cut'; readonly streaming: boolean}
+		| {readonly type: 'cut'; readonly streaming: boolean; readonly answerBegan: boolean}
 		/** The answer carries the identifier of another request. */
 		| {readonly type: 'crossed'};
 
@@ -90,7 +88,7 @@
 			}
 
 			if (!isFramed(method, status, headers)) {
-				return {type: 'cut', streaming: false};
+				return {type: 'cut', streaming: false, answerBegan: true};
 			}
 
 			flow = activeFlow;
@@ -117,7 +115,7 @@
 
 			return {type: 'answer', head: head!, body: Buffer.concat(chunks, size)};
 		},
-		cut: () => ({type: 'cut', streaming}),
+		cut: () => ({type: 'cut', streaming, answerBegan: head !== undefined}),
 		isStreaming: () => streaming,
 	};
 };
--- /dev/null
+++ b/packages/traffic/gateway/src/arrival.ts
@@ -0,0 +1,115 @@
+/** Reads and checks a request before it may queue. */
+import {randomUUID} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {authorize} from '@turmericbay/admission';
+import type {ConfigurationDocument, QueueDeclaration} from '@turmericbay/document';
+import {ProblemCode} from '@turmericbay/types';
+import type {Problem} from '@turmericbay/types';
+import type {Allowed, AttemptContext} from './attempt.js';
+import {createCallerSink} from './caller-answer.js';
+import {
+	checkKey, isRepeatable, parseTarget, parseTimeout,
+} from './exchange.js';
+import type {Exchange} from './exchange.js';
+import {readBody} from './request-body.js';
+
+export type Arrival
+	= | {readonly type: 'accepted'; readonly exchange: Exchange; readonly allowed: Allowed; readonly document: ConfigurationDocument}
+		| {readonly type: 'refused'; readonly problem: Problem}
+		/** The caller is gone, or the server for callers answers. */
+		| {readonly type: 'gone'};
+
+type Caller = {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly span: Exchange['span'];
+	readonly arrivedAt: number;
+};
+
+const refuse = (code: ProblemCode, detail: string): Arrival => ({type: 'refused', problem: {code, detail}});
+
+/** Faults in the headers that a caller can correct. */
+const checkHeaders = ({headers, method}: IncomingMessage, queue: QueueDeclaration, timeout: number | undefined): Problem | undefined => {
+	if (timeout === undefined) {
+		return {code: ProblemCode.MalformedRequest, detail: 'X-Request-Timeout-Ms takes a whole number of milliseconds.'};
+	}
+
+	return !isRepeatable(queue, method ?? '') && headers['idempotency-key'] === undefined
+		? {code: ProblemCode.IdempotencyKeyMissing, detail: 'Send the header Idempotency-Key with a UUIDv7.'}
+		: undefined;
+};
+
+const receiveBody = async (context: AttemptContext, caller: Caller, accepted: {
+	readonly target: Pick<Exchange, 'queueName' | 'path'>;
+	readonly key: Exchange['key'];
+	readonly allowed: Allowed;
+	readonly document: ConfigurationDocument;
+	readonly timeoutMilliseconds: number;
+}): Promise<Arrival> => {
+	const {maximumBodyBytes, wholeAnswerBytes} = context.settings;
+	const {request, response, span, arrivedAt} = caller;
+	const {target, key, allowed, document, timeoutMilliseconds} = accepted;
+	const hangUp = new AbortController();
+	response.once('close', () => {
+		hangUp.abort();
+	});
+	const result = await readBody(request, maximumBodyBytes);
+	if (result.type === 'broken') {
+		return {type: 'gone'};
+	}
+
+	if (result.type === 'too-large') {
+		response.setHeader('connection', 'close');
+		return refuse(ProblemCode.BodyTooLarge, `Send at most ${maximumBodyBytes} bytes.`);
+	}
+
+	const exchange: Exchange = {
+		...target,
+		id: randomUUID(),
+		method: request.method ?? '',
+		headers: request.headers,
+		body: result.body,
+		key,
+		arrivedAt,
+		deadline: arrivedAt + timeoutMilliseconds,
+		span,
+		sink: createCallerSink(response, wholeAnswerBytes),
+		hangUp: hangUp.signal,
+		claimAttempt: undefined,
+		unknownProblem: undefined,
+		attempts: 0,
+	};
+	return {
+		type: 'accepted', exchange, allowed, document,
+	};
+};
+
+export const receiveRequest = async (context: AttemptContext, caller: Caller): Promise<Arrival> => {
+	const {configuration, authenticate} = context.options;
+	const {request} = caller;
+	const document = configuration.current()?.document;
+	const target = parseTarget(request.url ?? '');
+	if (document === undefined) {
+		return {type: 'refused', problem: {code: ProblemCode.NotReady, detail: 'Retry at another entry instance.', retryAfterSeconds: 1}};
+	}
+
+	if (target === undefined) {
+		return refuse(ProblemCode.QueueUnknown, 'Use a path below /queues/{queue}/.');
+	}
+
+	const key = checkKey(request.headers, authenticate);
+	const allowed = authorize({
+		document, queueName: target.queueName, key, confirmationAgeMilliseconds: configuration.confirmationAgeMilliseconds(),
+	});
+	if (allowed.type === 'refused') {
+		return allowed;
+	}
+
+	const timeoutMilliseconds = parseTimeout(request, allowed.queue);
+	const problem = checkHeaders(request, allowed.queue, timeoutMilliseconds);
+	return problem === undefined
+		? receiveBody(context, caller, {
+			target, key, allowed, document, timeoutMilliseconds: timeoutMilliseconds ?? 0,
+		})
+		: {type: 'refused', problem};
+};
--- a/packages/traffic/gateway/src/attempt.ts
+++ b/packages/traffic/gateway/src/attempt.ts
@@ -1,29 +1,23 @@
-/** One attempt of a request: claim, selection of an upstream, sending, and what the result means. */
+/** One attempt of a request: claim, selection of an upstream, and sending. */
 import {randomUUID} from 'node:crypto';
 import {authorize} from '@turmericbay/admission';
 import type {AuthorizationDecision} from '@turmericbay/admission';
 import type {PoolDeclaration} from '@turmericbay/document';
-import {AttemptResult} from '@turmericbay/routing';
 import type {RoutingTable, Upstream} from '@turmericbay/routing';
 import {ProblemCode, Settlement} from '@turmericbay/types';
 import type {InstanceId, Problem} from '@turmericbay/types';
-import type {AnswerHead} from './answer-reader.js';
 import {fingerprint, isRepeatable} from './exchange.js';
 import type {Exchange} from './exchange.js';
 import {forwardRequestHeaders, requestIdHeader, timeoutHeader} from './headers.js';
 import type {GatewayOptions, GatewaySettings, GatewayTelemetry} from './ports.js';
 import {SpanName} from './ports.js';
 import type {RunLedger} from './run-ledger.js';
+import {
+	interpret, judgeUpstream, mayStillRun, problemReport,
+} from './send-result.js';
+import type {AttemptOutcome, AttemptReport} from './send-result.js';
 import {formatTraceparent} from './trace-context.js';
-import type {SendResult, UpstreamClient} from './upstream-client.js';
-
-export type AttemptOutcome
-	= | {readonly type: 'answer'; readonly head: AnswerHead; readonly body: Uint8Array}
-		| {readonly type: 'streamed'; readonly status: number}
-		/** A long answer was lost after its first bytes had gone to the caller. */
-		| {readonly type: 'cut-while-streaming'}
-		/** `retryable` says that another attempt is safe, `unsent` that this one reached no upstream. */
-		| {readonly type: 'problem'; readonly problem: Problem; readonly retryable: boolean};
+import type {OutgoingRequest, SendResult, UpstreamClient} from './upstream-client.js';
 
 export type AttemptContext = {
 	readonly options: GatewayOptions;
@@ -34,15 +28,18 @@
 	readonly runs: RunLedger;
 };
 
-type Allowed = Extract<AuthorizationDecision, {type: 'allowed'}>;
+export type Allowed = Extract<AuthorizationDecision, {type: 'allowed'}>;
+
+/** The upstream is set if it may go on running the request. */
+type EndedAttempt = AttemptReport & {readonly lingersAt?: Upstream};
 
+/** Upstreams to which one attempt tries to connect. */
 const connectTries = 3;
 
-const problemOutcome = (code: ProblemCode, detail: string, retryable = false): AttemptOutcome =>
-	({type: 'problem', problem: {code, detail, retryAfterSeconds: 1}, retryable});
+const lateProblem: Problem = {code: ProblemCode.DeadlineExceeded, detail: 'Retry later, with backoff.', retryAfterSeconds: 1};
 
 /** Repeats the decision of the arrival with the present document, age and time. */
-export const decideAgain = (context: AttemptContext, exchange: Exchange): Problem | undefined => {
+const decideAgain = (context: AttemptContext, exchange: Exchange): Problem | undefined => {
 	const {configuration, clock} = context.options;
 	const envelope = configuration.current();
 	if (envelope === undefined) {
@@ -59,22 +56,19 @@
 		return decision.problem;
 	}
 
-	return clock.monotonicMilliseconds() < exchange.deadline
-		? undefined
-		: {code: ProblemCode.DeadlineExceeded, detail: 'Retry later, with backoff.', retryAfterSeconds: 1};
+	return exchange.hangUp.aborted || clock.monotonicMilliseconds() >= exchange.deadline ? lateProblem : undefined;
 };
 
-const claim = async (context: AttemptContext, exchange: Exchange, allowed: Allowed): Promise<Problem | undefined> => {
-	if (isRepeatable(allowed.queue, exchange.method)) {
-		return undefined;
-	}
+const claimIdentity = (exchange: Exchange, allowed: Allowed) => ({
+	key: String(exchange.headers['idempotency-key']),
+	// Callers of an open queue share one space of keys.
+	team: allowed.team ?? '',
+	queue: exchange.queueName,
+});
 
-	const decision = await context.options.claims.claim({
-		key: String(exchange.headers['idempotency-key']),
-		team: allowed.team ?? '',
-		queue: exchange.queueName,
-		fingerprint: fingerprint(exchange),
-	});
+/** Claims the key of a request that may not be repeated; returns the problem if that fails. */
+const claim = async (context: AttemptContext, exchange: Exchange, allowed: Allowed): Promise<Problem | undefined> => {
+	const decision = await context.options.claims.claim({...claimIdentity(exchange, allowed), fingerprint: fingerprint(exchange)});
 	if (decision.type === 'refused') {
 		return decision.problem;
 	}
@@ -85,21 +79,31 @@
 
 const settle = (context: AttemptContext, exchange: Exchange, allowed: Allowed, settlement: Settlement): void => {
 	if (exchange.claimAttempt !== undefined) {
-		context.options.claims.settle({
-			key: String(exchange.headers['idempotency-key']),
-			team: allowed.team ?? '',
-			queue: exchange.queueName,
-			attempt: exchange.claimAttempt,
-			settlement,
-		});
+		context.options.claims.settle({...claimIdentity(exchange, allowed), attempt: exchange.claimAttempt, settlement});
+		exchange.claimAttempt = undefined;
 	}
 };
 
-const sendTo = async (context: AttemptContext, exchange: Exchange, upstream: Upstream, pool: PoolDeclaration): Promise<{result: SendResult; withdrawn?: Problem}> => {
-	const {clock} = context.options;
-	const span = context.telemetry.startSpan({name: SpanName.EntryToUpstream, parent: exchange.span.context});
+const composeRequest = (exchange: Exchange, span: {readonly traceparent: string; readonly traceState: string | undefined}, remainingMilliseconds: number): OutgoingRequest => {
 	const requestId = randomUUID();
-	const remaining = Math.max(0, exchange.deadline - clock.monotonicMilliseconds());
+	return {
+		method: exchange.method,
+		path: exchange.path,
+		body: exchange.body,
+		requestId,
+		headers: {
+			...forwardRequestHeaders(exchange.headers),
+			[requestIdHeader]: requestId,
+			[timeoutHeader]: String(Math.ceil(remainingMilliseconds)),
+			traceparent: span.traceparent,
+			...(span.traceState !== undefined && {tracestate: span.traceState}),
+		},
+	};
+};
+
+const sendTo = async (context: AttemptContext, exchange: Exchange, upstream: Upstream, pool: PoolDeclaration): Promise<{result: SendResult; withdrawn: Problem | undefined}> => {
+	const span = context.telemetry.startSpan({name: SpanName.EntryToUpstream, parent: exchange.span.context});
+	const remaining = Math.max(0, exchange.deadline - context.options.clock.monotonicMilliseconds());
 	const {traceState} = span.context;
 	let withdrawn: Problem | undefined;
 	const result = await context.client.send({
@@ -107,146 +111,90 @@
 		connections: pool.connectionsPerInstance,
 		timeoutMilliseconds: remaining,
 		sink: exchange.sink,
-		request: {
-			method: exchange.method,
-			path: exchange.path,
-			body: exchange.body,
-			requestId,
-			headers: {
-				...forwardRequestHeaders(exchange.headers),
-				[requestIdHeader]: requestId,
-				[timeoutHeader]: String(Math.ceil(remaining)),
-				traceparent: formatTraceparent(span.context),
-				...(traceState !== undefined && {tracestate: traceState}),
-			},
-		},
+		request: composeRequest(exchange, {traceparent: formatTraceparent(span.context), traceState}, remaining),
 		confirmSend() {
 			withdrawn = decideAgain(context, exchange);
 			return withdrawn === undefined;
 		},
 	});
 	span.end({result: result.type, instance: upstream.record.instance});
-	return withdrawn === undefined ? {result} : {result, withdrawn};
+	return {result, withdrawn: result.type === 'not-sent' && result.reason === 'deadline' ? lateProblem : withdrawn};
 };
 
-const firstServerError = 500;
-
 /** A caller may name a deadline that no upstream could meet; only an upstream that had most of the usual time failed. */
 const hadEnoughTime = (exchange: Exchange, allowed: Allowed): boolean =>
 	exchange.deadline - exchange.arrivedAt >= allowed.queue.timeoutMilliseconds / 2;
 
-/** What the result says about the health of the upstream. */
-const attemptResult = (result: SendResult, enoughTime: boolean): AttemptResult => {
-	switch (result.type) {
-		case 'answer': {
-			return result.head.status < firstServerError ? AttemptResult.Success : AttemptResult.Failure;
-		}
-
-		case 'streamed': {
-			return AttemptResult.Success;
-		}
-
-		case 'not-sent': {
-			return result.reason === 'connect-failed' ? AttemptResult.Failure : AttemptResult.Neutral;
-		}
-
-		case 'cut':
-		case 'crossed': {
-			return AttemptResult.Failure;
-		}
-
-		case 'timeout': {
-			return enoughTime ? AttemptResult.Failure : AttemptResult.Neutral;
-		}
+const recordResult = (context: AttemptContext, upstream: Upstream, result: SendResult, enoughTime: boolean): void => {
+	const {routing, telemetry, options} = context;
+	const {instance} = upstream.record;
+	const {ejected} = routing.finish({
+		upstream, result: judgeUpstream(result, enoughTime), now: options.clock.monotonicMilliseconds(), lingers: mayStillRun(result),
+	});
+	if (result.type !== 'answer' && result.type !== 'streamed') {
+		telemetry.onEvent({type: 'attempt-failed', instance, reason: result.type === 'not-sent' ? result.reason : result.type});
 	}
-};
-
-/** Says whether the run may go on at the upstream although its answer is lost. */
-const mayStillRun = (result: SendResult): boolean =>
-	result.type === 'cut' || result.type === 'crossed' || result.type === 'timeout';
-
-const interpret = (result: Exclude<SendResult, {type: 'not-sent'}>, pool: PoolDeclaration, repeatable: boolean): {outcome: AttemptOutcome; settlement: Settlement} => {
-	switch (result.type) {
-		case 'answer': {
-			if (!pool.notRunStatuses.includes(result.head.status)) {
-				return {outcome: result, settlement: Settlement.Run};
-			}
-
-			return {
-				outcome: problemOutcome(ProblemCode.NoUpstream, `The upstream refused the request with status ${result.head.status}; retry later.`, repeatable),
-				settlement: Settlement.NotRun,
-			};
-		}
-
-		case 'streamed': {
-			return {outcome: result, settlement: Settlement.Run};
-		}
 
-		case 'cut':
-		case 'timeout': {
-			if (result.streaming) {
-				return {outcome: {type: 'cut-while-streaming'}, settlement: Settlement.Unknown};
-			}
-
-			return result.type === 'cut'
-				? {outcome: problemOutcome(ProblemCode.AnswerIncomplete, 'The request may have run.', repeatable), settlement: Settlement.Unknown}
-				: {outcome: problemOutcome(ProblemCode.UpstreamTimeout, 'The request may have run.'), settlement: Settlement.Unknown};
-		}
-
-		case 'crossed': {
-			return {
-				outcome: problemOutcome(ProblemCode.UpstreamFailed, 'The upstream answered another request; this one may have run.', repeatable),
-				settlement: Settlement.Unknown,
-			};
-		}
+	if (ejected) {
+		telemetry.onUpstreamEjected?.({instance});
 	}
 };
 
-/** Runs with one grant unit of the team, which it returns when the run has ended. */
-export const runAttempt = async (context: AttemptContext, exchange: Exchange, allowed: Allowed, pool: PoolDeclaration): Promise<AttemptOutcome> => {
-	const {routing, options, runs} = context;
-	const {clock} = options;
-	const refusal = decideAgain(context, exchange) ?? await claim(context, exchange, allowed);
-	if (refusal !== undefined) {
-		runs.end(allowed.team);
-		return {type: 'problem', problem: refusal, retryable: false};
-	}
-
+/** Tries upstreams until one takes the request; a request that reached one is not sent again. */
+const sendToAny = async (context: AttemptContext, exchange: Exchange, allowed: Allowed, pool: PoolDeclaration): Promise<EndedAttempt> => {
+	const repeatable = isRepeatable(allowed.queue, exchange.method);
 	const excluded = new Set<InstanceId>();
 	while (excluded.size < connectTries) {
-		const upstream = routing.begin({pool: allowed.queue.pool, now: clock.monotonicMilliseconds(), excluded});
+		const now = context.options.clock.monotonicMilliseconds();
+		const upstream = context.routing.begin({pool: allowed.queue.pool, now, excluded});
 		if (upstream === undefined) {
 			break;
 		}
 
 		const {result, withdrawn} = await sendTo(context, exchange, upstream, pool); // eslint-disable-line no-await-in-loop
-		const lingers = mayStillRun(result);
-		routing.finish({
-			upstream, result: attemptResult(result, hadEnoughTime(exchange, allowed)), now: clock.monotonicMilliseconds(), lingers,
-		});
+		recordResult(context, upstream, result, hadEnoughTime(exchange, allowed));
 		if (result.type !== 'not-sent') {
-			const {outcome, settlement} = interpret(result, pool, isRepeatable(allowed.queue, exchange.method));
-			settle(context, exchange, allowed, settlement);
-			if (lingers) {
-				runs.linger({team: allowed.team, upstream, maximumRunMilliseconds: allowed.queue.maximumRunMilliseconds});
-			} else {
-				runs.end(allowed.team);
-			}
-
-			return outcome;
+			const report = interpret(result, pool, repeatable);
+			return mayStillRun(result) ? {...report, lingersAt: upstream} : report;
+		}
+
+		if (result.reason === 'invalid') {
+			return problemReport(Settlement.NotRun, {code: ProblemCode.MalformedRequest, detail: 'A header or the path has characters that HTTP does not allow.'}, false);
 		}
 
-		const late = withdrawn ?? (result.reason === 'deadline' ? decideAgain(context, exchange) : undefined);
-		if (late !== undefined) {
-			settle(context, exchange, allowed, Settlement.NotRun);
-			runs.end(allowed.team);
-			return {type: 'problem', problem: late, retryable: false};
+		if (withdrawn !== undefined) {
+			return problemReport(Settlement.NotRun, withdrawn, false);
 		}
 
 		excluded.add(upstream.record.instance);
 	}
 
-	settle(context, exchange, allowed, Settlement.NotRun);
-	runs.end(allowed.team);
-	return problemOutcome(ProblemCode.NoUpstream, 'Retry later, with backoff.', true);
+	return problemReport(Settlement.NotRun, {code: ProblemCode.NoUpstream, detail: 'Retry later, with backoff.', retryAfterSeconds: 1}, repeatable);
+};
+
+const execute = async (context: AttemptContext, exchange: Exchange, allowed: Allowed, pool: PoolDeclaration): Promise<EndedAttempt> => {
+	const refusal = decideAgain(context, exchange)
+		?? (isRepeatable(allowed.queue, exchange.method) ? undefined : await claim(context, exchange, allowed));
+	return refusal === undefined
+		? sendToAny(context, exchange, allowed, pool)
+		: problemReport(Settlement.NotRun, refusal, false);
+};
+
+/** Runs with one grant unit of the team, which returns when the run has ended. */
+export const runAttempt = async (context: AttemptContext, exchange: Exchange, allowed: Allowed, pool: PoolDeclaration): Promise<AttemptOutcome> => {
+	const {runs} = context;
+	const {team, queue} = allowed;
+	runs.start(team);
+	let ended: EndedAttempt | undefined;
+	try {
+		ended = await execute(context, exchange, allowed, pool);
+		settle(context, exchange, allowed, ended.settlement);
+		return ended.outcome;
+	} finally {
+		if (ended?.lingersAt === undefined) {
+			runs.end(team);
+		} else {
+			runs.linger({team, upstream: ended.lingersAt, maximumRunMilliseconds: queue.maximumRunMilliseconds});
+		}
+	}
 };
--- a/packages/traffic/gateway/src/caller-answer.ts
+++ b/packages/traffic/gateway/src/caller-answer.ts
@@ -8,18 +8,18 @@
 	response.end(body);
 };
 
-export const createCallerSink = (response: ServerResponse, wholeAnswerBytes: number): AnswerSink => ({
-	wholeAnswerBytes,
-	begin({status, headers}) {
-		response.writeHead(status, headers);
-	},
-	write(chunk, onReady) {
-		// A caller that hung up takes everything: the answer is read on to learn when the run ended.
-		if (response.destroyed || response.write(chunk)) {
-			return true;
+export const createCallerSink = (response: ServerResponse, wholeAnswerBytes: number): AnswerSink => {
+	let isWaiting = false;
+
+	const waitFor = (onReady: () => void): void => {
+		// Chunks that were on their way when the flow paused find the wait already set up.
+		if (isWaiting) {
+			return;
 		}
 
+		isWaiting = true;
 		const ready = (): void => {
+			isWaiting = false;
 			response.off('drain', ready);
 			response.off('close', ready);
 			onReady();
@@ -27,12 +27,24 @@
 
 		response.on('drain', ready);
 		response.on('close', ready);
-		return false;
-	},
-	end() {
-		response.end();
-	},
-	cut() {
-		response.destroy();
-	},
-});
+	};
+
+	return {
+		wholeAnswerBytes,
+		begin({status, headers}) {
+			response.writeHead(status, headers);
+		},
+		write(chunk, onReady) {
+			// A caller that hung up takes everything: the answer is read on to learn when the run ended.
+			if (response.destroyed || response.write(chunk)) {
+				return true;
+			}
+
+			waitFor(onReady);
+			return false;
+		},
+		end() {
+			response.end();
+		},
+	};
+};
--- a/packages/traffic/gateway/src/caller-server.ts
+++ b/packages/traffic/gateway/src/caller-server.ts
@@ -11,7 +11,10 @@
 export type CallerServer = {
 	listen(options: {readonly host: string; readonly port: number}): Promise<{readonly port: number}>;
 	beginDrain(): void;
+	/** Stops listening and resolves once all connections have ended. */
 	close(): Promise<void>;
+	/** Cuts all connections. */
+	cut(): void;
 };
 
 type ParseError = Error & {readonly code?: string};
@@ -32,14 +35,32 @@
 	}
 };
 
-/** Connections that already got an answer cannot get a second one for the same request. */
-const handleClientError = (error: ParseError, socket: Duplex): void => {
-	if (!socket.writable || error.code === 'ECONNRESET' || error.code === 'EPIPE') {
+/** Time that a refused sender has to read its answer before the connection is destroyed. */
+const refusalLingerMilliseconds = 1000;
+
+/** Requests per connection that have arrived whole and await their answers. */
+type PendingRequests = WeakMap<Duplex, Set<IncomingMessage>>;
+
+const createClientErrorHandler = (pending: PendingRequests) => (error: ParseError, socket: Duplex): void => {
+	// The next bytes on the connection would be taken as the answer to the request that is pending.
+	const isAwaited = [...pending.get(socket) ?? []].some(({complete}) => complete);
+	if (!socket.writable || isAwaited || error.code === 'ECONNRESET' || error.code === 'EPIPE') {
 		socket.destroy();
 		return;
 	}
 
 	answerRawProblem(socket, parseProblem(error));
+	setTimeout(() => {
+		socket.destroy();
+	}, refusalLingerMilliseconds).unref();
+};
+
+const track = (pending: PendingRequests, request: IncomingMessage, response: ServerResponse): void => {
+	const requests = pending.get(request.socket) ?? new Set();
+	pending.set(request.socket, requests.add(request));
+	response.once('close', () => {
+		requests.delete(request);
+	});
 };
 
 export const createCallerServer = ({settings, handle}: {
@@ -53,14 +74,23 @@
 		requestTimeout: settings.requestTimeoutMilliseconds,
 		connectionsCheckingInterval: settings.timeoutCheckMilliseconds,
 		keepAliveTimeout: settings.callerKeepAliveMilliseconds,
+		// Node.js would answer without problem details; `serve` checks instead.
+		requireHostHeader: false,
 	});
-	server.on('clientError', handleClientError);
+	const pending: PendingRequests = new WeakMap();
+	server.on('clientError', createClientErrorHandler(pending));
 
 	const serve = (request: IncomingMessage, response: ServerResponse): void => {
 		if (draining) {
 			response.setHeader('connection', 'close');
 		}
 
+		if (request.headers.host === undefined && request.httpVersion === '1.1') {
+			answerProblem(response, {code: ProblemCode.MalformedRequest, detail: 'Send a Host header.'});
+			return;
+		}
+
+		track(pending, request, response);
 		void handle(request, response);
 	};
 
@@ -88,13 +118,12 @@
 		},
 		close: async () => new Promise(resolve => {
 			draining = true;
-			const bound = setTimeout(() => {
-				server.closeAllConnections();
-			}, settings.drainBoundMilliseconds);
 			server.close(() => {
-				clearTimeout(bound);
 				resolve();
 			});
 		}),
+		cut() {
+			server.closeAllConnections();
+		},
 	};
 };
--- a/packages/traffic/gateway/src/gateway.ts
+++ b/packages/traffic/gateway/src/gateway.ts
@@ -1,7 +1,10 @@
 /** Wires the data path of one entry instance together. */
+import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
 import {createRetryBudget, createRoutingTable} from '@turmericbay/routing';
+import {ProblemCode} from '@turmericbay/types';
 import type {PoolName, TeamName} from '@turmericbay/types';
 import {createCallerServer} from './caller-server.js';
+import type {CallerServer} from './caller-server.js';
 import {createPoolQueue} from './pool-queue.js';
 import type {PoolQueue} from './pool-queue.js';
 import {defaultGatewaySettings} from './ports.js';
@@ -82,14 +85,43 @@
 	};
 };
 
+/** Waits for all requests, also those whose callers hung up, but no longer than the bound. */
+const finishRequests = async ({context, server, queues, active}: {
+	readonly context: FlowContext;
+	readonly server: CallerServer;
+	readonly queues: ReadonlyMap<PoolName, PoolQueue>;
+	readonly active: ReadonlySet<Promise<void>>;
+}): Promise<void> => {
+	const closed = server.close();
+	const bound = new AbortController();
+	const finished = closed.then(async () => Promise.all(active));
+	const expired = delay(context.settings.drainBoundMilliseconds, true, {signal: bound.signal}).catch(() => false);
+	await Promise.race([finished, expired]);
+	bound.abort();
+	for (const queue of queues.values()) {
+		queue.refuseQueued({code: ProblemCode.Draining, detail: 'Retry at another entry instance.', retryAfterSeconds: 1});
+	}
+
+	// Lets the refusals above reach their sockets.
+	await nextTurn();
+	server.cut();
+	await closed;
+};
+
 export const createGateway = (options: GatewayOptions): Gateway => {
 	const queues = new Map<PoolName, PoolQueue>();
 	const context = createContext(options, queues);
 	const {routing, runs, client} = context;
+	const active = new Set<Promise<void>>();
 	const now = (): number => options.clock.monotonicMilliseconds();
 	const server = createCallerServer({
 		settings: context.settings,
-		handle: async (request, response) => handleRequest(context, request, response),
+		async handle(request, response) {
+			const handling = handleRequest(context, request, response);
+			active.add(handling);
+			await handling;
+			active.delete(handling);
+		},
 	});
 
 	const refresh = (): void => {
@@ -136,10 +168,13 @@
 			server.beginDrain();
 		},
 		async close() {
-			await server.close();
+			await finishRequests({
+				context, server, queues, active,
+			});
 			clearInterval(timer);
 			runs.stop();
 			await client.destroy();
+			await Promise.all(active);
 		},
 	};
 };
--- a/packages/traffic/gateway/src/pool-queue.ts
+++ b/packages/traffic/gateway/src/pool-queue.ts
@@ -39,6 +39,8 @@
 	/** Starts what can start after seats or units became free. */
 	refresh(): void;
 	unblock(team: TeamName): void;
+	/** Refuses everything that is queued. */
+	refuseQueued(problem: Problem): void;
 	queued(): number;
 	queuedOf(team: TeamName): number;
 };
@@ -55,6 +57,7 @@
 	const {grants, seats, running, now} = options;
 	const fairQueue = createFairQueue<RunFunction>({acquire: team => grants.tryAcquire({team})});
 	const queue = new PQueue<InstanceType<FairQueueClass>, FairQueueOptions>({queueClass: createFairQueueClass(fairQueue), concurrency: 1});
+	const withdrawals = new Set<(problem: Problem) => void>();
 	let meanRunMilliseconds: number | undefined;
 
 	const refresh = (): void => {
@@ -102,7 +105,14 @@
 
 	const enqueue = async <Value>(place: Place, job: () => Promise<Value>): Promise<QueueResult<Value>> => new Promise((resolve, reject) => {
 		const leave = new AbortController();
+		const stopWaiting = (): void => {
+			clearTimeout(timer);
+			withdrawals.delete(refuseLate);
+			place.hangUp.removeEventListener('abort', onHangUp);
+		};
+
 		const withdraw = (result: QueueResult<Value>): void => {
+			stopWaiting();
 			resolve(result);
 			leave.abort();
 		};
@@ -111,23 +121,25 @@
 			withdraw({type: 'cancelled'});
 		};
 
+		const refuseLate = (problem: Problem): void => {
+			withdraw({type: 'refused', problem});
+		};
+
 		const timer = setTimeout(() => {
-			withdraw({type: 'refused', problem: expire(place)});
+			refuseLate(expire(place));
 		}, place.remainingMilliseconds);
 
 		const start = async (): Promise<void> => {
-			clearTimeout(timer);
-			place.hangUp.removeEventListener('abort', onHangUp);
+			stopWaiting();
 			resolve({type: 'ran', value: await measure(job)});
 		};
 
+		withdrawals.add(refuseLate);
 		place.hangUp.addEventListener('abort', onHangUp, {once: true});
 		queue.add(start, {
 			id: place.id, queue: place.queueName, team: place.team, share: place.share, urgent: place.queue.urgent, signal: leave.signal,
 		}).catch((error: unknown) => {
 			// A withdrawn entry rejects here after its promise has been resolved.
-			clearTimeout(timer);
-			place.hangUp.removeEventListener('abort', onHangUp);
 			reject(error instanceof Error ? error : new Error('the attempt failed', {cause: error}));
 		});
 	});
@@ -147,6 +159,11 @@
 			fairQueue.unblock({team});
 			refresh();
 		},
+		refuseQueued(problem) {
+			for (const withdraw of withdrawals) {
+				withdraw(problem);
+			}
+		},
 		queued: () => fairQueue.length(),
 		queuedOf: team => fairQueue.teamLength({team}),
 	};
--- a/packages/traffic/gateway/src/ports.ts
+++ b/packages/traffic/gateway/src/ports.ts
@@ -78,6 +78,7 @@
 export type GatewayTelemetry = {
 	startSpan(options: {readonly name: SpanName; readonly parent: TraceContext | undefined}): GatewaySpan;
 	onEvent(event: GatewayEvent): void;
+	onUpstreamEjected?(options: {readonly instance: InstanceId}): void;
 };
 
 export type GatewayOptions = {
--- a/packages/traffic/gateway/src/request-body.ts
+++ b/packages/traffic/gateway/src/request-body.ts
@@ -5,34 +5,40 @@
 export type BodyResult
 	= | {readonly type: 'whole'; readonly body: Uint8Array}
 		| {readonly type: 'too-large'}
-		/** The connection broke or the rest was malformed; the caller-side server answers if it can. */
+		/** The connection broke or the rest was malformed; the server for callers answers if it can. */
 		| {readonly type: 'broken'};
 
-export const readBody = async (request: IncomingMessage, maximumBytes: number): Promise<BodyResult> => {
-	if (Number(request.headers['content-length'] ?? 0) > maximumBytes) {
-		return {type: 'too-large'};
-	}
+/**
+ * A caller that sends a little too much reads its answer only after sending, and
+ * closing earlier could destroy the answer. Far larger bodies are not awaited.
+ */
+const discardedBodies = 4;
 
-	return new Promise(resolve => {
-		const chunks: Uint8Array[] = [];
-		let size = 0;
-		request.on('data', (chunk: Uint8Array) => {
-			size += chunk.length;
-			if (size > maximumBytes) {
-				request.removeAllListeners('data');
-				resolve({type: 'too-large'});
-			} else {
-				chunks.push(chunk);
-			}
-		});
-		request.once('end', () => {
-			resolve({type: 'whole', body: Buffer.concat(chunks, size)});
-		});
-		request.once('error', () => {
-			resolve({type: 'broken'});
-		});
-		request.once('close', () => {
-			resolve({type: 'broken'});
-		});
+export const readBody = async (request: IncomingMessage, maximumBytes: number): Promise<BodyResult> => new Promise(resolve => {
+	const chunks: Uint8Array[] = [];
+	let size = 0;
+	const refuseHuge = (bytes: number): void => {
+		if (bytes > maximumBytes * discardedBodies) {
+			resolve({type: 'too-large'});
+		}
+	};
+
+	refuseHuge(Number(request.headers['content-length'] ?? 0));
+	request.on('data', (chunk: Uint8Array) => {
+		size += chunk.length;
+		if (size <= maximumBytes) {
+			chunks.push(chunk);
+		}
+
+		refuseHuge(size);
+	});
+	request.once('end', () => {
+		resolve(size <= maximumBytes ? {type: 'whole', body: Buffer.concat(chunks, size)} : {type: 'too-large'});
+	});
+	request.once('error', () => {
+		resolve({type: 'broken'});
+	});
+	request.once('close', () => {
+		resolve({type: 'broken'});
 	});
-};
+});
--- a/packages/traffic/gateway/src/request-flow.ts
+++ b/packages/traffic/gateway/src/request-flow.ts
@@ -1,29 +1,27 @@
 /** Takes one caller's request from arrival to answer. */
-import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import {authorize, flowName} from '@turmericbay/admission';
-import type {AuthorizationDecision, KeyVerdict} from '@turmericbay/admission';
+import {flowName} from '@turmericbay/admission';
 import type {ConfigurationDocument} from '@turmericbay/document';
 import {backoffMilliseconds} from '@turmericbay/routing';
 import type {RetryBudget, RetryScope} from '@turmericbay/routing';
 import {Outcome, ProblemCode, problemKinds} from '@turmericbay/types';
-import type {PoolName, Problem} from '@turmericbay/types';
+import type {PoolName, Problem, TeamName} from '@turmericbay/types';
+import {receiveRequest} from './arrival.js';
 import {runAttempt} from './attempt.js';
-import type {AttemptContext, AttemptOutcome} from './attempt.js';
-import {answerWhole, createCallerSink} from './caller-answer.js';
-import {
-	checkKey, isRepeatable, parseTarget, parseTimeout,
-} from './exchange.js';
+import type {Allowed, AttemptContext} from './attempt.js';
+import {answerWhole} from './caller-answer.js';
+import {parseTarget} from './exchange.js';
 import type {Exchange} from './exchange.js';
+import {requestIdHeader} from './headers.js';
 import {SpanName} from './ports.js';
-import {answerProblem} from './problem-answer.js';
+import type {GatewayTelemetry} from './ports.js';
 import type {PoolQueue, QueueResult} from './pool-queue.js';
-import {readBody} from './request-body.js';
+import {answerProblem} from './problem-answer.js';
+import {refusedOutcome} from './send-result.js';
+import type {AttemptOutcome} from './send-result.js';
 import {parseTraceparent} from './trace-context.js';
 
-type Allowed = Extract<AuthorizationDecision, {type: 'allowed'}>;
-
 /** Undefined if the caller is gone and nobody is left to be answered. */
 type FlowResult = AttemptOutcome | undefined;
 
@@ -32,12 +30,6 @@
 	readonly retries: RetryBudget;
 };
 
-const refuse = (code: ProblemCode, detail: string, retryAfterSeconds?: number): AttemptOutcome => ({
-	type: 'problem',
-	problem: {code, detail, ...(retryAfterSeconds !== undefined && {retryAfterSeconds})},
-	retryable: false,
-});
-
 const queueOnce = async (context: FlowContext, exchange: Exchange, allowed: Allowed, document: ConfigurationDocument): Promise<QueueResult<AttemptOutcome>> => {
 	const pool = document.pools[allowed.queue.pool]!;
 	const span = context.telemetry.startSpan({name: SpanName.QueueWait, parent: exchange.span.context});
@@ -52,7 +44,6 @@
 		hangUp: exchange.hangUp,
 	}, async () => {
 		span.end({});
-		context.runs.start(allowed.team);
 		return runAttempt(context, exchange, allowed, pool);
 	});
 	if (result.type !== 'ran') {
@@ -97,7 +88,7 @@
 			return undefined;
 		}
 
-		const outcome: AttemptOutcome = result.type === 'ran' ? result.value : {type: 'problem', problem: result.problem, retryable: false};
+		const outcome: AttemptOutcome = result.type === 'ran' ? result.value : refusedOutcome(result.problem);
 		if (outcome.type !== 'problem') {
 			return outcome;
 		}
@@ -112,86 +103,6 @@
 	}
 };
 
-const receive = async (context: FlowContext, request: IncomingMessage, response: ServerResponse, arrival: {
-	readonly arrivedAt: number;
-	readonly key: KeyVerdict;
-	readonly span: Exchange['span'];
-	readonly target: {queueName: string; path: string};
-	readonly allowed: Allowed;
-}): Promise<Exchange | AttemptOutcome | undefined> => {
-	const {maximumBodyBytes, wholeAnswerBytes} = context.settings;
-	const {allowed, target} = arrival;
-	const timeout = parseTimeout(request, allowed.queue);
-	if (timeout === undefined) {
-		return refuse(ProblemCode.MalformedRequest, 'X-Request-Timeout-Ms takes a whole number of milliseconds.');
-	}
-
-	if (!isRepeatable(allowed.queue, request.method!) && request.headers['idempotency-key'] === undefined) {
-		return refuse(ProblemCode.IdempotencyKeyMissing, 'Send the header Idempotency-Key with a UUIDv7.');
-	}
-
-	const hangUp = new AbortController();
-	response.once('close', () => {
-		hangUp.abort();
-	});
-	const body = await readBody(request, maximumBodyBytes);
-	if (body.type === 'too-large') {
-		response.setHeader('connection', 'close');
-		return refuse(ProblemCode.BodyTooLarge, `Send at most ${maximumBodyBytes} bytes.`);
-	}
-
-	return body.type === 'broken'
-		? undefined
-		: {
-			id: randomUUID(),
-			...target,
-			method: request.method!,
-			headers: request.headers,
-			body: body.body,
-			key: arrival.key,
-			arrivedAt: arrival.arrivedAt,
-			deadline: arrival.arrivedAt + timeout,
-			span: arrival.span,
-			sink: createCallerSink(response, wholeAnswerBytes),
-			hangUp: hangUp.signal,
-			claimAttempt: undefined,
-			unknownProblem: undefined,
-			attempts: 0,
-		};
-};
-
-const process = async (context: FlowContext, request: IncomingMessage, response: ServerResponse, span: Exchange['span']): Promise<FlowResult> => {
-	const {configuration, clock, authenticate} = context.options;
-	const arrivedAt = clock.monotonicMilliseconds();
-	const envelope = configuration.current();
-	if (envelope === undefined) {
-		return refuse(ProblemCode.NotReady, 'Retry at another entry instance.', 1);
-	}
-
-	const target = parseTarget(request.url!);
-	if (target === undefined) {
-		return refuse(ProblemCode.QueueUnknown, 'Use a path below /queues/{queue}/.');
-	}
-
-	const key = checkKey(request.headers, authenticate);
-	const allowed = authorize({
-		document: envelope.document,
-		queueName: target.queueName,
-		key,
-		confirmationAgeMilliseconds: configuration.confirmationAgeMilliseconds(),
-	});
-	if (allowed.type === 'refused') {
-		return {type: 'problem', problem: allowed.problem, retryable: false};
-	}
-
-	const exchange = await receive(context, request, response, {
-		arrivedAt, key, span, target, allowed,
-	});
-	return exchange === undefined || 'type' in exchange
-		? exchange
-		: runWithRetries(context, exchange, allowed, envelope.document);
-};
-
 const answer = (response: ServerResponse, outcome: AttemptOutcome): void => {
 	switch (outcome.type) {
 		case 'answer': {
@@ -215,27 +126,77 @@
 	}
 };
 
+const reportFault = (telemetry: GatewayTelemetry, error: unknown): void => {
+	telemetry.onEvent({type: 'internal-error', message: error instanceof Error ? error.stack ?? error.message : String(error)});
+};
+
+/** An answer that HTTP cannot carry must not look like a shorter one. */
+const tryAnswer = (telemetry: GatewayTelemetry, response: ServerResponse, outcome: AttemptOutcome): void => {
+	try {
+		answer(response, outcome);
+	} catch (error) {
+		reportFault(telemetry, error);
+		response.destroy();
+	}
+};
+
+type Served = {readonly outcome: FlowResult; readonly team: TeamName | undefined};
+
+/** A fault of this program: what the upstream did is not known. */
+const internalError: AttemptOutcome = refusedOutcome({code: ProblemCode.UpstreamFailed, detail: 'A fault inside the entry instance; the request may have run.'});
+
+const serve = async (context: FlowContext, request: IncomingMessage, response: ServerResponse, span: Exchange['span']): Promise<Served> => {
+	try {
+		const arrivedAt = context.options.clock.monotonicMilliseconds();
+		const arrival = await receiveRequest(context, {
+			request, response, span, arrivedAt,
+		});
+		switch (arrival.type) {
+			case 'accepted': {
+				const {exchange, allowed, document} = arrival;
+				return {outcome: await runWithRetries(context, exchange, allowed, document), team: allowed.team};
+			}
+
+			case 'refused': {
+				return {outcome: refusedOutcome(arrival.problem), team: undefined};
+			}
+
+			case 'gone': {
+				return {outcome: undefined, team: undefined};
+			}
+		}
+	} catch (error) {
+		reportFault(context.telemetry, error);
+		return {outcome: internalError, team: undefined};
+	}
+};
+
+const callerContext = ({headers: {traceparent, tracestate}}: IncomingMessage) => parseTraceparent(
+	typeof traceparent === 'string' ? traceparent : undefined,
+	typeof tracestate === 'string' ? tracestate : undefined,
+);
+
 export const handleRequest = async (context: FlowContext, request: IncomingMessage, response: ServerResponse): Promise<void> => {
-	const {clock} = context.options;
+	const {telemetry, options: {clock}} = context;
 	const startedAt = clock.monotonicMilliseconds();
-	const {traceparent, tracestate} = request.headers;
-	const span = context.telemetry.startSpan({
-		name: SpanName.CallerToEntry,
-		parent: parseTraceparent(typeof traceparent === 'string' ? traceparent : undefined, typeof tracestate === 'string' ? tracestate : undefined),
-	});
-	const outcome = await process(context, request, response, span);
-	if (outcome === undefined || response.destroyed) {
+	const span = telemetry.startSpan({name: SpanName.CallerToEntry, parent: callerContext(request)});
+	const requestId = request.headers[requestIdHeader];
+	if (typeof requestId === 'string') {
+		response.setHeader(requestIdHeader, requestId);
+	}
+
+	const {outcome, team} = await serve(context, request, response, span);
+	if (outcome === undefined || (response.destroyed && outcome.type !== 'streamed')) {
 		span.end({result: 'hang-up'});
 		return;
 	}
 
-	answer(response, outcome);
+	tryAnswer(telemetry, response, outcome);
 	span.end({status: response.statusCode});
-	const target = parseTarget(request.url!);
-	context.telemetry.onEvent({
+	telemetry.onEvent({
 		type: 'request-finished',
-		queue: target?.queueName ?? '',
-		team: undefined,
+		queue: parseTarget(request.url ?? '')?.queueName ?? '',
+		team,
 		status: response.statusCode,
 		code: outcome.type === 'problem' ? outcome.problem.code : undefined,
 		durationMilliseconds: clock.monotonicMilliseconds() - startedAt,
--- a/packages/traffic/gateway/src/upstream-client.ts
+++ b/packages/traffic/gateway/src/upstream-client.ts
@@ -1,5 +1,5 @@
 /** Sends requests to upstreams over HTTP/1.1, one at a time per connection. */
-import {Pool} from 'undici';
+import {errors, Pool} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {InstanceRecord} from '@turmericbay/types';
 import {createAnswerReader} from './answer-reader.js';
@@ -16,7 +16,7 @@
 
 export type SendResult
 	/** No byte can have reached the upstream. */
-	= | {readonly type: 'not-sent'; readonly reason: 'connect-failed' | 'withdrawn' | 'deadline'}
+	= | {readonly type: 'not-sent'; readonly reason: 'connect-failed' | 'withdrawn' | 'deadline' | 'invalid'}
 		| ReaderVerdict
 		| {readonly type: 'timeout'; readonly streaming: boolean};
 
@@ -95,8 +95,10 @@
 		onResponseEnd() {
 			finish(reader.end());
 		},
-		onResponseError() {
-			finish(controller === undefined ? {type: 'not-sent', reason: 'connect-failed'} : reader.cut());
+		onResponseError(_active, error) {
+			finish(controller === undefined
+				? {type: 'not-sent', reason: error instanceof errors.InvalidArgumentError ? 'invalid' : 'connect-failed'}
+				: reader.cut());
 		},
 	});
 });
--- a/packages/traffic/gateway/test/fixtures.ts
+++ b/packages/traffic/gateway/test/fixtures.ts
@@ -2,16 +2,17 @@
 import {once} from 'node:events';
 import {request as sendHttp} from 'node:http';
 import type {IncomingHttpHeaders} from 'node:http';
-import {createServer} from 'node:net';
+import {connect, createServer} from 'node:net';
 import type {Socket} from 'node:net';
 import {Buffer} from 'node:buffer';
+import {setTimeout as delay} from 'node:timers/promises';
 import {documentSchema} from '@turmericbay/document';
 import type {ConfigurationDocument} from '@turmericbay/document';
 import {
 	createManualClock, InstanceRole, InstanceState,
 } from '@turmericbay/types';
 import type {
-	ClaimDecision, ClaimPort, InstanceDirectory, InstanceRecord,
+	ClaimDecision, ClaimPort, InstanceDirectory, InstanceRecord, ManualClock,
 	Settlement,
 } from '@turmericbay/types';
 import {createGateway} from '../src/index.js';
@@ -30,6 +31,9 @@
 		},
 	});
 
+/** Runs at the end of a test, also of one that failed and would otherwise leave sockets open. */
+type Cleanup = {teardown(run: () => Promise<void>): void};
+
 export type RawUpstream = {
 	readonly port: number;
 	readonly received: string[];
@@ -39,7 +43,7 @@
 };
 
 /** Upstream that hands each request, as text, to a handler that writes bytes. */
-export const createRawUpstream = async (answer: (socket: Socket, request: string) => void): Promise<RawUpstream> => {
+export const createRawUpstream = async (t: Cleanup, answer: (socket: Socket, request: string) => void): Promise<RawUpstream> => {
 	const received: string[] = [];
 	const sockets = new Set<Socket>();
 	const closing: {resolve?: () => void} = {};
@@ -69,18 +73,20 @@
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
 	const address = server.address();
-	return {
-		port: typeof address === 'object' && address !== null ? address.port : 0,
-		received,
-		closed,
-		async close() {
-			for (const socket of sockets) {
-				socket.destroy();
-			}
+	const close = async (): Promise<void> => {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
 
+		if (server.listening) {
 			server.close();
 			await once(server, 'close');
-		},
+		}
+	};
+
+	t.teardown(close);
+	return {
+		port: typeof address === 'object' && address !== null ? address.port : 0, received, closed, close,
 	};
 };
 
@@ -105,12 +111,14 @@
 
 export type Harness = Awaited<ReturnType<typeof createHarness>>;
 
-export const createHarness = async (options: {
+export const createHarness = async (t: Cleanup, options: {
 	readonly document?: ConfigurationDocument;
 	readonly instances: readonly InstanceRecord[];
 	readonly settings?: GatewayOptions['settings'];
 	readonly units?: number;
 	readonly claim?: ClaimDecision;
+	/** Stands for a pause between the decision and sending. */
+	readonly duringClaim?: (clock: ManualClock, state: {confirmationAge: number}) => void | Promise<void>;
 }) => {
 	const clock = createManualClock();
 	const state = {
@@ -133,6 +141,7 @@
 	const claims: ClaimPort = {
 		async claim() {
 			state.claims++;
+			await options.duringClaim?.(clock, state);
 			return options.claim ?? {type: 'granted', attempt: 'attempt'};
 		},
 		settle({settlement}) {
@@ -167,9 +176,10 @@
 		clock,
 		random: () => 0.25,
 		zone: 'a',
-		settings: options.settings,
+		settings: {drainBoundMilliseconds: 0, ...options.settings},
 		authenticate: presented => presented === key ? {team: 'rugs'} : undefined,
 	});
+	t.teardown(async () => gateway.close());
 	const {port} = await gateway.listen({host: '127.0.0.1', port: 0});
 	return {
 		gateway,
@@ -185,6 +195,29 @@
 	};
 };
 
+/** Sends bytes as they are and collects everything until the connection ends. */
+export const sendRaw = async (port: number, ...parts: readonly string[]): Promise<string> => {
+	const socket = connect(port, '127.0.0.1');
+	const chunks: Uint8Array[] = [];
+	socket.on('data', chunk => {
+		chunks.push(chunk);
+	});
+	socket.on('error', () => undefined);
+	for (const part of parts) {
+		socket.write(part, 'latin1');
+	}
+
+	await once(socket, 'close');
+	return Buffer.concat(chunks).toString('latin1');
+};
+
+/** Waits for a state that an event on another socket brings about. */
+export const until = async (condition: () => boolean): Promise<void> => {
+	while (!condition()) {
+		await delay(1); // eslint-disable-line no-await-in-loop
+	}
+};
+
 export type Answer = {status: number; headers: IncomingHttpHeaders; body: string};
 
 export type CallOptions = {path?: string; method?: string; headers?: Record<string, string>; body?: string; signal?: AbortSignal};
--- a/packages/traffic/gateway/test/gateway.test.ts
+++ b/packages/traffic/gateway/test/gateway.test.ts
@@ -5,8 +5,8 @@
 
 // Guards against lost answers, and against the team's key reaching an upstream.
 test('passes a request to an upstream and its whole answer back', async t => {
-	const upstream = await createRawUpstream(answerOk);
-	const {gateway, port, state} = await createHarness({instances: [record(upstream.port)]});
+	const upstream = await createRawUpstream(t, answerOk);
+	const {gateway, port, state} = await createHarness(t, {instances: [record(upstream.port)]});
 	const answer = await send(port, {path: '/queues/quotes/price?rug=7', headers: {traceparent: '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'}});
 	t.is(answer.status, 200);
 	t.is(answer.body, 'fine');
@@ -16,6 +16,4 @@
 	t.regex(headerOf(request, 'traceparent') ?? '', /^00-0af7651916cd43dd8448eb211c80319c-(?!b7ad6b7169203331)[\da-f]{16}-01$/v);
 	t.is(state.units, 4);
 	t.deepEqual(gateway.status().pools, [{pool: 'pricing', queued: 0, inFlight: 0}]);
-	await gateway.close();
-	await upstream.close();
 });
