--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -28,6 +28,7 @@
 	PlatformReachable = 3002,
 	InstanceListFailed = 3003,
 	SessionLost = 3004,
+	WatchEnded = 3005,
 	PeerUnreachable = 4001,
 	PeerReachable = 4002,
 	PeerRejected = 4003,
@@ -43,6 +44,7 @@
 	MaintenanceStepRecorded = 8001,
 	MaintenanceStopped = 8002,
 	InstanceFailureRecorded = 8003,
+	FleetLedgerFailed = 8004,
 	InternalError = 9001,
 }
 
@@ -141,6 +143,11 @@
 		message: 'The session lease lapsed and was opened anew',
 		action: 'Look for pauses of this process or an outage of the platform.',
 	},
+	[LogEvent.WatchEnded]: {
+		level: LogLevel.Information,
+		message: 'The watch on the document ended and is opened anew',
+		action: none,
+	},
 	[LogEvent.PeerUnreachable]: {
 		level: LogLevel.Warning,
 		message: 'Another entry instance does not answer',
@@ -216,6 +223,11 @@
 		message: 'An instance failed unplanned and draws on its budgets',
 		action: 'Replace the instance.',
 	},
+	[LogEvent.FleetLedgerFailed]: {
+		level: LogLevel.Warning,
+		message: 'The fleet ledger could not be read, changed or carried out',
+		action: 'No step begins until the platform answers; check the reason.',
+	},
 	[LogEvent.InternalError]: {
 		level: LogLevel.Error,
 		message: 'A fault inside the daemon',
