Start the fault cases from a warm fleet and keep ports of entry instances free

Most of them began while no entry instance had an upstream: readiness turns on with the document, and 6.3 s pass from there to the first answered request on any queue. Another case was lost to EADDRINUSE: a link between zones had taken the port kept for an entry instance.

Change: each case waits until every entry instance serves every queue; entry instances have a loopback address of their own; counts show problem codes.

--- a/packages/tools/demo/src/entry-settings.ts
+++ b/packages/tools/demo/src/entry-settings.ts
@@ -28,11 +28,11 @@
 export const renderEntrySettings = (options: {
 	readonly place: EntryPlace;
 	readonly members: readonly EntryPlace[];
-	readonly platformPort: number;
+	/** Base address of the platform's services. */
+	readonly platformUrl: string;
 	readonly overrides?: SettingOverrides;
 }): string => {
-	const {place, members, platformPort, overrides = {}} = options;
-	const platform = `http://${listen(place.host, platformPort)}`;
+	const {place, members, platformUrl, overrides = {}} = options;
 	const others = members.filter(({instance}) => instance !== place.instance);
 	const sections: SettingOverrides = {
 		instance: {id: place.instance, zone: place.zone, region: 'region-1'},
@@ -44,7 +44,7 @@
 			// The INI library takes a dot in a section for a subsection, but leaves keys as they are.
 			...Object.fromEntries(others.map(({instance, zone, host, ports}) => [`member.${instance}`, `${zone},${listen(host, ports.peers)}`])),
 		},
-		platform: {'key-value': platform, instances: platform},
+		platform: {'key-value': platformUrl, instances: platformUrl},
 		shutdown: {'balancer-lag-seconds': 1, 'bound-seconds': 20},
 	};
 	const merged = Object.fromEntries([...new Set([...Object.keys(sections), ...Object.keys(overrides)])]
--- a/packages/tools/demo/src/fleet.ts
+++ b/packages/tools/demo/src/fleet.ts
@@ -45,7 +45,7 @@
 	const ports = await launcher.findFreePorts(names.length * portsPerEntry);
 	return names.map((name, index) => {
 		const [callers = 0, operations = 0, peers = 0] = ports.slice(index * portsPerEntry);
-		return {...name, host: launcher.host, ports: {callers, operations, peers}};
+		return {...name, host: launcher.entryHost, ports: {callers, operations, peers}};
 	});
 };
 
@@ -78,12 +78,12 @@
 	const upstreams = await startUpstreams(launcher, plan);
 	await Promise.all(upstreams.map(async ({record}) => platform.control.setInstance(record)));
 	const members = await placeEntries(launcher, plan);
-	const links = await createZoneLinks(members);
+	const links = await createZoneLinks({members, host: launcher.host});
 	launcher.onEnd(links.close);
 
 	const startEntry = async (place: EntryPlace): Promise<EntryProcess> => {
 		const entry = await launcher.startEntry({
-			place, members: links.membersSeenFrom(place.zone), platformPort: platform.port, overrides,
+			place, members: links.membersSeenFrom(place.zone), platformUrl: platform.url, overrides,
 		});
 		await platform.control.setInstance(entry.record);
 		return entry;
--- a/packages/tools/demo/src/launcher.ts
+++ b/packages/tools/demo/src/launcher.ts
@@ -25,7 +25,11 @@
 import {renderEntrySettings} from './entry-settings.js';
 import {answersOk} from './health-check.js';
 
-export type PlatformProcess = ManagedProcess & {readonly port: number; readonly control: PlatformControlClient};
+export type PlatformProcess = ManagedProcess & {
+	/** Base address of the platform's services. */
+	readonly url: string;
+	readonly control: PlatformControlClient;
+};
 
 export type UpstreamProcess = ManagedProcess & {
 	readonly record: InstanceRecord;
@@ -43,9 +47,11 @@
 };
 
 export type Launcher = {
-	/** Loopback address of everything that this launcher starts. */
+	/** Loopback address of the stand-ins and of links between zones; the system chooses their ports. */
 	readonly host: string;
-	/** Ports of `host` that were free a moment ago, no two of them the same. */
+	/** Loopback address of the entry instances. Only they listen there, so that their ports stay free while they are down. */
+	readonly entryHost: string;
+	/** Ports of `entryHost` for entry instances, no two of them the same. */
 	findFreePorts(count: number): Promise<readonly number[]>;
 	startPlatform(options?: {readonly listLagMilliseconds?: number; readonly rebootMilliseconds?: number}): Promise<PlatformProcess>;
 	startUpstream(options: {
@@ -60,7 +66,7 @@
 	startEntry(options: {
 		readonly place: EntryPlace;
 		readonly members: readonly EntryPlace[];
-		readonly platformPort: number;
+		readonly platformUrl: string;
 		readonly overrides?: SettingOverrides;
 	}): Promise<EntryProcess>;
 	waitUntilReady(entries: readonly EntryProcess[], boundMilliseconds?: number): Promise<void>;
@@ -78,7 +84,7 @@
 const daemonProgram = fileURLToPath(new URL('../../../../programs/daemon/dist/src/main.js', import.meta.url));
 
 /**
- * A loopback address of its own for each launcher. Outgoing connections start
+ * Loopback addresses of its own for each launcher. Outgoing connections start
  * from 127.0.0.1 and take ports there, so a port that is closed for a while,
  * as during a restart, would be lost to them on that address.
  */
@@ -142,6 +148,7 @@
 
 export const createLauncher = async (): Promise<Launcher> => {
 	const host = chooseHost();
+	const entryHost = chooseHost();
 	const folder = await mkdtemp(path.join(tmpdir(), 'turmericbay-'));
 	const running = new Set<ManagedProcess>();
 	const stopWatchingExit = endOnExit(running);
@@ -169,12 +176,13 @@
 
 	return {
 		host,
-		findFreePorts: async count => findFreePorts(host, count),
+		entryHost,
+		findFreePorts: async count => findFreePorts(entryHost, count),
 		async startPlatform({listLagMilliseconds = 0, rebootMilliseconds = 1000} = {}) {
 			const {managed, ready} = await startStandIn({
 				name: 'platform', file: platformProgram, parameters: ['--list-lag', String(listLagMilliseconds), '--reboot-time', String(rebootMilliseconds)],
 			});
-			return {...managed, port: ready.port, control: createPlatformControlClient(`http://${host}:${ready.controlPort}`)};
+			return {...managed, url: `http://${host}:${ready.port}`, control: createPlatformControlClient(`http://${host}:${ready.controlPort}`)};
 		},
 		async startUpstream({instance, pool, zone, rack = `${zone}-rack-1`, slots = 8, runMilliseconds = 0}) {
 			const runLog = path.join(folder, `${instance}-runs-${startCount}`);
@@ -189,17 +197,17 @@
 				...managed, record, control: createUpstreamControlClient(`http://${host}:${ready.controlPort}`), readStartedRuns: async () => readRunLog(runLog),
 			};
 		},
-		async startEntry({place, members, platformPort, overrides}) {
+		async startEntry({place, members, platformUrl, overrides}) {
 			const {instance, zone, ports} = place;
 			const {incarnation, logFile} = nextRun(instance);
 			const settingsFile = path.join(folder, `${instance}.ini`);
 			await writeFile(settingsFile, renderEntrySettings({
-				place, members, platformPort, overrides,
+				place, members, platformUrl, overrides,
 			}));
 			const managed = track(startProcess({
 				name: instance, file: daemonProgram, parameters: ['--settings', settingsFile], logFile,
 			}));
-			const operationsUrl = `http://${host}:${ports.operations}`;
+			const operationsUrl = `http://${place.host}:${ports.operations}`;
 			await waitUntil({
 				what: `${instance} starts`,
 				async condition() {
@@ -212,7 +220,7 @@
 				boundMilliseconds: defaultReadyBoundMilliseconds,
 			});
 			const record: InstanceRecord = {
-				instance, incarnation, address: `${host}:${ports.callers}`, role: InstanceRole.Entry, pool: 'entry', zone, rack: `${zone}-rack-1`, state: InstanceState.Live,
+				instance, incarnation, address: `${place.host}:${ports.callers}`, role: InstanceRole.Entry, pool: 'entry', zone, rack: `${zone}-rack-1`, state: InstanceState.Live,
 			};
 			return {
 				...managed, place, record, callersUrl: `http://${record.address}`, operationsUrl,
--- a/packages/tools/demo/src/send.ts
+++ b/packages/tools/demo/src/send.ts
@@ -92,6 +92,15 @@
 	...(sent.idempotencyKey !== undefined && {'idempotency-key': sent.idempotencyKey}),
 });
 
+/** The code of undici and of sockets is a text; an exception of the platform such as a timeout has only a name. */
+const describeError = (error: unknown): string => {
+	if (!(error instanceof Error)) {
+		return String(error);
+	}
+
+	return 'code' in error && typeof error.code === 'string' ? error.code : error.name;
+};
+
 /** Sends one request; never throws. */
 export const sendRequest = async (sent: CallerRequest): Promise<CallerAnswer> => {
 	try {
@@ -104,9 +113,8 @@
 		});
 		return classify(sent, response, await response.body.text());
 	} catch (error) {
-		const code = error instanceof Error && 'code' in error ? String(error.code) : String(error);
 		return {
-			type: AnswerClass.Broken, status: 0, code, upstream: '',
+			type: AnswerClass.Broken, status: 0, code: describeError(error), upstream: '',
 		};
 	}
 };
--- a/packages/tools/demo/src/zone-links.ts
+++ b/packages/tools/demo/src/zone-links.ts
@@ -26,7 +26,7 @@
 	from.on('error', () => undefined);
 };
 
-const createLink = async (host: string, targetPort: number): Promise<Link> => {
+const createLink = async (host: string, target: EntryPlace): Promise<Link> => {
 	const sockets = new Set<Socket>();
 	let isCut = false;
 
@@ -41,7 +41,7 @@
 	};
 
 	const server = createServer(incoming => {
-		const outgoing = createConnection(targetPort, host);
+		const outgoing = createConnection(target.ports.peers, target.host);
 		forward(incoming, outgoing);
 		forward(outgoing, incoming);
 		add(incoming);
@@ -79,14 +79,15 @@
 	close(): void;
 };
 
-export const createZoneLinks = async (members: readonly EntryPlace[]): Promise<ZoneLinks> => {
+/** Opens a link from each zone to each member outside of it; the links listen on `host`. */
+export const createZoneLinks = async ({members, host}: {readonly members: readonly EntryPlace[]; readonly host: string}): Promise<ZoneLinks> => {
 	const zones = [...new Set(members.map(({zone}) => zone))];
 	const pairs = zones.flatMap(from => members.filter(({zone}) => zone !== from).map(member => ({from, member})));
-	const links = await Promise.all(pairs.map(async ({from, member}) => ({from, member, link: await createLink(member.host, member.ports.peers)})));
+	const links = await Promise.all(pairs.map(async ({from, member}) => ({from, member, link: await createLink(host, member)})));
 	return {
 		membersSeenFrom: zone => members.map(member => {
 			const found = links.find(({from, member: {instance}}) => from === zone && instance === member.instance);
-			return found === undefined ? member : {...member, ports: {...member.ports, peers: found.link.port}};
+			return found === undefined ? member : {...member, host, ports: {...member.ports, peers: found.link.port}};
 		}),
 		setZoneCut(zone, isCut) {
 			for (const {from, member, link} of links) {
--- a/packages/tools/fault-tests/src/runner.ts
+++ b/packages/tools/fault-tests/src/runner.ts
@@ -5,6 +5,7 @@
 	CaseContext, CaseResult, Check, FaultCase,
 } from './fault-case.js';
 import {isPassed} from './fault-case.js';
+import {warmUp} from './warm-up.js';
 
 /** Ends a case that hangs; the longest ones take about half of it. */
 const caseBoundMilliseconds = 60_000;
@@ -20,6 +21,8 @@
 
 const play = async (faultCase: FaultCase, launcher: Launcher, check: CaseContext['check']): Promise<void> => {
 	const fleet = await startFleet(launcher, faultCase.plan);
+	await warmUp(fleet, faultCase.seed);
+	await Promise.all(fleet.upstreams.map(async ({control}) => control.reset()));
 	await faultCase.run({fleet, seed: faultCase.seed, check});
 };
 
--- a/packages/tools/fault-tests/src/setup.ts
+++ b/packages/tools/fault-tests/src/setup.ts
@@ -65,8 +65,19 @@
 	{...getSource(Queue.Once, ratePerSecond), method: 'POST' as const},
 ].map(source => ({...source, runMilliseconds}));
 
-export const describeCounts = ({sent, counts}: LoadReport): string =>
-	`${sent} sent: ${Object.entries(counts).filter(([, count]) => count > 0).map(([type, count]) => `${count} ${type}`).join(', ')}`;
+/** Counts of answers by type and problem code. */
+export const describeAnswers = (answers: readonly CallerAnswer[]): string => {
+	const counts = new Map<string, number>();
+	for (const {type, code} of answers) {
+		const name = code === '' ? type : `${type} ${code}`;
+		counts.set(name, (counts.get(name) ?? 0) + 1);
+	}
+
+	return [...counts].map(([name, count]) => `${count} ${name}`).join(', ');
+};
+
+export const describeCounts = ({sent, records}: LoadReport): string =>
+	`${sent} sent: ${describeAnswers(records.map(({answer}) => answer))}`;
 
 export type OnceRequest = {readonly idempotencyKey: string; readonly body: string; readonly runMilliseconds: number};
 
