--- a/packages/fleet/policy/src/pools.ts
+++ b/packages/fleet/policy/src/pools.ts
@@ -6,9 +6,6 @@
 import type {InstanceId, PoolName} from '@turmericbay/types';
 import type {PolicySettings} from './weights.js';
 
-/** Much longer than a burst of a few seconds and the quiet time around it. */
-const averagingMilliseconds = 300_000;
-
 export type PoolLoad = {
 	readonly pool: PoolName;
 	readonly isSpare: boolean;
@@ -16,8 +13,11 @@
 	readonly members: readonly InstanceId[];
 	readonly minimumInstances: number;
 	readonly slotsPerInstance: number;
-	/** Requests that run or wait, over all entry instances. */
-	readonly demandSlots: number;
+	/**
+	 * Requests that run, over all entry instances. Their average is the offered
+	 * load; waiting requests would count the load of a burst a second time.
+	 */
+	readonly busySlots: number;
 	/** Instances on their way to the pool. */
 	readonly joining: number;
 };
@@ -31,7 +31,7 @@
 	tick(options: {now: number; pools: readonly PoolLoad[]}): PoolMove[];
 };
 
-const updateAverage = (history: PoolHistory, demand: number, elapsed: number) => {
+const updateAverage = (history: PoolHistory, demand: number, {elapsed, averagingMilliseconds}: {elapsed: number; averagingMilliseconds: number}) => {
 	history.elapsed += elapsed;
 	// A plain mean until the averaging time has passed once, so that the first demand seen does not count for long.
 	const window = Math.max(1, Math.min(history.elapsed, averagingMilliseconds));
@@ -46,10 +46,10 @@
 
 	const observe = (load: PoolLoad, now: number, elapsed: number): PoolHistory => {
 		const history = histories.get(load.pool) ?? {
-			averageDemand: load.demandSlots, elapsed: 0, shortSince: undefined, longSince: undefined,
+			averageDemand: load.busySlots, elapsed: 0, shortSince: undefined, longSince: undefined,
 		};
 		histories.set(load.pool, history);
-		updateAverage(history, load.demandSlots, elapsed);
+		updateAverage(history, load.busySlots, {elapsed, averagingMilliseconds: settings.averagingMilliseconds});
 		const size = load.members.length + load.joining;
 		const needed = history.averageDemand / (load.slotsPerInstance * settings.targetUse);
 		// One instance of difference between joining and leaving, so that no demand asks for both.
