--- a/packages/coordination/document-watch/src/document-watch.ts
+++ b/packages/coordination/document-watch/src/document-watch.ts
@@ -19,10 +19,18 @@
 import {resolvePending, writeVersion} from './submit.js';
 import {chooseWatchers} from './watchers.js';
 
-/** Watchers check each second: with an exchange each 500 ms the others are confirmed within 2 s. */
-const watcherReadMilliseconds = 1000;
-/** The others read before the bound of 5 s, leaving the 2 s that a slow read may take. */
-const fallbackReadMilliseconds = 3000;
+/**
+ * Watchers check each second: with an exchange each 500 ms the others are
+ * confirmed within 2 s. A tenth less than that, since a tick that comes a moment
+ * early would otherwise put the check off by another 500 ms.
+ */
+const watcherReadMilliseconds = 900;
+/**
+ * The others read after the 2 s in which they are normally confirmed through
+ * peers. If the platform hangs, the read ends 2 s later, which leaves a second
+ * of the 5 s bound to confirm by the outage rule.
+ */
+const fallbackReadMilliseconds = 2000;
 
 export type DocumentWatchOptions = {
 	readonly self: EntryInstance;
--- a/packages/coordination/document-watch/src/submit.ts
+++ b/packages/coordination/document-watch/src/submit.ts
@@ -240,6 +240,10 @@
 		}
 	}
 
-	state.clearPending(changeId);
+	// A repeated submit may have marked another revision in the meantime.
+	if (state.pendingRevisions().get(changeId) === revision) {
+		state.clearPending(changeId);
+	}
+
 	return true;
 };
--- a/packages/coordination/document-watch/test/memory-store.ts
+++ b/packages/coordination/document-watch/test/memory-store.ts
@@ -3,7 +3,7 @@
 import type {Result} from 'neverthrow';
 import {maximumValueBytes, StoreErrorKind} from '@turmericbay/types';
 import type {
-	StoreCondition, StoredEntry, StoreError, StoreListing, StoreOperation, TransactionOutcome,
+	KeyValueStore, StoreCondition, StoredEntry, StoreError, StoreListing, StoreOperation, TransactionOutcome,
 } from '@turmericbay/types';
 
 export const storeError = (kind: StoreErrorKind): StoreError => ({kind, code: 'STORE_TEST', message: kind});
@@ -50,3 +50,24 @@
 		},
 	};
 };
+
+export type Memory = ReturnType<typeof createMemory>;
+
+/** The store over a memory; `beforeAnswer` runs between the effect of a call and its answer. */
+export const createMemoryStore = (memory: Memory, beforeAnswer: () => void = () => undefined): KeyValueStore => {
+	const unused = async () => err(storeError(StoreErrorKind.NotApplied));
+	const after = <Value>(value: Value): Value => {
+		beforeAnswer();
+		return value;
+	};
+
+	return {
+		read: async ({key}) => after(ok(memory.read(key))),
+		list: async options => ok(memory.list(options)),
+		transact: async options => after(memory.transact(options)),
+		grantLease: unused,
+		renewLease: unused,
+		revokeLease: unused,
+		watch: () => ({stop: () => undefined}),
+	};
+};
--- a/packages/coordination/document-watch/test/network.ts
+++ b/packages/coordination/document-watch/test/network.ts
@@ -13,16 +13,21 @@
 	/** Has its effect at the target and returns what delivers the answer. */
 	readonly apply: () => () => void;
 	readonly fail: (kind: StoreErrorKind) => void;
+	readonly sentAt: number;
 	answer?: (() => void) | undefined;
 	/** The caller has given up; the request can still have its effect. */
 	isAbandoned?: boolean;
 };
 
+/** The default of the setting `[platform] request-timeout-milliseconds`. */
+const platformTimeoutMilliseconds = 2000;
+
 type Sender = {readonly process: number; readonly restartedAt: number};
 
 export const createNetwork = ({sender, time}: {readonly sender: (name: string) => Sender; readonly time: () => number}) => {
 	const calls: Call[] = [];
 	const cut = new Set<string>();
+	let isPlatformHung = false;
 
 	const isStray = ({from, process}: Call): boolean => process !== sender(from).process;
 	const isCut = ({from, to}: Call): boolean => cut.has(`${from}-${to}`) || cut.has(`${to}-${from}`);
@@ -30,6 +35,18 @@
 		calls.splice(calls.indexOf(call), 1);
 	};
 
+	const abandon = (call: Call | undefined): void => {
+		call?.fail(StoreErrorKind.Unknown);
+		if (call?.answer !== undefined) {
+			remove(call);
+		} else if (call !== undefined) {
+			call.isAbandoned = true;
+		}
+	};
+
+	const isWaited = (call: Call): boolean => !isStray(call) && call.isAbandoned !== true;
+	const isHung = (call: Call): boolean => isPlatformHung && call.to === 'platform';
+
 	return {
 		calls,
 		cut,
@@ -43,6 +60,7 @@
 				to,
 				process,
 				isWrite,
+				sentAt: time(),
 				apply() {
 					const answer = apply();
 					return () => {
@@ -73,12 +91,14 @@
 			}
 		},
 		/** The caller gives up; the request stays in the network and may have its effect later. */
-		abandon(call: Call | undefined): void {
-			call?.fail(StoreErrorKind.Unknown);
-			if (call?.answer !== undefined) {
-				remove(call);
-			} else if (call !== undefined) {
-				call.isAbandoned = true;
+		abandon,
+		/** Calls to the platform get no answer and time out. */
+		hangPlatform(): void {
+			isPlatformHung = true;
+		},
+		expireHung(): void {
+			for (const call of calls.filter(candidate => isHung(candidate) && isWaited(candidate) && time() - candidate.sentAt >= platformTimeoutMilliseconds)) {
+				abandon(call);
 			}
 		},
 		refuse(call: Call | undefined): void {
@@ -90,6 +110,6 @@
 		pick: (index: number): Call | undefined => calls[index % Math.max(1, calls.length)],
 		/** A call whose caller no longer waits. */
 		findUnwaited: (): Call | undefined => calls.find(call => call.isAbandoned ?? isStray(call)),
-		findWaited: (): Call | undefined => calls.find(call => !isStray(call) && call.isAbandoned !== true),
+		findWaited: (): Call | undefined => calls.find(call => isWaited(call) && !isHung(call)),
 	};
 };
--- a/packages/coordination/document-watch/test/rules.test.ts
+++ b/packages/coordination/document-watch/test/rules.test.ts
@@ -1,9 +1,7 @@
 import test from 'ava';
 import {parseDocument} from '@turmericbay/document';
 import type {DocumentEnvelope} from '@turmericbay/document';
-import {createManualClock, StoreErrorKind} from '@turmericbay/types';
-import type {KeyValueStore} from '@turmericbay/types';
-import {err, ok} from 'neverthrow';
+import {createManualClock} from '@turmericbay/types';
 import {
 	chooseWatchers, confirmFromOutage, confirmFromPeers, createDocumentState, decideAdoption,
 } from '../src/index.js';
@@ -11,7 +9,7 @@
 import {createPlatformReader} from '../src/platform-reader.js';
 import {currentKey} from '../src/store-keys.js';
 import {resolvePending} from '../src/submit.js';
-import {createMemory, storeError} from './memory-store.js';
+import {createMemory, createMemoryStore} from './memory-store.js';
 
 const document = parseDocument({
 	text: JSON.stringify({
@@ -22,24 +20,6 @@
 	version, changeId, author: 'operator', submittedAt: '2026-12-04T00:00:00.000Z', document,
 });
 
-const createStore = (memory: ReturnType<typeof createMemory>, beforeAnswer: () => void = () => undefined): KeyValueStore => {
-	const unused = async () => err(storeError(StoreErrorKind.NotApplied));
-	const after = <Value>(value: Value): Value => {
-		beforeAnswer();
-		return value;
-	};
-
-	return {
-		read: async ({key}) => after(ok(memory.read(key))),
-		list: async options => ok(memory.list(options)),
-		transact: async options => after(memory.transact(options)),
-		grantLease: unused,
-		renewLease: unused,
-		revokeLease: unused,
-		watch: () => ({stop: () => undefined}),
-	};
-};
-
 const createState = (events: DocumentWatchEvent[] = []) => createDocumentState({
 	instance: 'a1', startedAt: 0, known: () => ['b1'], report(event) {
 		events.push(event);
@@ -103,7 +83,7 @@
 	const memory = createMemory();
 	put(memory, JSON.stringify(envelope(1)));
 	const state = createState();
-	const store = createStore(memory, () => {
+	const store = createMemoryStore(memory, () => {
 		clock.advance(700);
 	});
 	const reader = createPlatformReader({
@@ -124,7 +104,7 @@
 	const state = createState();
 	state.markPending('change-2', revision);
 	t.true(await resolvePending({
-		store: createStore(memory), state, changeId: 'change-2', revision,
+		store: createMemoryStore(memory), state, changeId: 'change-2', revision,
 	}));
 	const late = memory.transact({conditions: [{key: currentKey, modifiedRevision: revision}], operations: [{type: 'put', key: currentKey, value: '{}'}]});
 	t.is(late._unsafeUnwrap().type, 'condition-failed');
--- a/packages/coordination/document-watch/test/world.ts
+++ b/packages/coordination/document-watch/test/world.ts
@@ -60,7 +60,7 @@
 		for (const [name, onChange] of watchers) {
 			const {process} = member(name);
 			calls.push({
-				from: name, to: 'platform', process, isWrite: false, apply: () => () => {
+				from: name, to: 'platform', process, isWrite: false, sentAt: time, apply: () => () => {
 					onChange([current]);
 				}, fail: () => undefined,
 			});
@@ -76,7 +76,7 @@
 		return found;
 	};
 
-	const {calls, cut, send, pick, deliver, abandon, findUnwaited, findWaited, refuse} = createNetwork({sender: member, time: () => time});
+	const {hangPlatform, expireHung, calls, cut, send, pick, deliver, abandon, findUnwaited, findWaited, refuse} = createNetwork({sender: member, time: () => time});
 	const processOf = (name: Name): number => members.get(name)?.process ?? processes;
 
 	const createStore = (from: Name): KeyValueStore => {
@@ -196,12 +196,13 @@
 			}
 		},
 		/** Every instance ticks and every message that somebody waits for arrives. */
-		async round(): Promise<void> {
-			time += 1100;
+		async round(milliseconds = 1100): Promise<void> {
+			time += milliseconds;
 			for (const {watch} of members.values()) {
 				void watch.tick();
 			}
 
+			expireHung();
 			await flush();
 			for (;;) {
 				const call = findWaited();
@@ -235,6 +236,21 @@
 				}
 			}
 		},
+		/** What the daemon does each tick: every instance asks all peers that it reaches. */
+		async exchange(): Promise<void> {
+			const pairs = instances.flatMap(({instance: from}) => instances.map(({instance: to}) => ({from, to})));
+			await Promise.all(pairs.filter(({from, to}) => from !== to && !cut.has(`${from}-${to}`) && !cut.has(`${to}-${from}`)).map(async ({from, to}) => {
+				const {watch, clockOffset} = member(from);
+				return watch.recordPeerAnswer({startedAt: time + clockOffset, answer: member(to).watch.answer()});
+			}));
+		},
+		hangPlatform,
+		isolate(index: number): void {
+			const self = instances[index]?.instance ?? 'a1';
+			for (const other of ['platform', ...instances.map(({instance}) => instance)]) {
+				cut.add(`${self}-${other}`);
+			}
+		},
 		heal(): void {
 			cut.clear();
 		},
