Hand out tickets and tell the fleet ledger about ejected upstreams

Cause: callers that cannot make a UUIDv7 need a key from the system; the wave must know of upstreams that fail.

Change: POST /tickets on the callers' listener; the gateway's status says which upstreams are ejected, and the fleet ledger counts them as failed.

--- a/packages/programs/daemon/src/entry-instance.ts
+++ b/packages/programs/daemon/src/entry-instance.ts
@@ -205,6 +205,7 @@
 			drainBoundMilliseconds: settings.shutdown.boundSeconds * 1000,
 		},
 		telemetry: createGatewayTelemetry(options),
+		issueTicket: () => claims.issueTicket(),
 		authenticate: createAuthentication(documentWatch),
 	});
 
--- a/packages/programs/daemon/src/fleet-parts.ts
+++ b/packages/programs/daemon/src/fleet-parts.ts
@@ -70,7 +70,7 @@
 		peers: {confirmations: () => exchange().rows().flatMap(row => toConfirmation(row))},
 		observation: {
 			busyInstances: () => new Set(gateway().status().upstreams.filter(({inFlight}) => inFlight > 0).map(({instance}) => instance)),
-			isHealthy: () => true,
+			isHealthy: instance => !gateway().status().upstreams.some(upstream => upstream.instance === instance && upstream.isEjected),
 			hasRunningTasks: () => false,
 		},
 		report(event) {
--- a/packages/traffic/gateway/src/caller-server.ts
+++ b/packages/traffic/gateway/src/caller-server.ts
@@ -7,6 +7,7 @@
 import type {Problem} from '@turmericbay/types';
 import type {GatewaySettings} from './ports.js';
 import {answerProblem, answerRawProblem} from './problem-answer.js';
+import {answerTicket, ticketsPath} from './tickets.js';
 
 export type CallerServer = {
 	listen(options: {readonly host: string; readonly port: number}): Promise<{readonly port: number}>;
@@ -63,8 +64,9 @@
 	});
 };
 
-export const createCallerServer = ({settings, handle}: {
+export const createCallerServer = ({settings, handle, issueTicket}: {
 	readonly settings: GatewaySettings;
+	readonly issueTicket: () => string;
 	readonly handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
 }): CallerServer => {
 	let draining = false;
@@ -100,6 +102,10 @@
 			answerProblem(response, {code: ProblemCode.QueueUnknown, detail: 'Use a path below /queues/{queue}/.'});
 		},
 	});
+	callers.post(ticketsPath, (request, response) => {
+		request.resume();
+		answerTicket(response, issueTicket());
+	});
 	callers.all('/queues/:queue', serve);
 	callers.all('/queues/:queue/*', serve);
 	server.on('request', callers.handler);
--- a/packages/traffic/gateway/src/gateway.ts
+++ b/packages/traffic/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 /** Wires the data path of one entry instance together. */
 import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
-import {createRetryBudget, createRoutingTable} from '@turmericbay/routing';
+import {createRetryBudget, createRoutingTable, isEjected} from '@turmericbay/routing';
 import {ProblemCode} from '@turmericbay/types';
 import type {PoolName, TeamName} from '@turmericbay/types';
 import {createCallerServer} from './caller-server.js';
@@ -68,6 +68,7 @@
 };
 
 const readStatus = ({routing, runs, options}: FlowContext, queues: ReadonlyMap<PoolName, PoolQueue>): GatewayStatus => {
+	const now = options.clock.monotonicMilliseconds();
 	const names = Object.keys(options.configuration.current()?.document.teams ?? {});
 	const queuedOf = (team: TeamName): number => {
 		let sum = 0;
@@ -81,7 +82,11 @@
 	return {
 		pools: [...queues].map(([pool, queue]) => ({pool, queued: queue.queued(), inFlight: routing.inFlight({pool})})),
 		teams: [...new Set([...names, ...runs.teams()])].map(team => ({team, running: runs.running(team), queued: queuedOf(team)})),
-		upstreams: routing.upstreams().map(({record, ownInFlight, lingering}) => ({instance: record.instance, inFlight: ownInFlight + lingering})),
+		upstreams: routing.upstreams().map(upstream => ({
+			instance: upstream.record.instance,
+			inFlight: upstream.ownInFlight + upstream.lingering,
+			isEjected: isEjected(upstream, now),
+		})),
 	};
 };
 
@@ -116,6 +121,7 @@
 	const now = (): number => options.clock.monotonicMilliseconds();
 	const server = createCallerServer({
 		settings: context.settings,
+		issueTicket: options.issueTicket,
 		async handle(request, response) {
 			const handling = handleRequest(context, request, response);
 			active.add(handling);
--- a/packages/traffic/gateway/src/ports.ts
+++ b/packages/traffic/gateway/src/ports.ts
@@ -91,6 +91,8 @@
 	readonly zone: AvailabilityZone;
 	readonly settings?: Partial<GatewaySettings>;
 	readonly telemetry?: GatewayTelemetry;
+	/** An idempotency key for `POST /tickets`. */
+	readonly issueTicket: () => string;
 	/** Checks a presented key in constant time. */
 	readonly authenticate: (presentedKey: string) => {readonly team: TeamName} | undefined;
 };
@@ -98,7 +100,7 @@
 export type GatewayStatus = {
 	readonly pools: ReadonlyArray<{readonly pool: PoolName; readonly queued: number; readonly inFlight: number}>;
 	readonly teams: ReadonlyArray<{readonly team: TeamName; readonly running: number; readonly queued: number}>;
-	readonly upstreams: ReadonlyArray<{readonly instance: InstanceId; readonly inFlight: number}>;
+	readonly upstreams: ReadonlyArray<{readonly instance: InstanceId; readonly inFlight: number; readonly isEjected: boolean}>;
 };
 
 export type Gateway = {
--- a/packages/traffic/gateway/test/fixtures.ts
+++ b/packages/traffic/gateway/test/fixtures.ts
@@ -172,6 +172,7 @@
 			onAvailable: () => undefined,
 		},
 		claims,
+		issueTicket: () => 'ticket-1',
 		instances,
 		clock,
 		random: () => 0.25,
--- a/packages/traffic/gateway/test/gateway.test.ts
+++ b/packages/traffic/gateway/test/gateway.test.ts
@@ -17,3 +17,11 @@
 	t.is(state.units, 4);
 	t.deepEqual(gateway.status().pools, [{pool: 'pricing', queued: 0, inFlight: 0}]);
 });
+
+// Guards against callers without UUIDv7 that cannot send requests which may not be repeated.
+test('hands out an idempotency key', async t => {
+	const {port} = await createHarness(t, {instances: []});
+	const answer = await send(port, {method: 'POST', path: '/tickets'});
+	t.is(answer.status, 201);
+	t.deepEqual(JSON.parse(answer.body), {idempotencyKey: 'ticket-1'});
+});
