Expect the ejection state in the gateway's status

Cause: the status now says whether an upstream is ejected; the test compared the whole row.

Change: the expectation names the field; no check is loosened.

--- a/packages/traffic/gateway/test/lifecycle.test.ts
+++ b/packages/traffic/gateway/test/lifecycle.test.ts
@@ -32,7 +32,7 @@
 	const answer = send(port);
 	await until(() => waiting.length === 1);
 	setInstances([]);
-	t.deepEqual(gateway.status().upstreams, [{instance: `upstream-${upstream.port}`, inFlight: 1}]);
+	t.deepEqual(gateway.status().upstreams, [{instance: `upstream-${upstream.port}`, inFlight: 1, isEjected: false}]);
 	waiting[0]!();
 	const {status} = await answer;
 	t.is(status, 200);
