Open an ended watch again only while reads succeed, at most each second

Cause: in a trial with three daemons and the platform stand-in killed, each watcher logged an ended watch at every tick of 500 ms for the whole outage.

Change: a watch is opened only while the last read of the platform succeeded and at most once a second. A change that is missed meanwhile is found by the watchers' read, which comes each second.

--- a/packages/coordination/document-watch/src/platform-reader.ts
+++ b/packages/coordination/document-watch/src/platform-reader.ts
@@ -6,6 +6,8 @@
 import type {DocumentState} from './state.js';
 import {currentKey} from './store-keys.js';
 
+const watchIntervalMilliseconds = 1000;
+
 export type PlatformReaderOptions = {
 	readonly store: KeyValueStore;
 	readonly state: DocumentState;
@@ -25,6 +27,7 @@
 	let isReading = false;
 	let lastReadAt: number | undefined;
 	let watch: WatchHandle | undefined;
+	let lastWatchAt = Number.NEGATIVE_INFINITY;
 
 	const fail = (message: string): void => {
 		state.recordPlatformFailure(message, clock.monotonicMilliseconds());
@@ -72,6 +75,9 @@
 		}
 	};
 
+	/** Not while reads fail, and not more often than the watchers read anyway. */
+	const canStartWatch = (): boolean => state.isPlatformReachable() && clock.monotonicMilliseconds() - lastWatchAt >= watchIntervalMilliseconds;
+
 	const startWatch = (): WatchHandle => store.watch({
 		prefix: currentKey,
 		onChange(entries) {
@@ -89,11 +95,12 @@
 		read,
 		lastReadAt: () => lastReadAt,
 		setWatching(wanted) {
-			if (wanted) {
-				watch ??= startWatch();
-			} else {
+			if (!wanted) {
 				watch?.stop();
 				watch = undefined;
+			} else if (watch === undefined && canStartWatch()) {
+				lastWatchAt = clock.monotonicMilliseconds();
+				watch = startWatch();
 			}
 		},
 	};
--- a/packages/coordination/document-watch/test/rules.test.ts
+++ b/packages/coordination/document-watch/test/rules.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {parseDocument} from '@turmericbay/document';
 import type {DocumentEnvelope} from '@turmericbay/document';
-import {createManualClock} from '@turmericbay/types';
+import {createManualClock, StoreErrorKind} from '@turmericbay/types';
 import {
 	chooseWatchers, confirmFromOutage, confirmFromPeers, createDocumentState, decideAdoption,
 } from '../src/index.js';
@@ -9,7 +9,7 @@
 import {createPlatformReader} from '../src/platform-reader.js';
 import {currentKey} from '../src/store-keys.js';
 import {resolvePending} from '../src/submit.js';
-import {createMemory, createMemoryStore} from './memory-store.js';
+import {createMemory, createMemoryStore, storeError} from './memory-store.js';
 
 const document = parseDocument({
 	text: JSON.stringify({
@@ -96,6 +96,47 @@
 	t.is(state.confirmationAge(clock.monotonicMilliseconds()), 700);
 });
 
+// Guards against a watch that is opened again at every tick while the platform is out.
+test('a watch that ended is opened again with a pause, and only while reads succeed', async t => {
+	const clock = createManualClock();
+	const memory = createMemory();
+	put(memory, JSON.stringify(envelope(1)));
+	const state = createState();
+	let starts = 0;
+	let end: () => void = () => undefined;
+	const store = {
+		...createMemoryStore(memory),
+		watch({onEnd}: Parameters<ReturnType<typeof createMemoryStore>['watch']>[0]) {
+			starts++;
+			end = () => {
+				onEnd(storeError(StoreErrorKind.NotApplied));
+			};
+
+			return {stop: () => undefined};
+		},
+	};
+	const reader = createPlatformReader({
+		store, state, clock, report: () => undefined,
+	});
+	const observe = (): number => {
+		reader.setWatching(true);
+		return starts;
+	};
+
+	const seen = [observe()];
+	await reader.read();
+	seen.push(observe(), observe());
+	end();
+	seen.push(observe());
+	clock.advance(1000);
+	seen.push(observe());
+	end();
+	clock.advance(1000);
+	state.recordPlatformFailure('connection refused', 2000);
+	seen.push(observe());
+	t.deepEqual(seen, [0, 1, 1, 1, 2, 2]);
+});
+
 // Guards against a lost write that takes effect after its submit was called settled.
 test('a pending write is fenced before its mark is removed', async t => {
 	const memory = createMemory();
