--- a/packages/traffic/gateway/src/gateway.ts
+++ b/packages/traffic/gateway/src/gateway.ts
@@ -1,7 +1,10 @@
 /** Wires the data path of one entry instance together. */
-import {createRetryBudget, createRoutingTable} from '@turmericbay/routing';
+import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
+import {createRetryBudget, createRoutingTable, isEjected} from '@turmericbay/routing';
+import {ProblemCode} from '@turmericbay/types';
 import type {PoolName, TeamName} from '@turmericbay/types';
 import {createCallerServer} from './caller-server.js';
+import type {CallerServer} from './caller-server.js';
 import {createPoolQueue} from './pool-queue.js';
 import type {PoolQueue} from './pool-queue.js';
 import {defaultGatewaySettings} from './ports.js';
@@ -65,6 +68,7 @@
 };
 
 const readStatus = ({routing, runs, options}: FlowContext, queues: ReadonlyMap<PoolName, PoolQueue>): GatewayStatus => {
+	const now = options.clock.monotonicMilliseconds();
 	const names = Object.keys(options.configuration.current()?.document.teams ?? {});
 	const queuedOf = (team: TeamName): number => {
 		let sum = 0;
@@ -78,18 +82,52 @@
 	return {
 		pools: [...queues].map(([pool, queue]) => ({pool, queued: queue.queued(), inFlight: routing.inFlight({pool})})),
 		teams: [...new Set([...names, ...runs.teams()])].map(team => ({team, running: runs.running(team), queued: queuedOf(team)})),
-		upstreams: routing.upstreams().map(({record, ownInFlight, lingering}) => ({instance: record.instance, inFlight: ownInFlight + lingering})),
+		upstreams: routing.upstreams().map(upstream => ({
+			instance: upstream.record.instance,
+			inFlight: upstream.ownInFlight + upstream.lingering,
+			isEjected: isEjected(upstream, now),
+		})),
 	};
 };
 
+/** Waits for all requests, also those whose callers hung up, but no longer than the bound. */
+const finishRequests = async ({context, server, queues, active}: {
+	readonly context: FlowContext;
+	readonly server: CallerServer;
+	readonly queues: ReadonlyMap<PoolName, PoolQueue>;
+	readonly active: ReadonlySet<Promise<void>>;
+}): Promise<void> => {
+	const closed = server.close();
+	const bound = new AbortController();
+	const finished = closed.then(async () => Promise.all(active));
+	const expired = delay(context.settings.drainBoundMilliseconds, true, {signal: bound.signal}).catch(() => false);
+	await Promise.race([finished, expired]);
+	bound.abort();
+	for (const queue of queues.values()) {
+		queue.refuseQueued({code: ProblemCode.Draining, detail: 'Retry at another entry instance.', retryAfterSeconds: 1});
+	}
+
+	// Lets the refusals above reach their sockets.
+	await nextTurn();
+	server.cut();
+	await closed;
+};
+
 export const createGateway = (options: GatewayOptions): Gateway => {
 	const queues = new Map<PoolName, PoolQueue>();
 	const context = createContext(options, queues);
 	const {routing, runs, client} = context;
+	const active = new Set<Promise<void>>();
 	const now = (): number => options.clock.monotonicMilliseconds();
 	const server = createCallerServer({
 		settings: context.settings,
-		handle: async (request, response) => handleRequest(context, request, response),
+		issueTicket: options.issueTicket,
+		async handle(request, response) {
+			const handling = handleRequest(context, request, response);
+			active.add(handling);
+			await handling;
+			active.delete(handling);
+		},
 	});
 
 	const refresh = (): void => {
@@ -136,10 +174,13 @@
 			server.beginDrain();
 		},
 		async close() {
-			await server.close();
+			await finishRequests({
+				context, server, queues, active,
+			});
 			clearInterval(timer);
 			runs.stop();
 			await client.destroy();
+			await Promise.all(active);
 		},
 	};
 };
