Let the weight of share nearness raise the oversubscription risk

Cause: most of the share distance is room that is reserved but unused, so a team below its share waits; the risk followed only the buffer weight.

Ruled out (trial): 15% risk (share distance 3.7%, but jobs ask for more than the worker has in 6% of worker time).

--- a/packages/fleet/policy/src/weights.ts
+++ b/packages/fleet/policy/src/weights.ts
@@ -30,13 +30,15 @@
 };
 
 export const deriveSettings = (weights: PolicyWeights): PolicySettings => {
-	const {bufferCost, rollOutTime, moves} = normalizeWeights(weights);
+	const {
+		bufferCost, rollOutTime, moves, shareNearness,
+	} = normalizeWeights(weights);
 	return {
 		targetUse: Math.min(0.9, 0.66 + (0.3 * bufferCost)),
 		averagingMilliseconds: 180_000 + (900_000 * moves),
 		joinHoldMilliseconds: 30_000 + (240_000 * moves),
 		leaveHoldMilliseconds: 120_000 + (1_200_000 * moves),
 		zonesAtOnceFraction: Math.min(1, 2 * rollOutTime),
-		risk: Math.min(0.1, 0.02 + (0.1 * bufferCost)),
+		risk: Math.min(0.1, 0.02 + (0.12 * (bufferCost + shareNearness))),
 	};
 };
