Let a refusal as not run bind attempts that began before it was told

Ruled out: renewing the window with each refusal (a caller that tries every second would never get through). Change: inside the window the verdict is unknown, which promises nothing; the window also covers the 3 s within which a refusal may be passed on; a refusal that is older when its process wakes up becomes unknown; a full table answers unknown, since it keeps no trace of the refusal.

--- a/packages/coordination/claims/src/claim-table.ts
+++ b/packages/coordination/claims/src/claim-table.ts
@@ -4,7 +4,7 @@
  */
 import {Settlement} from '@turmericbay/types';
 import type {QueueName, TeamName} from '@turmericbay/types';
-import {claimRetentionMilliseconds, clockSkewMilliseconds} from './key.js';
+import {claimRetentionMilliseconds, clockSkewMilliseconds, tellWithinMilliseconds} from './key.js';
 import {Verdict} from './messages.js';
 
 export enum ClaimState {
@@ -73,10 +73,12 @@
 
 /**
  * A refusal as not run holds for every attempt with the key. An attempt that
- * began before it may still be on its way, so it must not be granted later.
+ * began before the caller was told may still be on its way, so it must not be
+ * granted later. Its own refusal claims nothing, or else a caller that tries
+ * again quickly would put off its success for ever.
  */
 const beganBefore = (startedAt: number, refusedAt: number): boolean =>
-	refusedAt > 0 && startedAt <= refusedAt + clockSkewMilliseconds;
+	refusedAt > 0 && startedAt <= refusedAt + clockSkewMilliseconds + tellWithinMilliseconds;
 
 /** What is known of a claim without changing anything; undefined if a new record decides. */
 export const judgeClaim = (options: {
@@ -90,13 +92,18 @@
 			return Verdict.Unknown;
 		}
 
-		return beganBefore(request.startedAt, partition.refusedAt) ? Verdict.NotRecorded : undefined;
+		// A key that an earlier owner refused is dated before that, give or take the clocks.
+		return request.keyTime <= partition.refusedAt + clockSkewMilliseconds && beganBefore(request.startedAt, partition.refusedAt)
+			? Verdict.Unknown
+			: undefined;
 	}
 
 	if (entry.state === ClaimState.Free) {
-		return entry.attempt === request.attempt || beganBefore(request.startedAt, entry.refusedAt)
-			? Verdict.NotRecorded
-			: undefined;
+		if (entry.attempt === request.attempt) {
+			return Verdict.NotRecorded;
+		}
+
+		return beganBefore(request.startedAt, entry.refusedAt) ? Verdict.Unknown : undefined;
 	}
 
 	if (entry.fingerprint !== request.fingerprint || entry.queue !== request.queue) {
--- a/packages/coordination/claims/src/claims.ts
+++ b/packages/coordination/claims/src/claims.ts
@@ -5,7 +5,7 @@
 } from '@turmericbay/types';
 import type {SessionView} from '@turmericbay/membership';
 import {
-	createTicket, judgeAge, parseKey, partitionCount,
+	createTicket, judgeAge, parseKey, partitionCount, tellWithinMilliseconds,
 } from './key.js';
 import {formatAttempt, Verdict} from './messages.js';
 import type {ClaimMessage, ClaimPeer, SettleMessage} from './messages.js';
@@ -31,7 +31,7 @@
 	readonly directory: InstanceDirectory & {noteListed?(identity: ProcessIdentity): void};
 	readonly session: SessionView;
 	readonly peer: ClaimPeer;
-	/** Bounds the memory of an owner; above it new keys are refused as not run. */
+	/** Bounds the memory of an owner; above it new keys are refused. */
 	readonly maximumClaims?: number;
 };
 
@@ -145,7 +145,8 @@
 	 * then is never sent, which its owner is told.
 	 */
 	const askInTime = async (partition: number, message: ClaimMessage): Promise<Verdict> => {
-		const deadline = now() + claimTimeoutMilliseconds;
+		const startedAt = now();
+		const deadline = startedAt + claimTimeoutMilliseconds;
 		let over = false;
 		const abandon = () => {
 			settlements.add({...message, settlement: Settlement.NotRun});
@@ -170,7 +171,9 @@
 					abandon();
 				}
 
-				finish(verdict);
+				// A process that was paused in between would pass on what may no longer hold.
+				const isStale = verdict === Verdict.NotRecorded && now() > startedAt + tellWithinMilliseconds;
+				finish(isStale ? Verdict.Unknown : verdict);
 			});
 			waiting.push({
 				deadline,
--- a/packages/coordination/claims/src/key.ts
+++ b/packages/coordination/claims/src/key.ts
@@ -13,6 +13,9 @@
 /** How far wall clocks of instances and callers may differ. */
 export const clockSkewMilliseconds = 5000;
 
+/** A refusal as not run is passed on to the caller within this time of the question, or not at all. */
+export const tellWithinMilliseconds = 3000;
+
 /** Claims are kept a little longer than keys are accepted, for the difference of clocks. */
 export const claimRetentionMilliseconds = claimLifetimeMilliseconds + (12 * clockSkewMilliseconds);
 
--- a/packages/coordination/claims/src/owned-claims.ts
+++ b/packages/coordination/claims/src/owned-claims.ts
@@ -69,12 +69,12 @@
 		answerWaiting(entry, Verdict.NotRecorded);
 	};
 
-	const record = (owned: OwnedPartition, question: Question, now: Times) => {
+	const record = (owned: OwnedPartition, question: Question) => {
 		const {request, deadline, answer} = question;
 		let entry = owned.claims.get(claimId(request.team, request.key));
 		if (!entry && count >= options.maximumClaims) {
-			owned.refusedAt = now.wall;
-			answer(Verdict.NotRecorded);
+			// Without room for an entry nothing would keep another attempt from running.
+			answer(Verdict.Unknown);
 			return;
 		}
 
@@ -92,7 +92,7 @@
 		recording.add(entry);
 	};
 
-	const decide = (owned: OwnedPartition, question: Question, now: Times) => {
+	const decide = (owned: OwnedPartition, question: Question) => {
 		const {request, answer} = question;
 		const {takenAt} = owned.stored.record;
 		if (owned.phase === PartitionPhase.Loading && request.keyTime <= takenAt + clockSkewMilliseconds) {
@@ -104,7 +104,7 @@
 			entry: owned.claims.get(claimId(request.team, request.key)), request, partition: owned,
 		});
 		if (verdict === undefined) {
-			record(owned, question, now);
+			record(owned, question);
 		} else {
 			answer(verdict);
 		}
@@ -163,10 +163,10 @@
 
 			dirty = dirty.filter(entry => entry.partition !== partition);
 		},
-		claim(partition: number, question: Question, now: Times) {
+		claim(partition: number, question: Question) {
 			const owned = partitions.get(partition);
 			if (owned && owned.phase !== PartitionPhase.Releasing) {
-				decide(owned, question, now);
+				decide(owned, question);
 			} else {
 				question.answer(Verdict.NotOwner);
 			}
@@ -203,7 +203,7 @@
 			const questions = owned.postponed;
 			owned.postponed = [];
 			for (const question of questions) {
-				decide(owned, question, now);
+				decide(owned, question);
 			}
 		},
 		/** Answers what has waited too long, and everything that may be granted from memory. */
--- a/packages/coordination/claims/src/owner.ts
+++ b/packages/coordination/claims/src/owner.ts
@@ -270,7 +270,7 @@
 				? new Promise(resolve => {
 					claims.claim(question.partition, {
 						request: question.request, deadline: time.monotonic + answerTimeoutMilliseconds, answer: resolve,
-					}, time);
+					});
 				})
 				: Verdict.Expired;
 		},
--- a/packages/coordination/claims/src/refusals.ts
+++ b/packages/coordination/claims/src/refusals.ts
@@ -1,11 +1,11 @@
 /** Problems that callers are told, by verdict. */
 import {ProblemCode} from '@turmericbay/types';
 import type {ClaimDecision, Problem} from '@turmericbay/types';
-import {clockSkewMilliseconds, KeyAge} from './key.js';
+import {clockSkewMilliseconds, KeyAge, tellWithinMilliseconds} from './key.js';
 import {Verdict} from './messages.js';
 
-/** An attempt that begins within the clocks' difference of a refusal is refused as well. */
-const retryAfterSeconds = (clockSkewMilliseconds / 1000) + 1;
+/** An attempt that begins sooner after a refusal is refused as well. */
+const retryAfterSeconds = ((clockSkewMilliseconds + tellWithinMilliseconds) / 1000) + 1;
 
 const problems: Readonly<Record<Exclude<Verdict, Verdict.Granted>, Problem>> = {
 	[Verdict.Running]: {code: ProblemCode.AlreadyRunning, detail: 'Another attempt with this key has not ended. Ask again with the same key later.', retryAfterSeconds},
