--- a/packages/coordination/grant-ledger/src/holder.ts
+++ b/packages/coordination/grant-ledger/src/holder.ts
@@ -64,6 +64,7 @@
 	const inFlight = new Map<LedgerCommand, number>();
 	let fleet = viewFleet(directory, identity);
 	let tidiedShards = new Set<number>();
+	let rankedEntries: string | undefined;
 	let documentVersion = 0;
 	let draining = false;
 	let firstShard = 0;
@@ -101,6 +102,12 @@
 	const refreshFleet = () => {
 		fleet = viewFleet(directory, identity);
 		const candidates = [...fleet.entriesByZone.values()].flat();
+		const signature = candidates.join(' ');
+		if (signature === rankedEntries) {
+			return;
+		}
+
+		rankedEntries = signature;
 		tidiedShards = new Set(Array.from({length: shardCount}, (_, shard) => shard)
 			.filter(shard => rankByRendezvous({subject: `tidy|${shard}`, candidates})[0] === identity.instance));
 		budget.setSharers(Math.max(1, candidates.length));
--- a/packages/coordination/membership/test/support/store.ts
+++ b/packages/coordination/membership/test/support/store.ts
@@ -138,9 +138,18 @@
 
 type StoreCall<T> = () => Promise<Result<T, StoreError>>;
 
+const sum = (numbers: readonly number[]) => {
+	let total = 0;
+	for (const number of numbers) {
+		total += number;
+	}
+
+	return total;
+};
+
 const failure = (kind: StoreErrorKind): StoreError => ({kind, code: 'STORE_SIMULATED', message: 'simulated failure'});
 
-export type StoreClient = KeyValueStore & {faults: StoreFaults; reachable: boolean; calls: number};
+export type StoreClient = KeyValueStore & {faults: StoreFaults; reachable: boolean; calls: number; bytes: number};
 
 /** A process's way to the store; each call takes 1 to 3 ms. */
 export const createStoreClient = (options: {
@@ -189,14 +198,23 @@
 		}
 	});
 
+	const count = <T>(result: Result<T, StoreError>, sizeOf: (value: T) => number) => {
+		client.bytes += result.isOk() ? sizeOf(result.value) : 0;
+		return result;
+	};
+
 	const {direct} = store;
 	const client: StoreClient = {
 		faults: noStoreFaults,
 		reachable: true,
 		calls: 0,
-		read: async options => send(async () => direct.read(options)),
-		list: async options => send(async () => direct.list(options)),
-		transact: async options => send(async () => direct.transact(options)),
+		bytes: 0,
+		read: async options => send(async () => count(await direct.read(options), entry => entry?.value.length ?? 0)),
+		list: async options => send(async () => count(await direct.list(options), listing => sum(listing.entries.map(({value}) => value.length)))),
+		async transact(options) {
+			client.bytes += sum(options.operations.map(operation => operation.type === 'put' ? operation.value.length : 0));
+			return send(async () => direct.transact(options));
+		},
 		grantLease: async options => send(async () => direct.grantLease(options)),
 		renewLease: async options => send(async () => direct.renewLease(options), leaseLatestMilliseconds),
 		revokeLease: async options => send(async () => direct.revokeLease(options)),
