Test a start during an outage; accept a watch that ends while it opens

Cause: if a store reported the end of a watch from within the call that opens it, the reader kept the ended handle and never opened another.

Change: the reader notes an end that comes while the watch is opened. A test starts an instance while the platform is out: it takes the document from its peers and counts as confirmed only since before the outage.

--- a/packages/coordination/document-watch/src/platform-reader.ts
+++ b/packages/coordination/document-watch/src/platform-reader.ts
@@ -78,18 +78,24 @@
 	/** Not while reads fail, and not more often than the watchers read anyway. */
 	const canStartWatch = (): boolean => state.isPlatformReachable() && clock.monotonicMilliseconds() - lastWatchAt >= watchIntervalMilliseconds;
 
-	const startWatch = (): WatchHandle => store.watch({
-		prefix: currentKey,
-		onChange(entries) {
-			for (const entry of entries.filter(({key}) => key === currentKey)) {
-				state.recordWatchedEntry(entry);
-			}
-		},
-		onEnd({message}) {
-			watch = undefined;
-			report({type: 'watch-ended', message});
-		},
-	});
+	/** Returns undefined if the watch ended while it was opened. */
+	const startWatch = (): WatchHandle | undefined => {
+		let hasEnded = false;
+		const handle = store.watch({
+			prefix: currentKey,
+			onChange(entries) {
+				for (const entry of entries.filter(({key}) => key === currentKey)) {
+					state.recordWatchedEntry(entry);
+				}
+			},
+			onEnd({message}) {
+				hasEnded = true;
+				watch = undefined;
+				report({type: 'watch-ended', message});
+			},
+		});
+		return hasEnded ? undefined : handle;
+	};
 
 	return {
 		read,
--- a/packages/coordination/document-watch/test/bounds.test.ts
+++ b/packages/coordination/document-watch/test/bounds.test.ts
@@ -88,3 +88,23 @@
 	t.is(world.commits.length, 2);
 	t.true(lastAccepted > 0 && lastAccepted <= refusalAgeMilliseconds, `last accepted after ${lastAccepted} ms`);
 });
+
+// Guards against an instance that cannot start while the platform is out, or that counts as confirmed since a moment of the outage.
+test('an instance that starts during an outage takes the document from its peers', async t => {
+	const world = await start();
+	world.setOutage(true);
+	world.restart(3);
+	const seen = [];
+	for (const elapsed of [1000, 4000]) {
+		// eslint-disable-next-line no-await-in-loop -- the moments follow each other
+		await advance(world, elapsed - (seen.length * 1000));
+		const status = world.members().at(3)?.watch.status();
+		seen.push({version: status?.version, platformReachable: status?.platformReachable, isConfirmedSinceOutage: (status?.confirmationAgeMilliseconds ?? Infinity) < elapsed});
+	}
+
+	const expected = {version: 1, platformReachable: false, isConfirmedSinceOutage: false};
+	t.deepEqual(seen, [expected, expected]);
+	world.heal();
+	await advance(world, 3000);
+	t.true((ages(world).at(3) ?? Infinity) <= 2000);
+});
--- a/packages/coordination/document-watch/test/rules.test.ts
+++ b/packages/coordination/document-watch/test/rules.test.ts
@@ -134,7 +134,24 @@
 	clock.advance(1000);
 	state.recordPlatformFailure('connection refused', 2000);
 	seen.push(observe());
-	t.deepEqual(seen, [0, 1, 1, 1, 2, 2]);
+	await reader.read();
+	const refusing = createPlatformReader({
+		store: {
+			...store,
+			watch(options: Parameters<typeof store.watch>[0]) {
+				const handle = store.watch(options);
+				end();
+				return handle;
+			},
+		},
+		state,
+		clock,
+		report: () => undefined,
+	});
+	refusing.setWatching(true);
+	clock.advance(1000);
+	refusing.setWatching(true);
+	t.deepEqual([...seen, starts], [0, 1, 1, 1, 2, 2, 4]);
 });
 
 // Guards against a lost write that takes effect after its submit was called settled.
