Name the session in handed-over partitions within a second

A partition can be served from memory only if its record names the owner's session; after a handover the record has none until the tidy system writes it, up to 10 s later.

Ruled out: serving from memory without the session in the record (a dead owner would count as one that granted nothing from memory, and keys could run twice).

Change: stale sessions in partition records are looked for each second.

--- a/packages/coordination/claims/src/owner.ts
+++ b/packages/coordination/claims/src/owner.ts
@@ -30,6 +30,7 @@
 const refreshIntervalMilliseconds = 5000;
 const idleRefreshIntervalMilliseconds = 30_000;
 const tidyIntervalMilliseconds = 10_000;
+const sessionCheckIntervalMilliseconds = 1000;
 /** A refresh that a question asked for waits this long after the last one. */
 const requestedRefreshMilliseconds = 500;
 
@@ -64,6 +65,7 @@
 	let refreshedAt = Number.NEGATIVE_INFINITY;
 	let refreshWanted = true;
 	let recordsAreTrusted = false;
+	let sessionCheckAt = Number.NEGATIVE_INFINITY;
 	let ownershipAt = Number.NEGATIVE_INFINITY;
 	let tidyAt = Number.NEGATIVE_INFINITY;
 	let expiryAt = Number.NEGATIVE_INFINITY;
@@ -213,14 +215,24 @@
 		return segmentWrites.writeClaims(time);
 	};
 
-	const tidy = (time: Times): Write | undefined => {
-		if (time.monotonic < tidyAt) {
+	/** Partitions that were just handed over cannot be served from memory before their records name this session. */
+	const renewSession = (time: Times): Write | undefined => {
+		const sessionId = session.sessionId();
+		if (time.monotonic < sessionCheckAt || sessionId === undefined || claims.memoryGrantCount() > 0) {
 			return undefined;
 		}
 
-		const sessionId = session.sessionId();
-		const renewal = sessionId !== undefined && claims.memoryGrantCount() === 0 ? partitionWrites.renewSession(sessionId) : undefined;
-		const write = renewal ?? segmentWrites.writeMerge(time) ?? segmentWrites.writeExpiry(time) ?? partitionWrites.pruneSource(time.wall);
+		sessionCheckAt = time.monotonic + sessionCheckIntervalMilliseconds;
+		return partitionWrites.renewSession(sessionId);
+	};
+
+	const tidy = (time: Times): Write | undefined => {
+		const renewal = renewSession(time);
+		if (renewal !== undefined || time.monotonic < tidyAt) {
+			return renewal;
+		}
+
+		const write = segmentWrites.writeMerge(time) ?? segmentWrites.writeExpiry(time) ?? partitionWrites.pruneSource(time.wall);
 		if (!write) {
 			tidyAt = time.monotonic + tidyIntervalMilliseconds;
 		}
