--- a/packages/tools/demo/src/launcher.ts
+++ b/packages/tools/demo/src/launcher.ts
@@ -49,6 +49,8 @@
 export type Launcher = {
 	/** Loopback address of the stand-ins and of links between zones; the system chooses their ports. */
 	readonly host: string;
+	/** Temporary folder that `endAll` removes. */
+	readonly folder: string;
 	/** Loopback address of the entry instances. Only they listen there, so that their ports stay free while they are down. */
 	readonly entryHost: string;
 	/** Ports of `entryHost` for entry instances, no two of them the same. */
@@ -176,6 +178,7 @@
 
 	return {
 		host,
+		folder,
 		entryHost,
 		findFreePorts: async count => findFreePorts(entryHost, count),
 		async startPlatform({listLagMilliseconds = 0, rebootMilliseconds = 1000} = {}) {
