Keep zones to themselves under overload and measure the traffic core

Change: the even part of the slots that is always usable now covers only upstreams of the own zone, shared among the entry instances there; the last slot of an upstream in another zone is left to that zone; failing upstreams lose the preference of the own zone. Admission counts the mean run time and the later arrivals of teams with larger shares when it judges a wait.

Tests: a streamed answer is now cut in chunked framing, where an orderly end would look complete; keep-alive of leaving upstreams and draining have cases that fail without the mechanism.

--- /dev/null
+++ b/packages/tools/traffic-benchmark/src/decision-time.ts
@@ -0,0 +1,94 @@
+/** Processor time per decision of the real core; the only part that reads a real clock. */
+import process from 'node:process';
+import {build} from 'hdr-histogram-js';
+import {createFairQueue, flowName, refuseOnArrival} from '@turmericbay/admission';
+import {AttemptResult, createRoutingTable} from '@turmericbay/routing';
+import {InstanceRole, InstanceState} from '@turmericbay/types';
+import {createRandom} from './random.js';
+
+const pool = 'pricing';
+const rounds = 50_000;
+const nothing: ReadonlySet<string> = new Set();
+
+export type DecisionTime = {
+	readonly name: string;
+	readonly p50Microseconds: number;
+	readonly p99Microseconds: number;
+	readonly p999Microseconds: number;
+};
+
+const measure = (name: string, count: number, decide: (round: number) => void): DecisionTime => {
+	const histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: 1_000_000_000, numberOfSignificantValueDigits: 3});
+	for (let round = 0; round < count; round++) {
+		const start = process.hrtime.bigint();
+		decide(round);
+		histogram.recordValue(Math.max(1, Number(process.hrtime.bigint() - start)));
+	}
+
+	const at = (percentile: number): number => histogram.getValueAtPercentile(percentile) / 1000;
+	return {
+		name, p50Microseconds: at(50), p99Microseconds: at(99), p999Microseconds: at(99.9),
+	};
+};
+
+/** Arrival, turn, selection and end of one request while every team has work waiting. */
+const measureRequests = (seed: number, teamCount: number, upstreamCount: number): DecisionTime => {
+	const random = createRandom(seed);
+	const queue = createFairQueue<number>({acquire: () => true});
+	const routing = createRoutingTable({zone: 'a', random});
+	routing.updatePools({pools: {[pool]: {slotsPerInstance: 8, connectionsPerInstance: 64, maximumUnavailable: 1}}, now: 0});
+	routing.updateInstances({
+		instances: Array.from({length: upstreamCount}, (_, index) => ({
+			instance: `upstream-${index}`, incarnation: 'first', address: '127.0.0.1:1', role: InstanceRole.Upstream, pool, zone: index % 3 === 0 ? 'a' : 'b', rack: 'r', state: InstanceState.Live,
+		})),
+		now: 0,
+	});
+	const add = (round: number): void => {
+		const team = `team-${round % teamCount}`;
+		queue.enqueue({
+			id: String(round), job: round, queue: pool, team, share: 1 + (round % 7), urgent: false,
+		});
+	};
+
+	for (let round = 0; round < teamCount * 2; round++) {
+		add(round);
+	}
+
+	return measure(`request, ${teamCount} teams waiting, ${upstreamCount} upstreams`, rounds, round => {
+		const team = `team-${round % teamCount}`;
+		refuseOnArrival({
+			queueLength: queue.queueLength({queue: pool}),
+			maximumQueued: 1e6,
+			entriesAhead: queue.expectedAhead({flow: flowName({team, queue: pool}), share: 1, urgent: false}),
+			concurrency: 64,
+			freeSlots: routing.freeSlots({pool, now: round}),
+			meanRunMilliseconds: 1,
+			remainingMilliseconds: 1e9,
+		});
+		add(round + (teamCount * 2));
+		queue.dequeue();
+		const upstream = routing.begin({pool, now: round, excluded: nothing});
+		if (upstream !== undefined) {
+			routing.finish({upstream, result: AttemptResult.Success, now: round});
+		}
+	});
+};
+
+const measureCancellations = (): DecisionTime => {
+	const queue = createFairQueue<number>({acquire: () => true});
+	for (let id = 0; id < rounds; id++) {
+		queue.enqueue({
+			id: String(id), job: id, queue: pool, team: `team-${id % 6}`, share: 1, urgent: false,
+		});
+	}
+
+	return measure(`cancellation, ${rounds} queued, all cancelled`, rounds, id => {
+		queue.remove({id: String(id)});
+	});
+};
+
+export const measureDecisions = (seed: number): readonly DecisionTime[] => [
+	measureRequests(seed, 6, 9),
+	measureRequests(seed, 720, 20),
+	measureCancellations(),
+];
--- /dev/null
+++ b/packages/tools/traffic-benchmark/src/index.ts
@@ -0,0 +1,2 @@
+export * from './entry-model.js';
+export * from './simulation.js';
--- /dev/null
+++ b/packages/tools/traffic-benchmark/src/random.ts
@@ -0,0 +1,24 @@
+/** Seeded random numbers with the distributions that the model needs. */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {RandomSource} from '@turmericbay/types';
+
+export const createRandom = (seed: number): RandomSource => {
+	const generator = xoroshiro128plus(seed);
+	return () => uniformFloat64(generator);
+};
+
+/** Whole ticks, at least one. */
+export const exponentialTicks = (random: RandomSource, mean: number): number =>
+	Math.max(1, Math.round(-mean * Math.log(1 - random())));
+
+/** Number of arrivals in one tick (Knuth's method; means here stay below 10). */
+export const poisson = (random: RandomSource, mean: number): number => {
+	const bound = Math.exp(-mean);
+	let count = 0;
+	for (let product = random(); product > bound; product *= random()) {
+		count++;
+	}
+
+	return count;
+};
--- a/packages/traffic/admission/src/fair-queue.ts
+++ b/packages/traffic/admission/src/fair-queue.ts
@@ -35,6 +35,11 @@
 	isBlocked(options: {readonly team: TeamName}): boolean;
 	/** Entries that are served before a new one of this team if nothing else arrives. */
 	entriesAhead(options: {readonly flow: string; readonly share: number; readonly urgent: boolean}): number;
+	/**
+	 * The same for judging a wait: later arrivals of teams with larger shares are
+	 * served first too, so counting present entries alone promises small teams too much.
+	 */
+	expectedAhead(options: {readonly flow: string; readonly share: number; readonly urgent: boolean}): number;
 };
 
 const increase = (counts: Map<string, number>, name: string, change: number): void => {
@@ -96,6 +101,10 @@
 		return undefined;
 	};
 
+	const entriesAhead: FairQueue<Job>['entriesAhead'] = ({flow, share, urgent}) => urgent
+		? urgentClass.entriesAhead({flow, share})
+		: urgentClass.length() + regularClass.entriesAhead({flow, share});
+
 	return {
 		enqueue(entry) {
 			entries.set(entry.id, entry);
@@ -129,8 +138,10 @@
 		queueLength: ({queue}) => queueLengths.get(queue) ?? 0,
 		teamLength: ({team}) => teamLengths.get(team) ?? 0,
 		isBlocked: ({team}) => blocked.has(team),
-		entriesAhead: ({flow, share, urgent}) => urgent
-			? urgentClass.entriesAhead({flow, share})
-			: urgentClass.length() + regularClass.entriesAhead({flow, share}),
+		entriesAhead,
+		expectedAhead(place) {
+			const sustained = classOf(place.urgent).entriesAheadIfSustained(place);
+			return Math.max(entriesAhead(place), Math.min(sustained, entries.size));
+		},
 	};
 };
--- a/packages/traffic/admission/src/flow-class.ts
+++ b/packages/traffic/admission/src/flow-class.ts
@@ -21,6 +21,8 @@
 	setBlocked(name: string, blocked: boolean): void;
 	length(): number;
 	entriesAhead(options: {readonly flow: string; readonly share: number}): number;
+	/** Like `entriesAhead`, if all flows that have entries now go on having some. */
+	entriesAheadIfSustained(options: {readonly flow: string; readonly share: number}): number;
 };
 
 /** Served and removed entries are kept up to this many before a flow is compacted. */
@@ -139,5 +141,15 @@
 
 			return ahead;
 		},
+		entriesAheadIfSustained({flow: name, share}) {
+			const own = flows.get(name);
+			let competing = share;
+			for (const flow of flows.values()) {
+				competing += flow !== own && !flow.blocked && lengthOf(flow) > 0 ? flow.share : 0;
+			}
+
+			const ownLength = own === undefined ? 0 : lengthOf(own);
+			return Math.ceil((ownLength + 1) * competing / share) - 1;
+		},
 	};
 };
--- a/packages/traffic/admission/src/overload.ts
+++ b/packages/traffic/admission/src/overload.ts
@@ -38,6 +38,7 @@
 
 /** The reason for refusing at once, or undefined if the request may queue. */
 export const refuseOnArrival = (situation: QueueSituation): Problem | undefined => {
+	const {meanRunMilliseconds = 0} = situation;
 	const wait = estimateWaitMilliseconds(situation);
 	const teamWait = estimateTeamWaitMilliseconds(situation);
 	if (situation.remainingMilliseconds <= 0) {
@@ -60,7 +61,8 @@
 		};
 	}
 
-	if (wait > situation.remainingMilliseconds) {
+	// An answer after the deadline is as useless as none, but costs a slot.
+	if (wait + meanRunMilliseconds > situation.remainingMilliseconds) {
 		return {
 			code: ProblemCode.DeadlineTooShort,
 			detail: `The expected wait is ${Math.ceil(wait)} ms; allow more time or retry later.`,
--- a/packages/traffic/admission/test/authorization.test.ts
+++ b/packages/traffic/admission/test/authorization.test.ts
@@ -50,7 +50,7 @@
 }
 
 const calm: QueueSituation = {
-	queueLength: 0, maximumQueued: 10, entriesAhead: 0, concurrency: 8, freeSlots: 0, meanRunMilliseconds: 100, remainingMilliseconds: 50,
+	queueLength: 0, maximumQueued: 10, entriesAhead: 0, concurrency: 8, freeSlots: 0, meanRunMilliseconds: 100, remainingMilliseconds: 150,
 };
 
 const arrivals: ReadonlyArray<[string, Partial<QueueSituation>, ProblemCode | undefined]> = [
@@ -61,7 +61,7 @@
 	['free slots shorten the wait', {entriesAhead: 4, freeSlots: 1}, undefined],
 	['nothing has been measured', {entriesAhead: 9, meanRunMilliseconds: undefined}, undefined],
 	['the deadline has passed', {remainingMilliseconds: 0}, ProblemCode.DeadlineExceeded],
-	['the team waits for its own runs', {teamAtLimit: {running: 2, queued: 1}}, ProblemCode.TeamAtLimit],
+	['the team waits for its own runs', {teamAtLimit: {running: 2, queued: 3}}, ProblemCode.TeamAtLimit],
 	['the units of the team are elsewhere', {teamAtLimit: {running: 0, queued: 5}}, undefined],
 ];
 
--- a/packages/traffic/gateway/src/pool-queue.ts
+++ b/packages/traffic/gateway/src/pool-queue.ts
@@ -78,7 +78,7 @@
 		return refuseOnArrival({
 			queueLength: fairQueue.queueLength({queue: queueName}),
 			maximumQueued,
-			entriesAhead: fairQueue.entriesAhead({flow: flowName({team, queue: queueName}), share, urgent}),
+			entriesAhead: fairQueue.expectedAhead({flow: flowName({team, queue: queueName}), share, urgent}),
 			concurrency: inFlight + free,
 			freeSlots: free,
 			meanRunMilliseconds,
--- a/packages/traffic/gateway/test/lifecycle.test.ts
+++ b/packages/traffic/gateway/test/lifecycle.test.ts
@@ -9,7 +9,7 @@
 // Guards against new work for a leaving upstream, and against idle connections that keep it from stopping.
 test('a leaving upstream gets no new work and its idle connections close', async t => {
 	const [leaving, staying] = await Promise.all([createRawUpstream(t, answerOk), createRawUpstream(t, answerOk)]);
-	const {gateway, port, setInstances} = await createHarness(t, {instances: [record(leaving.port)]});
+	const {port, setInstances} = await createHarness(t, {instances: [record(leaving.port)], settings: {upstreamKeepAliveMilliseconds: 600_000}});
 	const before = await send(port);
 	t.is(before.status, 200);
 	setInstances([record(leaving.port, {state: InstanceState.Leaving}), record(staying.port)]);
@@ -129,6 +129,16 @@
 	await closed;
 });
 
+// Guards against callers that keep a connection until it is cut.
+test('while draining, kept-alive connections end with their next answer', async t => {
+	const upstream = await createRawUpstream(t, answerOk);
+	const {gateway, port} = await createHarness(t, {instances: [record(upstream.port)]});
+	const before = await send(port, {headers: {connection: 'keep-alive'}});
+	gateway.beginDrain();
+	const after = await send(port, {headers: {connection: 'keep-alive'}});
+	t.deepEqual([before, after].map(({headers}) => headers.connection), ['keep-alive', 'close']);
+});
+
 // Guards against queued requests that are cut instead of refused when the bound of a planned stop is reached.
 test('at the bound of a planned stop queued requests are refused', async t => {
 	const upstream = await createRawUpstream(t, () => undefined);
--- a/packages/traffic/gateway/test/upstream-faults.test.ts
+++ b/packages/traffic/gateway/test/upstream-faults.test.ts
@@ -146,7 +146,7 @@
 		if (request.includes('/whole')) {
 			answerOk(socket, request, 'x'.repeat(size));
 		} else {
-			socket.end(`HTTP/1.1 200 OK\r\nContent-Length: ${size + 1}\r\n\r\n${'x'.repeat(size)}`);
+			socket.end(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${size.toString(16)}\r\n${'x'.repeat(size)}\r\n`);
 		}
 	});
 	const {gateway, port} = await createHarness(t, {instances: [record(upstream.port)]});
--- a/packages/traffic/routing/src/routing-table.ts
+++ b/packages/traffic/routing/src/routing-table.ts
@@ -12,7 +12,7 @@
 import {selectUpstream} from './selection.js';
 import {allowance, createUpstream, isEjected} from './upstream.js';
 import type {
-	AttemptResult, PeerLoad, PoolLimits, Upstream,
+	AttemptResult, Nearness, PeerLoad, PoolLimits, Upstream,
 } from './upstream.js';
 
 export type RoutingTable = {
@@ -90,7 +90,8 @@
 }): RoutingTable => {
 	const {zone, random} = options;
 	const tables = new Map<PoolName, PoolTable>();
-	const activePeers = new Map<PoolName, number>();
+	let peers: readonly PeerLoad[] = [];
+	const sharers = new Map<PoolName, {near: number; all: number}>();
 	let limits = new Map<PoolName, PoolLimits>();
 	let peersInFlight = new Map<InstanceId, number>();
 
@@ -101,6 +102,19 @@
 		return {upstreams, leaving, maximumUnavailable: limits.get(pool)?.maximumUnavailable ?? 0};
 	};
 
+	const countSharers = (pool: PoolName): {near: number; all: number} => {
+		const active = peers.filter(({pools}) => pools.some(load => load.pool === pool && load.queued + load.inFlight > 0));
+		return {near: 1 + active.filter(peer => peer.zone === zone).length, all: 1 + active.length};
+	};
+
+	/** Without an upstream in the own zone all zones are equally near. */
+	const nearnessIn = (pool: PoolName): (upstream: Upstream) => Nearness => {
+		const {near, all} = sharers.get(pool) ?? countSharers(pool);
+		sharers.set(pool, {near, all});
+		const hasNear = tableOf(pool).upstreams.some(({record}) => record.zone === zone);
+		return ({record}) => !hasNear || record.zone === zone ? {type: 'near', sharers: hasNear ? near : all} : {type: 'far'};
+	};
+
 	const enforceBudgets = (now: number): void => {
 		for (const pool of tables.keys()) {
 			enforceBudget(health(pool), now);
@@ -133,15 +147,12 @@
 		},
 		setPeerLoads({loads}) {
 			peersInFlight = new Map();
-			activePeers.clear();
+			peers = loads;
 			for (const {instance, inFlight} of loads.flatMap(({upstreams}) => upstreams)) {
 				peersInFlight.set(instance, (peersInFlight.get(instance) ?? 0) + inFlight);
 			}
 
-			for (const {pool, queued, inFlight} of loads.flatMap(({pools}) => pools)) {
-				activePeers.set(pool, (activePeers.get(pool) ?? 0) + (queued + inFlight > 0 ? 1 : 0));
-			}
-
+			sharers.clear();
 			for (const {upstreams} of tables.values()) {
 				for (const upstream of upstreams) {
 					upstream.peersInFlight = peersInFlight.get(upstream.record.instance) ?? 0;
@@ -153,7 +164,7 @@
 			const upstream = poolLimits === undefined
 				? undefined
 				: selectUpstream({
-					upstreams: tableOf(pool).upstreams, limits: poolLimits, activePeers: activePeers.get(pool) ?? 0, zone, excluded, random, now,
+					upstreams: tableOf(pool).upstreams, limits: poolLimits, nearnessOf: nearnessIn(pool), excluded, random, now,
 				});
 			if (upstream !== undefined) {
 				upstream.ownInFlight++;
@@ -176,10 +187,10 @@
 		},
 		freeSlots({pool, now}) {
 			const poolLimits = limits.get(pool);
+			const nearnessOf = nearnessIn(pool);
 			return poolLimits === undefined
 				? 0
-				: sum(tableOf(pool).upstreams, upstream =>
-					isEjected(upstream, now) ? 0 : allowance(upstream, poolLimits, activePeers.get(pool) ?? 0));
+				: sum(tableOf(pool).upstreams, upstream => isEjected(upstream, now) ? 0 : allowance(upstream, poolLimits, nearnessOf(upstream)));
 		},
 		inFlight({pool}) {
 			const {upstreams, retired} = tableOf(pool);
--- a/packages/traffic/routing/src/selection.ts
+++ b/packages/traffic/routing/src/selection.ts
@@ -1,9 +1,10 @@
 /** Chooses the upstream for one request. */
-import type {AvailabilityZone, InstanceId, RandomSource} from '@turmericbay/types';
+import type {InstanceId, RandomSource} from '@turmericbay/types';
+import {failuresUntilEjection} from './ejection.js';
 import {
 	allowance, isEjected, load, sharedHeadroom,
 } from './upstream.js';
-import type {PoolLimits, Upstream} from './upstream.js';
+import type {Nearness, PoolLimits, Upstream} from './upstream.js';
 
 /** Power of two choices: close to the least loaded, without every entry instance choosing the same one. */
 const chooseOfTwo = (candidates: readonly Upstream[], random: RandomSource): Upstream | undefined => {
@@ -18,11 +19,10 @@
 	return load(second) < load(first) ? second : first;
 };
 
-export const selectUpstream = ({upstreams, limits, activePeers, zone, excluded, random, now}: {
+export const selectUpstream = ({upstreams, limits, nearnessOf, excluded, random, now}: {
 	readonly upstreams: readonly Upstream[];
 	readonly limits: PoolLimits;
-	readonly activePeers: number;
-	readonly zone: AvailabilityZone;
+	readonly nearnessOf: (upstream: Upstream) => Nearness;
 	readonly excluded: ReadonlySet<InstanceId>;
 	readonly random: RandomSource;
 	readonly now: number;
@@ -30,10 +30,10 @@
 	const usable = upstreams.filter(upstream =>
 		!isEjected(upstream, now)
 		&& !excluded.has(upstream.record.instance)
-		&& allowance(upstream, limits, activePeers) > 0);
+		&& allowance(upstream, limits, nearnessOf(upstream)) > 0);
 	const withHeadroom = usable.filter(upstream => sharedHeadroom(upstream, limits) > 0);
-	const isNear = ({record}: Upstream): boolean => record.zone === zone;
-	const groups = [withHeadroom.filter(upstream => isNear(upstream)), withHeadroom, usable.filter(upstream => isNear(upstream)), usable];
-	const group = groups.find(({length}) => length > 0);
+	// Upstreams that keep failing but may not be ejected lose their preference, or a lost zone would keep its callers.
+	const preferred = withHeadroom.filter(upstream => nearnessOf(upstream).type === 'near' && upstream.consecutiveFailures < failuresUntilEjection);
+	const group = [preferred, withHeadroom, usable].find(({length}) => length > 0);
 	return group === undefined ? undefined : chooseOfTwo(group, random);
 };
--- a/packages/traffic/routing/src/upstream.ts
+++ b/packages/traffic/routing/src/upstream.ts
@@ -58,13 +58,27 @@
 	Math.max(0, limits.slotsPerInstance - own(upstream) - upstream.peersInFlight);
 
 /**
- * Requests that this entry instance may still send to the upstream. Each entry
- * instance may always use its even part of the slots: reports of peers are up to
- * a tick old, and without that floor an instance that comes late could starve.
+ * Slots of an upstream in another zone that stay free for the entry instances
+ * there. Reports are up to a tick old; taking the last slots on their word
+ * overruns the upstream without any gain while all zones are full.
  */
-export const allowance = (upstream: Upstream, limits: PoolLimits, activePeers: number): number => {
-	const evenPart = Math.max(1, Math.floor(limits.slotsPerInstance / (activePeers + 1)));
-	const bySlots = Math.max(sharedHeadroom(upstream, limits), evenPart - own(upstream));
+const reservedForOwnZone = 1;
+
+export type Nearness
+	/** Entry instances, this one included, that have the upstream in their own zone and work for it. */
+	= | {readonly type: 'near'; readonly sharers: number}
+		| {readonly type: 'far'};
+
+/**
+ * Requests that this entry instance may still send to the upstream. In its own
+ * zone it may always use an even part of the slots: reports of peers are up to a
+ * tick old, and without that floor an instance that comes late could starve.
+ */
+export const allowance = (upstream: Upstream, limits: PoolLimits, nearness: Nearness): number => {
+	const headroom = sharedHeadroom(upstream, limits);
+	const bySlots = nearness.type === 'far'
+		? headroom - reservedForOwnZone
+		: Math.max(headroom, Math.max(1, Math.floor(limits.slotsPerInstance / nearness.sharers)) - own(upstream));
 	const byConnections = limits.connectionsPerInstance - own(upstream) - upstream.peersInFlight;
 	return Math.max(0, Math.min(bySlots, byConnections));
 };
--- a/packages/traffic/routing/test/routing-table.test.ts
+++ b/packages/traffic/routing/test/routing-table.test.ts
@@ -155,8 +155,9 @@
 // Guards against crossing zones without need, and against queueing at home while others are idle.
 test('the own zone is used up before the others', t => {
 	const table = createPool(4);
-	const zones = Array.from({length: 32}, () => begin(table)?.record.zone);
-	t.deepEqual(zones, [...Array.from({length: 16}, () => 'a'), ...Array.from({length: 16}, () => 'b')]);
+	const zones = Array.from({length: 30}, () => begin(table)?.record.zone);
+	// Of 8 slots, the last one of each upstream in another zone is left to that zone.
+	t.deepEqual(zones, [...Array.from({length: 16}, () => 'a'), ...Array.from({length: 14}, () => 'b')]);
 	t.is(begin(table), undefined);
 });
 
