--- a/packages/tools/traffic-benchmark/src/decision-time.ts
+++ b/packages/tools/traffic-benchmark/src/decision-time.ts
@@ -62,7 +62,7 @@
 			entriesAhead: queue.expectedAhead({flow: flowName({team, queue: pool}), share: 1, urgent: false}),
 			concurrency: 64,
 			freeSlots: routing.freeSlots({pool, now: round}),
-			meanRunMilliseconds: 1,
+			runTime: {meanMilliseconds: 1, likelyMaximumMilliseconds: 3},
 			remainingMilliseconds: 1e9,
 		});
 		add(round + (teamCount * 2));
--- a/packages/tools/traffic-benchmark/src/entry-model.ts
+++ b/packages/tools/traffic-benchmark/src/entry-model.ts
@@ -1,5 +1,7 @@
 /** One entry instance: the real queue, admission and routing over modelled upstreams. */
-import {createFairQueue, flowName, refuseOnArrival} from '@turmericbay/admission';
+import {
+	createFairQueue, createRunTimeEstimator, flowName, refuseOnArrival,
+} from '@turmericbay/admission';
 import {AttemptResult, backoffMilliseconds, createRoutingTable} from '@turmericbay/routing';
 import type {PeerLoad, RetryBudget, RoutingTable} from '@turmericbay/routing';
 import type {AvailabilityZone, InstanceId, RandomSource} from '@turmericbay/types';
@@ -44,7 +46,6 @@
 
 const maximumAttempts = 3;
 const maximumQueued = 200;
-const runTimeWeight = 0.05;
 const nothing: ReadonlySet<InstanceId> = new Set();
 
 type Queue = {
@@ -103,7 +104,7 @@
 	// A name that no upstream has: then every zone is as near as the others.
 	const routing = createRoutingTable({zone: isLocal ? zone : 'nowhere', random});
 	const queue = admission === Admission.Bounded ? createBoundedQueue() : createUnboundedQueue();
-	let meanRun: number | undefined;
+	const runTimes = createRunTimeEstimator();
 
 	const join = (request: ModelRequest): void => {
 		const now = calendar.now();
@@ -114,7 +115,7 @@
 			entriesAhead: queue.ahead(request),
 			concurrency: routing.inFlight({pool}) + free,
 			freeSlots: free,
-			meanRunMilliseconds: meanRun,
+			runTime: runTimes.estimate(),
 			remainingMilliseconds: request.deadline - now,
 		});
 		if (refusal) {
@@ -166,8 +167,7 @@
 					return;
 				}
 
-				const duration = now - sentAt;
-				meanRun = meanRun === undefined ? duration : meanRun + ((duration - meanRun) * runTimeWeight);
+				runTimes.record(now - sentAt);
 				if (now <= request.deadline) {
 					counts.good++;
 					counts.goodByTeam.set(request.team, (counts.goodByTeam.get(request.team) ?? 0) + 1);
--- a/packages/traffic/admission/src/overload.ts
+++ b/packages/traffic/admission/src/overload.ts
@@ -1,6 +1,7 @@
 /** Decides on arrival whether a request may join the queue. No I/O. */
 import {ProblemCode, millisecondsPerSecond} from '@turmericbay/types';
 import type {Problem} from '@turmericbay/types';
+import type {RunTimeEstimate} from './run-time.js';
 
 export type QueueSituation = {
 	/** Requests of the queue that wait at this entry instance. */
@@ -12,7 +13,7 @@
 	readonly concurrency: number;
 	readonly freeSlots: number;
 	/** Measured; undefined before the first answer. */
-	readonly meanRunMilliseconds: number | undefined;
+	readonly runTime: RunTimeEstimate | undefined;
 	/** Set if the team has no free unit of its limit. */
 	readonly teamAtLimit?: {readonly running: number; readonly queued: number};
 	readonly remainingMilliseconds: number;
@@ -20,17 +21,17 @@
 
 /** Wait until the request is sent; 0 as long as nothing has been measured. */
 export const estimateWaitMilliseconds = (situation: QueueSituation): number => {
-	const {entriesAhead, concurrency, freeSlots, meanRunMilliseconds = 0} = situation;
+	const {entriesAhead, concurrency, freeSlots, runTime} = situation;
 	const turns = Math.max(0, entriesAhead + 1 - freeSlots);
-	return turns * meanRunMilliseconds / Math.max(1, concurrency);
+	return turns * (runTime?.meanMilliseconds ?? 0) / Math.max(1, concurrency);
 };
 
 const estimateTeamWaitMilliseconds = (situation: QueueSituation): number => {
-	const {teamAtLimit, meanRunMilliseconds = 0} = situation;
+	const {teamAtLimit, runTime} = situation;
 	// Units held elsewhere may still be transferred, so no wait can be named while none is here.
 	return teamAtLimit === undefined || teamAtLimit.running === 0
 		? 0
-		: (teamAtLimit.queued + 1) * meanRunMilliseconds / teamAtLimit.running;
+		: (teamAtLimit.queued + 1) * (runTime?.meanMilliseconds ?? 0) / teamAtLimit.running;
 };
 
 const retryAfter = (waitMilliseconds: number): number =>
@@ -38,7 +39,6 @@
 
 /** The reason for refusing at once, or undefined if the request may queue. */
 export const refuseOnArrival = (situation: QueueSituation): Problem | undefined => {
-	const {meanRunMilliseconds = 0} = situation;
 	const wait = estimateWaitMilliseconds(situation);
 	const teamWait = estimateTeamWaitMilliseconds(situation);
 	if (situation.remainingMilliseconds <= 0) {
@@ -61,8 +61,9 @@
 		};
 	}
 
-	// An answer after the deadline is as useless as none, but costs a slot.
-	if (wait + meanRunMilliseconds > situation.remainingMilliseconds) {
+	// An answer after the deadline is as useless as none, but costs a slot. Without a wait only the run can tell.
+	const likelyRun = situation.runTime?.likelyMaximumMilliseconds ?? 0;
+	if (wait > 0 && wait + likelyRun > situation.remainingMilliseconds) {
 		return {
 			code: ProblemCode.DeadlineTooShort,
 			detail: `The expected wait is ${Math.ceil(wait)} ms; allow more time or retry later.`,
--- a/packages/traffic/admission/test/authorization.test.ts
+++ b/packages/traffic/admission/test/authorization.test.ts
@@ -50,7 +50,7 @@
 }
 
 const calm: QueueSituation = {
-	queueLength: 0, maximumQueued: 10, entriesAhead: 0, concurrency: 8, freeSlots: 0, meanRunMilliseconds: 100, remainingMilliseconds: 150,
+	queueLength: 0, maximumQueued: 10, entriesAhead: 0, concurrency: 8, freeSlots: 0, runTime: {meanMilliseconds: 100, likelyMaximumMilliseconds: 100}, remainingMilliseconds: 150,
 };
 
 const arrivals: ReadonlyArray<[string, Partial<QueueSituation>, ProblemCode | undefined]> = [
@@ -59,7 +59,8 @@
 	['the wait just fits', {entriesAhead: 3}, undefined],
 	['the wait is too long', {entriesAhead: 4}, ProblemCode.DeadlineTooShort],
 	['free slots shorten the wait', {entriesAhead: 4, freeSlots: 1}, undefined],
-	['nothing has been measured', {entriesAhead: 9, meanRunMilliseconds: undefined}, undefined],
+	['nothing has been measured', {entriesAhead: 9, runTime: undefined}, undefined],
+	['the run alone may be too long', {entriesAhead: 0, freeSlots: 1, remainingMilliseconds: 90}, undefined],
 	['the deadline has passed', {remainingMilliseconds: 0}, ProblemCode.DeadlineExceeded],
 	['the team waits for its own runs', {teamAtLimit: {running: 2, queued: 3}}, ProblemCode.TeamAtLimit],
 	['the units of the team are elsewhere', {teamAtLimit: {running: 0, queued: 5}}, undefined],
--- /dev/null
+++ b/packages/traffic/admission/test/run-time.test.ts
@@ -0,0 +1,37 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {ProblemCode} from '@turmericbay/types';
+import {createRunTimeEstimator, refuseOnArrival} from '../src/index.js';
+
+const seed = 20_264;
+
+// Guards against requests that wait for a slot only to be answered after their deadline.
+test('nearly all exponentially distributed runs are shorter than the likely maximum', t => {
+	fc.assert(fc.property(fc.array(fc.integer({min: 0, max: 9999}), {minLength: 500, maxLength: 500}), draws => {
+		const estimator = createRunTimeEstimator();
+		let longer = 0;
+		for (const draw of draws) {
+			const run = -100 * Math.log(1 - (draw / 10_000));
+			const estimate = estimator.estimate();
+			longer += estimate !== undefined && run > estimate.likelyMaximumMilliseconds ? 1 : 0;
+			estimator.record(run);
+		}
+
+		t.true(longer <= 0.12 * draws.length, `${longer} of ${draws.length}`);
+	}), {seed, numRuns: 50});
+});
+
+// Guards against refusing requests with short deadlines while the pool is idle, and against admitting those that cannot make it.
+test('steady runs need no reserve, and a reserve counts only for requests that wait', t => {
+	const estimator = createRunTimeEstimator();
+	for (let run = 0; run < 100; run++) {
+		estimator.record(100);
+	}
+
+	t.deepEqual(estimator.estimate(), {meanMilliseconds: 100, likelyMaximumMilliseconds: 100});
+	const situation = {
+		queueLength: 0, maximumQueued: 10, entriesAhead: 0, concurrency: 8, runTime: {meanMilliseconds: 100, likelyMaximumMilliseconds: 320}, remainingMilliseconds: 300,
+	};
+	t.is(refuseOnArrival({...situation, freeSlots: 1}), undefined);
+	t.is(refuseOnArrival({...situation, freeSlots: 0})?.code, ProblemCode.DeadlineTooShort);
+});
--- a/packages/traffic/gateway/src/pool-queue.ts
+++ b/packages/traffic/gateway/src/pool-queue.ts
@@ -1,7 +1,7 @@
 /** Queue of one upstream pool: p-queue in the order of the fair queue. */
 import PQueue from 'p-queue';
 import {
-	createFairQueue, createFairQueueClass, flowName, refuseOnArrival,
+	createFairQueue, createFairQueueClass, createRunTimeEstimator, flowName, refuseOnArrival,
 } from '@turmericbay/admission';
 import type {FairQueueClass, FairQueueOptions, RunFunction} from '@turmericbay/admission';
 import type {QueueDeclaration} from '@turmericbay/document';
@@ -45,9 +45,6 @@
 	queuedOf(team: TeamName): number;
 };
 
-/** Weight of the newest run time in the moving average. */
-const runTimeWeight = 0.05;
-
 export const createPoolQueue = (options: {
 	readonly grants: GrantPort;
 	readonly seats: () => Seats;
@@ -58,7 +55,7 @@
 	const fairQueue = createFairQueue<RunFunction>({acquire: team => grants.tryAcquire({team})});
 	const queue = new PQueue<InstanceType<FairQueueClass>, FairQueueOptions>({queueClass: createFairQueueClass(fairQueue), concurrency: 1});
 	const withdrawals = new Set<(problem: Problem) => void>();
-	let meanRunMilliseconds: number | undefined;
+	const runTimes = createRunTimeEstimator();
 
 	const refresh = (): void => {
 		const {inFlight, free} = seats();
@@ -81,7 +78,7 @@
 			entriesAhead: fairQueue.expectedAhead({flow: flowName({team, queue: queueName}), share, urgent}),
 			concurrency: inFlight + free,
 			freeSlots: free,
-			meanRunMilliseconds,
+			runTime: runTimes.estimate(),
 			remainingMilliseconds: place.remainingMilliseconds,
 			...(team !== undefined && fairQueue.isBlocked({team}) && {
 				teamAtLimit: {running: running(team), queued: fairQueue.teamLength({team})},
@@ -96,10 +93,7 @@
 	const measure = async <Value>(job: () => Promise<Value>): Promise<Value> => {
 		const startedAt = now();
 		const value = await job();
-		const duration = now() - startedAt;
-		meanRunMilliseconds = meanRunMilliseconds === undefined
-			? duration
-			: meanRunMilliseconds + ((duration - meanRunMilliseconds) * runTimeWeight);
+		runTimes.record(now() - startedAt);
 		return value;
 	};
 
