--- a/packages/coordination/document-watch/src/platform-reader.ts
+++ b/packages/coordination/document-watch/src/platform-reader.ts
@@ -6,6 +6,8 @@
 import type {DocumentState} from './state.js';
 import {currentKey} from './store-keys.js';
 
+const watchIntervalMilliseconds = 1000;
+
 export type PlatformReaderOptions = {
 	readonly store: KeyValueStore;
 	readonly state: DocumentState;
@@ -25,6 +27,7 @@
 	let isReading = false;
 	let lastReadAt: number | undefined;
 	let watch: WatchHandle | undefined;
+	let lastWatchAt = Number.NEGATIVE_INFINITY;
 
 	const fail = (message: string): void => {
 		state.recordPlatformFailure(message, clock.monotonicMilliseconds());
@@ -72,28 +75,38 @@
 		}
 	};
 
-	const startWatch = (): WatchHandle => store.watch({
-		prefix: currentKey,
-		onChange(entries) {
-			for (const entry of entries.filter(({key}) => key === currentKey)) {
-				state.recordWatchedEntry(entry);
-			}
-		},
-		onEnd({message}) {
-			watch = undefined;
-			report({type: 'watch-ended', message});
-		},
-	});
+	/** Not while reads fail, and not more often than the watchers read anyway. */
+	const canStartWatch = (): boolean => state.isPlatformReachable() && clock.monotonicMilliseconds() - lastWatchAt >= watchIntervalMilliseconds;
+
+	/** Returns undefined if the watch ended while it was opened. */
+	const startWatch = (): WatchHandle | undefined => {
+		let hasEnded = false;
+		const handle = store.watch({
+			prefix: currentKey,
+			onChange(entries) {
+				for (const entry of entries.filter(({key}) => key === currentKey)) {
+					state.recordWatchedEntry(entry);
+				}
+			},
+			onEnd({message}) {
+				hasEnded = true;
+				watch = undefined;
+				report({type: 'watch-ended', message});
+			},
+		});
+		return hasEnded ? undefined : handle;
+	};
 
 	return {
 		read,
 		lastReadAt: () => lastReadAt,
 		setWatching(wanted) {
-			if (wanted) {
-				watch ??= startWatch();
-			} else {
+			if (!wanted) {
 				watch?.stop();
 				watch = undefined;
+			} else if (watch === undefined && canStartWatch()) {
+				lastWatchAt = clock.monotonicMilliseconds();
+				watch = startWatch();
 			}
 		},
 	};
