Test that the fleet state never goes back and is not overwritten unread

Cause: no test showed the rule that the copy never goes back.

Change: two cases for the state store.

--- /dev/null
+++ b/packages/coordination/fleet-ledger/test/state-store.test.ts
@@ -0,0 +1,47 @@
+import test from 'ava';
+import {ok} from 'neverthrow';
+import {createEmptyState, encodeState} from '../src/index.js';
+import {createStateStore} from '../src/state-store.js';
+
+const createStore = (values: string[]) => {
+	const events: string[] = [];
+	let writes = 0;
+	const states = createStateStore({
+		key: 'fleet',
+		report(event) {
+			events.push(event.type);
+		},
+		store: {
+			read: async () => ok({key: 'fleet', value: values.shift() ?? '', modifiedRevision: 1}),
+			async transact() {
+				writes++;
+				return ok({type: 'committed', revision: 2});
+			},
+		},
+	});
+	return {states, events, writes: () => writes};
+};
+
+const encodeRevision = (revision: number) => encodeState({...createEmptyState(), revision});
+
+// Guards against routing that follows an older ledger, for instance after the store was restored from a backup.
+test('an older state in the store is reported, ignored and not overwritten', async t => {
+	const {states, events, writes} = createStore([encodeRevision(5), encodeRevision(4)]);
+	t.true(await states.refresh());
+	t.false(await states.refresh());
+	t.is(states.current()?.revision, 5);
+	t.false(await states.replace({...createEmptyState(), revision: 6}));
+	t.is(writes(), 0);
+	t.deepEqual(events, ['state-went-back']);
+});
+
+// Guards against a value of another program version that is taken for an empty ledger and overwritten.
+test('a state that cannot be read is reported and not overwritten', async t => {
+	const {states, events, writes} = createStore(['{"revision": 5}', 'no json']);
+	t.false(await states.refresh());
+	t.false(await states.refresh());
+	t.is(states.current(), undefined);
+	t.false(await states.replace({...createEmptyState(), revision: 6}));
+	t.is(writes(), 0);
+	t.deepEqual(events, ['state-malformed', 'state-malformed']);
+});
