--- a/packages/coordination/claims/src/owned-claims.ts
+++ b/packages/coordination/claims/src/owned-claims.ts
@@ -128,6 +128,14 @@
 		return owned ? canGrantFromMemory(owned) : false;
 	};
 
+	/** A freed key can have been granted or refused again by an earlier owner without a record. */
+	const doubtFreed = (owned: OwnedPartition, entry: ClaimEntry) => {
+		if (entry.state === ClaimState.Free) {
+			entry.state = entry.keyTime < owned.incompleteBefore ? ClaimState.Unknown : ClaimState.Free;
+			entry.refusedAt = Math.max(entry.refusedAt, owned.refusedAt);
+		}
+	};
+
 	/** False for entries of partitions that were dropped meanwhile. */
 	const isCurrent = (entry: ClaimEntry) =>
 		partitions.get(entry.partition)?.claims.get(claimId(entry.team, entry.key)) === entry;
@@ -195,6 +203,7 @@
 			owned.phase = PartitionPhase.Serving;
 			for (const [id, entry] of owned.staged) {
 				if (!owned.claims.has(id) && !isExpired(entry.keyTime, now.wall)) {
+					doubtFreed(owned, entry);
 					addEntry(owned, entry);
 				}
 			}
--- a/packages/coordination/claims/test/properties.test.ts
+++ b/packages/coordination/claims/test/properties.test.ts
@@ -2,7 +2,9 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {Settlement} from '@turmericbay/types';
-import {heal, scheduleFaults, timedFault} from '@turmericbay/membership/testing';
+import {
+	cutThenKill, heal, scheduleFaults, timedFault,
+} from '@turmericbay/membership/testing';
 import {partitionCount} from '../src/index.js';
 import {createCluster} from './support/cluster.js';
 import type {Cluster} from './support/cluster.js';
@@ -13,7 +15,7 @@
 
 const scenario = fc.record({
 	seed: fc.integer({min: 1, max: 2_000_000_000}),
-	faults: fc.array(timedFault({count, zones}), {minLength: 1, maxLength: 6}),
+	faults: fc.array(fc.oneof(timedFault({count, zones}), cutThenKill({count})), {minLength: 1, maxLength: 6}),
 });
 
 const fates = [Settlement.Run, Settlement.Run, Settlement.NotRun, Settlement.Unknown];
@@ -30,7 +32,7 @@
 		}
 
 		const key = cluster.newKey(random() < 0.5 ? 0 : random() * 20_000);
-		for (let attempt = 0; attempt < 4; attempt += 1) {
+		for (let attempt = 0; attempt < 6; attempt += 1) {
 			const wait = random() < 0.4 ? random() * 50 : random() * 40_000;
 			simulation.after(wait, () => {
 				cluster.attempt(pick(fleet.members.length), key, fates[pick(fates.length)]);
--- a/packages/coordination/grant-ledger/src/ledger.ts
+++ b/packages/coordination/grant-ledger/src/ledger.ts
@@ -49,9 +49,9 @@
 		if (!usage) {
 			usage = createUsage();
 			usages.set(team, usage);
+			teamsByShard[shardOf(team)]!.add(team);
 		}
 
-		teamsByShard[shardOf(team)]!.add(team);
 		return usage;
 	};
 
@@ -73,7 +73,12 @@
 		}
 	};
 
-	const planShard = (index: number, context: PlanContext, now: number): ShardPlan => {
+	const isTeamUrgent = (shard: ShardState, team: TeamName) => usages.get(team)!.starved
+		|| shard.donations.some(({donation}) => donation.team === team);
+
+	/** Between two full plans only the teams for which somebody waits are planned. */
+	const planShard = (index: number, context: PlanContext, options: {now: number; full: boolean}): ShardPlan => {
+		const {now, full} = options;
 		const shard = shards[index]!;
 		const plans = new Map<TeamName, TeamPlan>();
 		const table = new Map(shard.table);
@@ -81,6 +86,10 @@
 		let worthWrite = false;
 		for (const team of teamsByShard[index]!) {
 			const usage = usages.get(team)!;
+			if (!full && !isTeamUrgent(shard, team)) {
+				continue;
+			}
+
 			rollWindow(usage, now);
 			const plan = planTeam({
 				team,
@@ -146,10 +155,10 @@
 		}
 	};
 
-	const plan = (index: number, context: PlanContext, now: number): LedgerCommand | undefined => {
+	const plan = (index: number, context: PlanContext, options: {now: number; full: boolean}): LedgerCommand | undefined => {
 		const shard = shards[index]!;
-		const shardPlan = planShard(index, context, now);
-		noteUnmet(shard, shardPlan, now);
+		const shardPlan = planShard(index, context, options);
+		noteUnmet(shard, shardPlan, options.now);
 		const answers = answerDonations(shard, shardPlan.plans);
 		if (!shardPlan.worthWrite && shard.uncertainRevision === undefined) {
 			return undefined;
@@ -172,8 +181,7 @@
 		};
 	};
 
-	const isUrgent = (index: number) => shards[index]!.donations.length > 0
-		|| [...teamsByShard[index]!].some(team => usages.get(team)!.starved);
+	const isUrgent = (index: number) => [...teamsByShard[index]!].some(team => isTeamUrgent(shards[index]!, team));
 
 	const isDueForRead = (shard: ShardState, tidies: boolean, now: number) => shard.needsRead
 		|| now - (shard.readAt ?? Number.NEGATIVE_INFINITY) > (tidies ? tidyIntervalMilliseconds : refreshIntervalMilliseconds);
@@ -245,7 +253,6 @@
 			usageOf(pending.donation.team);
 			shards[shardOf(pending.donation.team)]!.donations.push(pending);
 		},
-		isUrgent,
 		expireDonations(now: number) {
 			for (const shard of shards) {
 				for (const pending of shard.donations.filter(({deadline}) => deadline <= now)) {
@@ -268,8 +275,9 @@
 				shard.needsRead = false;
 				command = {type: 'read', shard: index};
 			} else if (now >= shard.planAt || context.draining || isUrgent(index)) {
-				shard.planAt = now + planIntervalMilliseconds;
-				command = plan(index, context, now);
+				const full = now >= shard.planAt || context.draining;
+				shard.planAt = full ? now + planIntervalMilliseconds : shard.planAt;
+				command = plan(index, context, {now, full});
 			}
 
 			shard.busy = command !== undefined;
--- a/packages/coordination/grant-ledger/src/plan.ts
+++ b/packages/coordination/grant-ledger/src/plan.ts
@@ -61,6 +61,14 @@
 	return Math.min(even, Math.max(1, Math.floor(limit / 10)));
 };
 
+const offsets = new Map<TeamName, number>();
+
+const offsetOf = (team: TeamName): number => {
+	const offset = offsets.get(team) ?? hashText(`base|${team}`);
+	offsets.set(team, offset);
+	return offset;
+};
+
 /** This holder's part of its zone's floor; the remainder goes round by team. */
 export const baseUnits = (options: {
 	readonly team: TeamName;
@@ -74,7 +82,7 @@
 		return 0;
 	}
 
-	const rank = (position + hashText(`base|${team}`)) % entries.length;
+	const rank = (position + offsetOf(team)) % entries.length;
 	return Math.floor(floor / entries.length) + (rank < floor % entries.length ? 1 : 0);
 };
 
--- a/packages/coordination/membership/test/support/scenario.ts
+++ b/packages/coordination/membership/test/support/scenario.ts
@@ -7,6 +7,8 @@
 export type Fault
 	= | {readonly type: 'kill'; readonly position: number}
 		| {readonly type: 'pause'; readonly position: number}
+		/** Cut from the store only, so that peers still use it, and killed at the end or soon after. */
+		| {readonly type: 'cut-then-kill'; readonly position: number; readonly healedMilliseconds: number}
 		| {readonly type: 'store-faults'; readonly position: number; readonly kind: keyof typeof noStoreFaults}
 		| {readonly type: 'cut-from-store'; readonly position: number}
 		| {readonly type: 'outage'}
@@ -38,8 +40,19 @@
 	});
 };
 
+/** Faults under which an owner has granted from memory when it dies. */
+export const cutThenKill = (options: {readonly count: number}): fc.Arbitrary<TimedFault> => fc.record({
+	fault: fc.record({
+		type: fc.constant('cut-then-kill' as const),
+		position: fc.nat({max: options.count - 1}),
+		healedMilliseconds: fc.oneof(fc.constant(0), fc.nat({max: 8000})),
+	}),
+	afterMilliseconds: fc.nat({max: 10_000}),
+	forMilliseconds: fc.integer({min: 1000, max: 30_000}),
+});
+
 /** Brings the fault on and returns what ends it. */
-const begin = <Part>(fleet: Fleet<Part>, fault: Fault): (() => void) => {
+const begin = <Part>(simulation: Simulation, fleet: Fleet<Part>, fault: Fault): (() => void) => {
 	const {network, members} = fleet;
 	switch (fault.type) {
 		case 'kill': {
@@ -59,6 +72,20 @@
 			};
 		}
 
+		case 'cut-then-kill': {
+			const {store, process} = members[fault.position]!;
+			store.reachable = false;
+			return () => {
+				store.reachable = fault.healedMilliseconds > 0;
+				simulation.after(fault.healedMilliseconds, () => {
+					if (process.isAlive()) {
+						fleet.kill(fault.position);
+						store.reachable = true;
+					}
+				});
+			};
+		}
+
 		case 'store-faults': {
 			const {store} = members[fault.position]!;
 			store.faults = {...noStoreFaults, [fault.kind]: 0.5};
@@ -121,7 +148,7 @@
 	for (const {fault, afterMilliseconds, forMilliseconds} of faults) {
 		at += afterMilliseconds;
 		simulation.after(at, () => {
-			simulation.after(forMilliseconds, begin(fleet, fault));
+			simulation.after(forMilliseconds, begin(simulation, fleet, fault));
 		});
 	}
 };
