Read list and fleet state only when they changed; drop a quadratic scan

A profile put 59% into isHealthy, which copied the gateway's status for each listed instance, and the fleet state (400 KB) and the list (600 KB) were read each second.

Ruled out: a slower list poll (leaving upstreams must get no work after 3 s).

Change: ejected upstreams are read once per round; the status leaves idle upstreams out; the list is read with If-None-Match; an unchanged fleet state is recognised by a transaction without operations.

--- a/packages/coordination/fleet-ledger/src/state-store.ts
+++ b/packages/coordination/fleet-ledger/src/state-store.ts
@@ -2,7 +2,7 @@
  * The fleet state in the platform's store and the newest copy of it here.
  * The copy never goes back to an earlier fleet revision.
  */
-import type {KeyValueStore, StoredEntry} from '@turmericbay/types';
+import type {KeyValueStore, Revision, StoredEntry} from '@turmericbay/types';
 import type {ReportEvent} from './events.js';
 import {createEmptyState, decodeState, encodeState} from './state.js';
 import type {FleetState} from './state.js';
@@ -49,11 +49,24 @@
 		});
 	};
 
+	/**
+	 * Asks whether the value was written since, by a transaction without
+	 * operations: at the target the value has 400 KB and is read each second.
+	 */
+	const isUnchangedSince = async (modifiedRevision: Revision): Promise<boolean> => {
+		const result = await store.transact({conditions: [{key, modifiedRevision}], operations: []});
+		return result.isOk() && result.value.type === 'committed';
+	};
+
 	return {
 		current: () => state,
 		isWritable: () => storeRevision !== undefined,
 		adopt,
 		async refresh() {
+			if (state !== undefined && storeRevision !== undefined && await isUnchangedSince(storeRevision)) {
+				return true;
+			}
+
 			storeRevision = undefined;
 			const result = await store.read({key});
 			if (result.isErr()) {
--- a/packages/coordination/fleet-ledger/test/state-store.test.ts
+++ b/packages/coordination/fleet-ledger/test/state-store.test.ts
@@ -13,7 +13,11 @@
 		},
 		store: {
 			read: async () => ok({key: 'fleet', value: values.shift() ?? '', modifiedRevision: 1}),
-			async transact() {
+			async transact({operations}) {
+				if (operations.length === 0) {
+					return ok({type: 'condition-failed', revision: 2});
+				}
+
 				writes++;
 				return ok({type: 'committed', revision: 2});
 			},
@@ -45,3 +49,23 @@
 	t.is(writes(), 0);
 	t.deepEqual(events, ['state-malformed', 'state-malformed']);
 });
+
+// Guards against reading a value of hundreds of kilobytes each second although nobody wrote it.
+test('an unchanged state is not read again', async t => {
+	let reads = 0;
+	const states = createStateStore({
+		key: 'fleet',
+		report: () => undefined,
+		store: {
+			async read() {
+				reads++;
+				return ok({key: 'fleet', value: encodeRevision(5), modifiedRevision: 1});
+			},
+			transact: async ({conditions}) => ok({type: conditions[0]?.modifiedRevision === 1 ? 'committed' : 'condition-failed', revision: 2}),
+		},
+	});
+	t.true(await states.refresh());
+	t.true(await states.refresh());
+	t.is(reads, 1);
+	t.is(states.current()?.revision, 5);
+});
--- a/packages/coordination/fleet-ledger/test/support/world.ts
+++ b/packages/coordination/fleet-ledger/test/support/world.ts
@@ -69,11 +69,16 @@
 			entry, apply, settle: resolve, lost, unsent,
 		});
 	});
-	const applyWrite = (conditionRevision: number, hasCondition: boolean, value: string) => {
+	const applyWrite = (conditionRevision: number, hasCondition: boolean, value: string | undefined) => {
 		if (hasCondition && (stored?.modifiedRevision ?? 0) !== conditionRevision) {
 			return ok({type: 'condition-failed', revision});
 		}
 
+		// A transaction without operations only checks its condition.
+		if (value === undefined) {
+			return ok({type: 'committed', revision});
+		}
+
 		const previous = readState();
 		stored = {key: 'fleet', value, modifiedRevision: ++revision};
 		onWrite(previous, readState()!);
@@ -118,7 +123,7 @@
 			store: {
 				read: async () => ask(link, () => ok(stored), storeError(StoreErrorKind.Unknown), storeError(StoreErrorKind.NotApplied)),
 				async transact({conditions, operations: [operation]}) {
-					const value = operation?.type === 'put' ? operation.value : '';
+					const value = operation?.type === 'put' ? operation.value : undefined;
 					const apply = () => applyWrite(conditions[0]?.modifiedRevision ?? 0, conditions.length > 0, value);
 					return ask(link, apply, storeError(StoreErrorKind.Unknown), storeError(StoreErrorKind.NotApplied));
 				},
--- a/packages/platform/fakes/src/http.ts
+++ b/packages/platform/fakes/src/http.ts
@@ -1,5 +1,6 @@
 /** Small helpers for the stand-ins' HTTP servers. They listen on loopback only. */
 import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
 import {once} from 'node:events';
 import type {
 	IncomingMessage, RequestListener, Server, ServerResponse,
@@ -19,9 +20,20 @@
 	return Buffer.concat(chunks);
 };
 
+/** Answers `GET` with an entity tag, and with 304 if the caller has the same answer (RFC 9110). */
 export const sendJson = (response: ServerResponse, options: {readonly status?: number; readonly body: unknown}): void => {
 	const text = JSON.stringify(options.body);
-	response.writeHead(options.status ?? 200, {'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text)});
+	const status = options.status ?? 200;
+	if (response.req.method === 'GET' && status === 200) {
+		const entityTag = `"${createHash('sha256').update(text).digest('base64url')}"`;
+		response.setHeader('ETag', entityTag);
+		if (response.req.headers['if-none-match'] === entityTag) {
+			response.writeHead(304).end();
+			return;
+		}
+	}
+
+	response.writeHead(status, {'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text)});
 	response.end(text);
 };
 
--- a/packages/platform/platform-client/src/etcd-watch.ts
+++ b/packages/platform/platform-client/src/etcd-watch.ts
@@ -94,7 +94,7 @@
 	try {
 		return statusCode === okStatus
 			? await readMessages({body, maximumBytes: caller.maximumAnswerBytes, onChange})
-			: fromErrorAnswer({status: statusCode, text: await body.text()});
+			: fromErrorAnswer({status: statusCode, text: await body.text(), entityTag: undefined});
 	} catch (error) {
 		return fromCallFailure(toCallFailure(error));
 	}
--- a/packages/platform/platform-client/src/http-caller.ts
+++ b/packages/platform/platform-client/src/http-caller.ts
@@ -20,7 +20,12 @@
 
 export type CallFailure = {readonly kind: CallFailureKind; readonly message: string};
 
-export type CallAnswer = {readonly status: number; readonly text: string};
+export type CallAnswer = {
+	readonly status: number;
+	readonly text: string;
+	/** Header `ETag` (RFC 9110); undefined if the service sends none. */
+	readonly entityTag: string | undefined;
+};
 
 export type CallerSettings = {
 	/** Base address of the service, for instance `http://127.0.0.1:2379`; a path in it stands before that of each call. */
@@ -40,6 +45,8 @@
 	readonly path: string;
 	/** Sent as JSON. */
 	readonly body?: unknown;
+	/** Sent as `If-None-Match`; the service answers 304 if its answer is still the same. */
+	readonly entityTag?: string | undefined;
 };
 
 export type HttpCaller = {
@@ -90,13 +97,14 @@
 	const calls = new Pool(origin, {connect, maxResponseSize: maximumAnswerBytes});
 	const streams = new Pool(origin, {connect, headersTimeout: callTimeoutMilliseconds, bodyTimeout: 0});
 
-	const toOptions = ({method, path, body}: CallRequest): Dispatcher.RequestOptions => ({
+	const toOptions = ({method, path, body, entityTag}: CallRequest): Dispatcher.RequestOptions => ({
 		method,
 		path: `${basePath}${path}`,
 		headers: {
 			'content-type': 'application/json',
 			'x-availability-zone': settings.zone,
 			'x-instance': settings.instance,
+			...(entityTag !== undefined && {'if-none-match': entityTag}),
 		},
 		...(body !== undefined && {body: JSON.stringify(body)}),
 	});
@@ -106,7 +114,8 @@
 		async call(request) {
 			try {
 				const response = await calls.request({...toOptions(request), signal: AbortSignal.timeout(callTimeoutMilliseconds)});
-				return ok({status: response.statusCode, text: await response.body.text()});
+				const {etag} = response.headers;
+				return ok({status: response.statusCode, text: await response.body.text(), entityTag: typeof etag === 'string' ? etag : undefined});
 			} catch (error) {
 				return err(toCallFailure(error));
 			}
--- a/packages/platform/platform-client/src/service-discovery-instance-list.ts
+++ b/packages/platform/platform-client/src/service-discovery-instance-list.ts
@@ -24,6 +24,7 @@
 
 const listAnswer = z.array(targetGroup);
 const okStatus = 200;
+const notModifiedStatus = 304;
 
 const createError = (code: InstanceListError['code'], message: string): InstanceListError => ({code, message});
 
@@ -32,19 +33,31 @@
 /** Reads the list with `GET` from `path` (by default `/instances`) at `settings.origin`. */
 export const createServiceDiscoveryInstanceList = (settings: CallerSettings & {readonly path?: string}): ClosableInstanceList => {
 	const caller = createHttpCaller(settings);
+	/** The list changes every few minutes and is read each second; at 3,000 instances it has 600 KB. */
+	let cached: {readonly entityTag: string; readonly records: readonly InstanceRecord[]} | undefined;
 	return {
 		async readInstances() {
-			const answer = await caller.call({method: 'GET', path: settings.path ?? '/instances'});
+			const answer = await caller.call({method: 'GET', path: settings.path ?? '/instances', entityTag: cached?.entityTag});
 			if (answer.isErr()) {
 				return err(createError('INSTANCE_LIST_UNAVAILABLE', answer.error.message));
 			}
 
+			if (answer.value.status === notModifiedStatus && cached !== undefined) {
+				return ok(cached.records);
+			}
+
 			if (answer.value.status !== okStatus) {
 				return err(createError('INSTANCE_LIST_UNAVAILABLE', `status ${answer.value.status}`));
 			}
 
 			const parsed = listAnswer.safeParse(parseJsonText(answer.value.text));
-			return parsed.success ? ok(parsed.data) : err(createError('INSTANCE_LIST_MALFORMED', z.prettifyError(parsed.error)));
+			if (!parsed.success) {
+				return err(createError('INSTANCE_LIST_MALFORMED', z.prettifyError(parsed.error)));
+			}
+
+			const {entityTag} = answer.value;
+			cached = entityTag === undefined ? undefined : {entityTag, records: parsed.data};
+			return ok(parsed.data);
 		},
 		close: async () => caller.close(),
 	};
--- a/packages/programs/daemon/src/fleet-parts.ts
+++ b/packages/programs/daemon/src/fleet-parts.ts
@@ -6,7 +6,7 @@
 import {LogEvent} from '@turmericbay/telemetry';
 import type {Logger} from '@turmericbay/telemetry';
 import type {
-	Clock, InstanceDirectory, KeyValueStore, ProcessIdentity, RegionName,
+	Clock, InstanceDirectory, InstanceId, KeyValueStore, ProcessIdentity, RegionName,
 } from '@turmericbay/types';
 import type {InstanceControl} from '@turmericbay/types';
 import {createFleetRouting} from './fleet-routing.js';
@@ -58,6 +58,8 @@
 	readonly gateway: () => Gateway;
 }): FleetParts => {
 	const {directory, exchange, gateway} = options;
+	/** Read once per round: the ledger asks for each listed instance. */
+	let ejected: ReadonlySet<InstanceId> = new Set();
 	const routing = createFleetRouting({directory, ledger: () => ledger});
 	const ledger: FleetLedger = createFleetLedger({
 		region: options.region,
@@ -70,7 +72,7 @@
 		peers: {confirmations: () => exchange().rows().flatMap(row => toConfirmation(row))},
 		observation: {
 			busyInstances: () => new Set(gateway().status().upstreams.filter(({inFlight}) => inFlight > 0).map(({instance}) => instance)),
-			isHealthy: instance => !gateway().status().upstreams.some(upstream => upstream.instance === instance && upstream.isEjected),
+			isHealthy: instance => !ejected.has(instance),
 			hasRunningTasks: () => false,
 		},
 		report(event) {
@@ -82,6 +84,7 @@
 		ledger,
 		routing,
 		async tick() {
+			ejected = new Set(gateway().status().upstreams.filter(({isEjected}) => isEjected).map(({instance}) => instance));
 			await ledger.tick();
 			routing.apply();
 		},
--- a/packages/traffic/gateway/src/gateway.ts
+++ b/packages/traffic/gateway/src/gateway.ts
@@ -86,7 +86,7 @@
 			instance: upstream.record.instance,
 			inFlight: upstream.ownInFlight + upstream.lingering,
 			isEjected: isEjected(upstream, now),
-		})),
+		})).filter(upstream => upstream.inFlight > 0 || upstream.isEjected),
 	};
 };
 
--- a/packages/traffic/gateway/src/ports.ts
+++ b/packages/traffic/gateway/src/ports.ts
@@ -100,6 +100,7 @@
 export type GatewayStatus = {
 	readonly pools: ReadonlyArray<{readonly pool: PoolName; readonly queued: number; readonly inFlight: number}>;
 	readonly teams: ReadonlyArray<{readonly team: TeamName; readonly running: number; readonly queued: number}>;
+	/** Upstreams with requests in flight and ejected ones; thousands of idle ones would be copied in each exchange. */
 	readonly upstreams: ReadonlyArray<{readonly instance: InstanceId; readonly inFlight: number; readonly isEjected: boolean}>;
 };
 
