Test transfers between zones and the loss of all holders at once

Cause: the properties do not fail without the report that a holder in the ledger was listed once, since a restarted process usually sees the old one in a lagging list. Change: an example in which no living process has seen the dead ones listed, and one for the zone's floor.

--- a/packages/coordination/grant-ledger/test/holder.test.ts
+++ b/packages/coordination/grant-ledger/test/holder.test.ts
@@ -62,3 +62,51 @@
 	t.is(sumUnits(rowOf(cluster, 'team')!), cluster.fleet.members[1]!.part.units('team').held
 	+ cluster.fleet.members[2]!.part.units('team').held);
 });
+
+const askForUnits = async (cluster: ReturnType<typeof createCluster>, options: {from: number; to: number}) => {
+	const {identity} = cluster.fleet.members[options.to]!;
+	const answer = cluster.fleet.members[options.from]!.part.answerTransfer({team: 'team', units: 4, holder: identity});
+	await cluster.simulation.run(3000);
+	return answer;
+};
+
+// Guards against a zone that lends its floor and has nothing left when it is cut off.
+test('idle units move within a zone, but the floor of a zone never to another', async t => {
+	const cluster = createCluster({
+		seed: 4, count: 6, zones, limits: {team: 40},
+	});
+	await cluster.simulation.run(30_000);
+	t.is(await askForUnits(cluster, {from: 0, to: 1}), 0);
+	t.is(await askForUnits(cluster, {from: 0, to: 3}), 1);
+});
+
+// Guards against units of processes that no living process has ever seen listed.
+test('after all instances were replaced at once all units can be used again', async t => {
+	const cluster = createCluster({
+		seed: 5, count: 3, zones, limits: {team: 6},
+	});
+	await cluster.simulation.run(30_000);
+	// The new processes never see the old ones in a list.
+	cluster.fleet.network.listLagMilliseconds = 0;
+	for (const position of [0, 1, 2]) {
+		cluster.fleet.kill(position);
+	}
+
+	for (const position of [0, 1, 2]) {
+		cluster.fleet.restart(position);
+	}
+
+	await cluster.simulation.run(90_000);
+	let most = 0;
+	for (let step = 0; step < 100; step += 1) {
+		for (const position of [0, 1, 2]) {
+			cluster.request(position, 'team');
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- Time passes between the steps.
+		await cluster.simulation.run(50);
+		most = Math.max(most, cluster.acquired('team'));
+	}
+
+	t.is(most, 6);
+});
