Recognise an unchanged list whatever the order of its members

Cause: lists were exchanged between peers twice a second although nothing had changed: the digest was taken over JSON whose member order differs between the platform's answer and a peer's message. Each copy also went through the whole directory again.

Change: digest over a fixed order of members; copies less than 500 ms newer are skipped; an unchanged answer of the platform is not sorted again.

--- a/packages/programs/daemon/src/instance-list-source.ts
+++ b/packages/programs/daemon/src/instance-list-source.ts
@@ -29,8 +29,20 @@
 /** Without a fresh copy from a peer for this long, every instance reads the list itself. */
 const fallbackAgeMilliseconds = 2500;
 
-const digestOf = (records: readonly InstanceRecord[]): string =>
-	createHash('sha256').update(JSON.stringify(records)).digest('base64url').slice(0, 16);
+/** A copy that is newer by less than this is not worth going through the whole list again. */
+const minimumGainMilliseconds = 500;
+
+/** Independent of the order of members, which differs between the platform's answer and a peer's. */
+const digestOf = (records: readonly InstanceRecord[]): string => {
+	const hash = createHash('sha256');
+	for (const {instance, incarnation, address, role, pool, zone, rack, state} of records) {
+		hash.update(JSON.stringify([instance, incarnation, address, role, pool, zone, rack, state]));
+	}
+
+	return hash.digest('base64url').slice(0, 16);
+};
+
+const compareNames = (left: InstanceRecord, right: InstanceRecord): number => left.instance < right.instance ? -1 : 1;
 
 export const createInstanceListSource = (options: {
 	readonly list: InstanceList;
@@ -45,17 +57,23 @@
 	let digest = '';
 	let readAt: number | undefined;
 	let isReading = false;
+	/** The platform adapter returns the same array while the list is unchanged. */
+	let lastRead: readonly InstanceRecord[] | undefined;
+	let lastSorted: readonly InstanceRecord[] = [];
 	let hasFailed = false;
 
 	const age = () => readAt === undefined ? undefined : clock.monotonicMilliseconds() - readAt;
 
 	const adopt = (adopted: readonly InstanceRecord[], at: number) => {
-		if (readAt !== undefined && at <= readAt) {
+		if (readAt !== undefined && at < readAt + minimumGainMilliseconds) {
 			return;
 		}
 
-		records = adopted;
-		digest = digestOf(adopted);
+		if (adopted !== records) {
+			records = adopted;
+			digest = digestOf(adopted);
+		}
+
 		readAt = at;
 		directory.offer({records: incarnations.apply(adopted), ageMilliseconds: clock.monotonicMilliseconds() - at});
 	};
@@ -66,7 +84,12 @@
 		answer.match(
 			read => {
 				hasFailed = false;
-				adopt(read.toSorted((left, right) => left.instance.localeCompare(right.instance)), startedAt);
+				if (read !== lastRead) {
+					lastRead = read;
+					lastSorted = read.toSorted(compareNames);
+				}
+
+				adopt(lastSorted, startedAt);
 			},
 			error => {
 				if (!hasFailed) {
--- a/packages/traffic/gateway/src/gateway.ts
+++ b/packages/traffic/gateway/src/gateway.ts
@@ -82,11 +82,13 @@
 	return {
 		pools: [...queues].map(([pool, queue]) => ({pool, queued: queue.queued(), inFlight: routing.inFlight({pool})})),
 		teams: [...new Set([...names, ...runs.teams()])].map(team => ({team, running: runs.running(team), queued: queuedOf(team)})),
-		upstreams: routing.upstreams().map(upstream => ({
-			instance: upstream.record.instance,
-			inFlight: upstream.ownInFlight + upstream.lingering,
-			isEjected: isEjected(upstream, now),
-		})).filter(upstream => upstream.inFlight > 0 || upstream.isEjected),
+		upstreams: routing.upstreams()
+			.filter(upstream => upstream.ownInFlight + upstream.lingering > 0 || isEjected(upstream, now))
+			.map(upstream => ({
+				instance: upstream.record.instance,
+				inFlight: upstream.ownInFlight + upstream.lingering,
+				isEjected: isEjected(upstream, now),
+			})),
 	};
 };
 
