Keep what the exchange asks for several times a second

Cause: the profile at the target's lists showed the choice of watchers, the status and the overlay of the fleet ledger computed anew for each message.

Change: watchers are chosen when the list changes; the overlay is applied when the ledger changed; the routing table lists busy and ejected upstreams only.

--- a/packages/programs/daemon/src/entry-instance.ts
+++ b/packages/programs/daemon/src/entry-instance.ts
@@ -93,12 +93,17 @@
 		return listed.length > 0 ? listed : settings.peers.members;
 	};
 
-	const isWatcher = () => chooseWatchers({
+	const chooseWatching = () => chooseWatchers({
 		zone,
 		live: [...listLiveEntries().filter(({instance}) => instance !== self.instance), self],
 	}).includes(self.instance);
+	// Asked for several times a second; the answer changes with the list only.
+	let isWatching = chooseWatching();
+	directory.subscribe(() => {
+		isWatching = chooseWatching();
+	});
 	const listSource = createInstanceListSource({
-		list: platform.list, directory, incarnations, isWatcher, clock, logger,
+		list: platform.list, directory, incarnations, isWatcher: () => isWatching, clock, logger,
 	});
 
 	// The parts below refer to each other through this function, which is first called after all exist.
--- a/packages/programs/daemon/src/fleet-routing.ts
+++ b/packages/programs/daemon/src/fleet-routing.ts
@@ -15,11 +15,12 @@
 
 export const createFleetRouting = (options: {
 	readonly directory: InstanceDirectory;
-	readonly ledger: () => Pick<FleetLedger, 'effectivePool' | 'fleetRevision'>;
+	readonly ledger: () => Pick<FleetLedger, 'effectivePool' | 'fleetRevision' | 'isOpen'>;
 }): FleetRouting => {
 	const {directory, ledger} = options;
 	const listeners: Array<() => void> = [];
 	let appliedRevision = 0;
+	let wasOpen = false;
 
 	const overlay = (record: InstanceRecord): InstanceRecord => {
 		if (record.role === InstanceRole.Entry) {
@@ -30,8 +31,9 @@
 		return pool === undefined ? {...record, state: InstanceState.Leaving} : {...record, pool};
 	};
 
-	const apply = () => {
+	const follow = () => {
 		const revision = ledger().fleetRevision();
+		wasOpen = ledger().isOpen();
 		for (const listener of listeners) {
 			listener();
 		}
@@ -40,7 +42,7 @@
 		appliedRevision = revision;
 	};
 
-	directory.subscribe(apply);
+	directory.subscribe(follow);
 	return {
 		instances: () => directory.instances().map(record => overlay(record)),
 		ageMilliseconds: () => directory.ageMilliseconds(),
@@ -48,7 +50,11 @@
 		subscribe(listener) {
 			listeners.push(listener);
 		},
-		apply,
+		apply() {
+			if (ledger().fleetRevision() !== appliedRevision || ledger().isOpen() !== wasOpen) {
+				follow();
+			}
+		},
 		appliedRevision: () => appliedRevision,
 	};
 };
--- a/packages/traffic/gateway/src/gateway.ts
+++ b/packages/traffic/gateway/src/gateway.ts
@@ -82,13 +82,11 @@
 	return {
 		pools: [...queues].map(([pool, queue]) => ({pool, queued: queue.queued(), inFlight: routing.inFlight({pool})})),
 		teams: [...new Set([...names, ...runs.teams()])].map(team => ({team, running: runs.running(team), queued: queuedOf(team)})),
-		upstreams: routing.upstreams()
-			.filter(upstream => upstream.ownInFlight + upstream.lingering > 0 || isEjected(upstream, now))
-			.map(upstream => ({
-				instance: upstream.record.instance,
-				inFlight: upstream.ownInFlight + upstream.lingering,
-				isEjected: isEjected(upstream, now),
-			})),
+		upstreams: routing.noteworthyUpstreams({now}).map(upstream => ({
+			instance: upstream.record.instance,
+			inFlight: upstream.ownInFlight + upstream.lingering,
+			isEjected: isEjected(upstream, now),
+		})),
 	};
 };
 
--- a/packages/traffic/routing/src/routing-table.ts
+++ b/packages/traffic/routing/src/routing-table.ts
@@ -30,6 +30,8 @@
 	inFlight(options: {readonly pool: PoolName}): number;
 	/** Upstreams in service, and those out of service that still have requests in flight. */
 	upstreams(): readonly Upstream[];
+	/** Those with requests in flight and those ejected; few among thousands. */
+	noteworthyUpstreams(options: {readonly now: number}): readonly Upstream[];
 };
 
 type PoolTable = {
@@ -197,5 +199,13 @@
 			return sum(upstreams, ({ownInFlight}) => ownInFlight) + sum(retired, ({ownInFlight}) => ownInFlight);
 		},
 		upstreams: () => [...tables.values()].flatMap(({upstreams, retired}) => [...upstreams, ...retired]),
+		noteworthyUpstreams({now}) {
+			const found: Upstream[] = [];
+			for (const {upstreams, retired} of tables.values()) {
+				found.push(...upstreams.filter(upstream => isBusy(upstream) || isEjected(upstream, now)), ...retired);
+			}
+
+			return found;
+		},
 	};
 };
