--- a/packages/coordination/grant-ledger/src/holder.ts
+++ b/packages/coordination/grant-ledger/src/holder.ts
@@ -92,6 +92,10 @@
 		counters.failures += outcome.type === 'unknown' || outcome.type === 'failed' ? 1 : 0;
 		ledger.finish(command, outcome, {ownKey, now: now()});
 		notifyAvailable();
+		if (outcome.type === 'read') {
+			// Waiting for the next turn of the budget would let others change the shard, so that the write fails again.
+			runShard(command.shard);
+		}
 	};
 
 	const execute = async (command: LedgerCommand) => {
@@ -129,6 +133,14 @@
 		},
 	});
 
+	const runShard = (shard: number) => {
+		const command = ledger.takeCommand(shard, contextFor(shard), now());
+		if (command) {
+			budget.spend();
+			void execute(command);
+		}
+	};
+
 	const runShards = () => {
 		for (let step = 0; step < shardCount; step += 1) {
 			const shard = (firstShard + step) % shardCount;
@@ -137,11 +149,7 @@
 				return;
 			}
 
-			const command = ledger.takeCommand(shard, contextFor(shard), now());
-			if (command) {
-				budget.spend();
-				void execute(command);
-			}
+			runShard(shard);
 		}
 	};
 
--- a/packages/coordination/grant-ledger/src/ledger.ts
+++ b/packages/coordination/grant-ledger/src/ledger.ts
@@ -224,6 +224,7 @@
 		shard.table = outcome.table;
 		shard.revision = outcome.revision;
 		shard.readAt = context.now;
+		shard.planAt = Number.NEGATIVE_INFINITY;
 		if (shard.uncertainRevision !== undefined && outcome.revision !== shard.uncertainRevision) {
 			shard.uncertainRevision = undefined;
 		}
