Reclaim nothing by a list that does not show this process

Change: no reclaim while the own process is not listed; the time since a proof counts only while the proof holds.

--- a/packages/coordination/grant-ledger/src/fleet-view.ts
+++ b/packages/coordination/grant-ledger/src/fleet-view.ts
@@ -52,7 +52,8 @@
 		},
 		goneFor(identity: ProcessIdentity, now: number) {
 			const start = since.get(holderKey(identity));
-			return start === undefined ? undefined : now - start;
+			// The list can have brought the process back since the last update.
+			return start !== undefined && directory.isProvenGone(identity) ? now - start : undefined;
 		},
 	};
 };
--- a/packages/coordination/grant-ledger/src/plan.ts
+++ b/packages/coordination/grant-ledger/src/plan.ts
@@ -139,7 +139,12 @@
 	}
 };
 
+/** A list that does not even show this process proves nothing about others. */
 const reclaim = (plan: TeamPlan, usage: TeamUsage, context: PlanContext): void => {
+	if (!context.fleet.selfListed) {
+		return;
+	}
+
 	for (const holding of plan.row.holdings.values()) {
 		const goneFor = context.goneFor(holding.identity);
 		if (goneFor !== undefined && goneFor >= usage.longestRunMilliseconds) {
--- a/packages/coordination/membership/test/support/scenario.ts
+++ b/packages/coordination/membership/test/support/scenario.ts
@@ -157,7 +157,9 @@
 
 /** Ends whatever is still wrong; no scheduled fault begins any more. */
 export const heal = <Part>(fleet: Fleet<Part>): void => {
-	Object.assign(fleet.network, {lossProbability: 0, listLagMilliseconds: 3000, listBroken: false, healed: true});
+	Object.assign(fleet.network, {
+		lossProbability: 0, listLagMilliseconds: 3000, listBroken: false, healed: true,
+	});
 	fleet.network.cutZones.clear();
 	for (const [position, {process, store}] of fleet.members.entries()) {
 		store.reachable = true;
