--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -34,12 +34,12 @@
 	PeerRejected = 4003,
 	GrantReclaimed = 5001,
 	GrantLedgerFailed = 5002,
-	PartitionTaken = 6001,
-	PartitionIncomplete = 6002,
+	PartitionsChanged = 6001,
 	ClaimsInMemory = 6003,
 	UpstreamEjected = 7001,
 	UpstreamRestored = 7002,
 	AnswerDropped = 7003,
+	AttemptFailed = 7005,
 	RequestRefused = 7004,
 	MaintenanceStepRecorded = 8001,
 	MaintenanceStopped = 8002,
@@ -173,16 +173,11 @@
 		message: 'The grant ledger could not be read or changed',
 		action: 'Units stay where they are until the platform answers.',
 	},
-	[LogEvent.PartitionTaken]: {
+	[LogEvent.PartitionsChanged]: {
 		level: LogLevel.Information,
-		message: 'This instance owns a claim partition',
+		message: 'The number of claim partitions that this instance owns has changed',
 		action: none,
 	},
-	[LogEvent.PartitionIncomplete]: {
-		level: LogLevel.Warning,
-		message: 'The records of a partition may be incomplete; keys dated before the takeover get unknown',
-		action: 'Ask the callers concerned to check their orders before repeating them.',
-	},
 	[LogEvent.ClaimsInMemory]: {
 		level: LogLevel.Warning,
 		message: 'Claims are kept in memory until the platform answers',
@@ -203,6 +198,11 @@
 		message: 'An answer of an upstream was dropped because it was cut short or not for this request',
 		action: 'Check the upstream.',
 	},
+	[LogEvent.AttemptFailed]: {
+		level: LogLevel.Debug,
+		message: 'A request could not be sent to an upstream, or got no answer',
+		action: none,
+	},
 	[LogEvent.RequestRefused]: {
 		level: LogLevel.Debug,
 		message: 'A request was refused',
--- a/packages/programs/daemon/src/daemon.ts
+++ b/packages/programs/daemon/src/daemon.ts
@@ -123,8 +123,9 @@
 			isStopping = true;
 			parts.setDraining();
 			logger.log(LogEvent.DaemonStopping);
-			await sleep(settings.shutdown.balancerLagSeconds * 1000);
+			// Kept-alive connections end with their next answer during the lag, so that none is open when listening stops.
 			parts.gateway.beginDrain();
+			await sleep(settings.shutdown.balancerLagSeconds * 1000);
 			parts.claims.startDraining();
 			await parts.gateway.close();
 			await handBack();
--- a/packages/programs/daemon/src/gateway-telemetry.ts
+++ b/packages/programs/daemon/src/gateway-telemetry.ts
@@ -13,6 +13,9 @@
 	[SpanName.EntryToUpstream]: Hop.EntryToUpstream,
 };
 
+/** Results of an attempt that point to a faulty upstream; the others happen in normal operation. */
+const droppedAnswers = new Set(['cut', 'crossed']);
+
 const traceparentPattern = /^00-(?<traceId>[\da-f]{32})-(?<spanId>[\da-f]{16})-(?<flags>[\da-f]{2})$/v;
 
 const formatParent = (parent: TraceContext | undefined): string | undefined =>
@@ -52,7 +55,7 @@
 
 			case 'attempt-failed': {
 				metrics.increment('turmericbay_upstream_failures_total', {instance: event.instance});
-				logger.log(LogEvent.AnswerDropped, {upstream: event.instance, reason: event.reason});
+				logger.log(droppedAnswers.has(event.reason) ? LogEvent.AnswerDropped : LogEvent.AttemptFailed, {upstream: event.instance, reason: event.reason});
 				break;
 			}
 
--- a/packages/programs/daemon/src/systems.ts
+++ b/packages/programs/daemon/src/systems.ts
@@ -5,6 +5,7 @@
 import {listPeerLoads} from './entry-instance.js';
 import type {EntryInstanceParts} from './entry-instance.js';
 import {exchangeIntervalMilliseconds} from './peer-exchange.js';
+import {createStateLog} from './state-log.js';
 
 type System = {
 	readonly name: string;
@@ -12,7 +13,7 @@
 	run(): void | Promise<void>;
 };
 
-const listSystems = (parts: EntryInstanceParts): readonly System[] => [
+const listSystems = (parts: EntryInstanceParts, logger: Logger): readonly System[] => [
 	{
 		name: 'grants',
 		intervalMilliseconds: 50,
@@ -44,6 +45,7 @@
 	},
 	{name: 'document', intervalMilliseconds: 500, run: async () => parts.documentWatch.tick()},
 	{name: 'fleet', intervalMilliseconds: 1000, run: async () => parts.fleet.tick()},
+	{name: 'state-log', intervalMilliseconds: 1000, run: createStateLog({parts, logger})},
 	{name: 'instance-list', intervalMilliseconds: 1000, run: async () => parts.listSource.tick()},
 ];
 
@@ -53,7 +55,7 @@
 
 /** Starts one timer per system. A system that is still running is not started again. */
 export const runSystems = ({parts, logger}: {readonly parts: EntryInstanceParts; readonly logger: Logger}): RunningSystems => {
-	const timers = listSystems(parts).map(({name, intervalMilliseconds, run}) => {
+	const timers = listSystems(parts, logger).map(({name, intervalMilliseconds, run}) => {
 		let isRunning = false;
 		const runOnce = async () => {
 			if (isRunning) {
