Say unknown when a keyed request is refused before its claim is decided

Cause: a refusal with not-run is a statement about every attempt with the key. The gateway refused keyed requests (queue full, team at limit, deadline, unconfirmed configuration) as not-run before it had asked the owner of the key's claim, while an earlier attempt could be running elsewhere.

Ruled out: a claim before queueing (a write for each refused request under overload); leaving it (a caller that trusts not-run would take a new key and run the order twice).

Change: such refusals carry the outcome unknown and say to send again with the same key. Requests that may be repeated keep not-run.

--- a/packages/common/types/src/problems.ts
+++ b/packages/common/types/src/problems.ts
@@ -87,5 +87,9 @@
 export type Problem = {
 	readonly code: ProblemCode;
 	readonly detail: string;
+	/** Set if less is known here than the code says. */
+	readonly outcome?: Outcome;
 	readonly retryAfterSeconds?: number;
 };
+
+export const outcomeOf = (problem: Problem): Outcome => problem.outcome ?? problemKinds[problem.code].outcome;
--- a/packages/traffic/gateway/src/arrival.ts
+++ b/packages/traffic/gateway/src/arrival.ts
@@ -76,6 +76,7 @@
 		sink: createCallerSink(response, wholeAnswerBytes),
 		hangUp: hangUp.signal,
 		claimAttempt: undefined,
+		isClaimDecided: false,
 		unknownProblem: undefined,
 		attempts: 0,
 	};
--- a/packages/traffic/gateway/src/exchange.ts
+++ b/packages/traffic/gateway/src/exchange.ts
@@ -27,6 +27,8 @@
 	readonly hangUp: AbortSignal;
 	/** Set while a claim of the request's idempotency key is open. */
 	claimAttempt: string | undefined;
+	/** Set once the owner of the key's claim has decided; a refusal may then say `not-run`. */
+	isClaimDecided: boolean;
 	/** Set once an attempt may have run; after that no refusal may say `not-run`. */
 	unknownProblem: Problem | undefined;
 	attempts: number;
--- a/packages/traffic/gateway/src/request-flow.ts
+++ b/packages/traffic/gateway/src/request-flow.ts
@@ -5,15 +5,16 @@
 import type {ConfigurationDocument} from '@turmericbay/document';
 import {backoffMilliseconds} from '@turmericbay/routing';
 import type {RetryBudget, RetryScope} from '@turmericbay/routing';
-import {Outcome, ProblemCode, problemKinds} from '@turmericbay/types';
+import {Outcome, outcomeOf, ProblemCode} from '@turmericbay/types';
 import type {PoolName, Problem, TeamName} from '@turmericbay/types';
 import {receiveRequest} from './arrival.js';
 import {runAttempt} from './attempt.js';
 import type {Allowed, AttemptContext} from './attempt.js';
 import {answerWhole} from './caller-answer.js';
-import {parseTarget} from './exchange.js';
+import {isRepeatable, parseTarget} from './exchange.js';
 import type {Exchange} from './exchange.js';
 import {requestIdHeader} from './headers.js';
+import {qualifyUnclaimedRefusal} from './keyed-refusal.js';
 import {SpanName} from './ports.js';
 import type {GatewayTelemetry} from './ports.js';
 import type {PoolQueue, QueueResult} from './pool-queue.js';
@@ -54,10 +55,15 @@
 };
 
 /** A refusal of a later attempt must not deny that an earlier one may have run. */
-const withoutFalseRefusal = (exchange: Exchange, problem: Problem): Problem =>
-	exchange.unknownProblem !== undefined && problemKinds[problem.code].outcome === Outcome.NotRun
-		? exchange.unknownProblem
-		: problem;
+const withoutFalseRefusal = (exchange: Exchange, allowed: Allowed, problem: Problem): Problem => {
+	if (exchange.unknownProblem !== undefined && outcomeOf(problem) === Outcome.NotRun) {
+		return exchange.unknownProblem;
+	}
+
+	return exchange.isClaimDecided || isRepeatable(allowed.queue, exchange.method)
+		? problem
+		: qualifyUnclaimedRefusal({headers: exchange.headers, problem});
+};
 
 const retryScope = (exchange: Exchange, allowed: Allowed): RetryScope => ({
 	pool: allowed.queue.pool,
@@ -93,12 +99,12 @@
 			return outcome;
 		}
 
-		if (problemKinds[outcome.problem.code].outcome !== Outcome.NotRun) {
+		if (outcomeOf(outcome.problem) !== Outcome.NotRun) {
 			exchange.unknownProblem = outcome.problem;
 		}
 
 		if (!outcome.retryable || !await backoff(context, exchange, allowed)) { // eslint-disable-line no-await-in-loop
-			return {...outcome, problem: withoutFalseRefusal(exchange, outcome.problem)};
+			return {...outcome, problem: withoutFalseRefusal(exchange, allowed, outcome.problem)};
 		}
 	}
 };
@@ -158,7 +164,7 @@
 			}
 
 			case 'refused': {
-				return {outcome: refusedOutcome(arrival.problem), team: undefined};
+				return {outcome: refusedOutcome(qualifyUnclaimedRefusal({headers: request.headers, problem: arrival.problem})), team: undefined};
 			}
 
 			case 'gone': {
--- a/packages/traffic/gateway/test/caller-faults.test.ts
+++ b/packages/traffic/gateway/test/caller-faults.test.ts
@@ -86,3 +86,19 @@
 	await gateway.close();
 	await first;
 });
+
+// Guards against a refusal that denies an earlier attempt with the same key, which may be running elsewhere.
+test('a refusal before the claim is decided does not speak for earlier attempts', async t => {
+	const {port, state} = await createHarness(t, {instances: []});
+	const headers = {'x-request-timeout-ms': '30', 'idempotency-key': '0193a2b4-0000-7000-8000-000000000001'};
+	state.confirmationAge = 6000;
+	const unconfirmed = await send(port, {method: 'POST', body: 'rug 7', headers});
+	t.like(JSON.parse(unconfirmed.body), {code: ProblemCode.ConfigurationUnconfirmed, outcome: 'unknown'});
+	state.confirmationAge = 0;
+	state.units = 0;
+	const limited = await send(port, {method: 'POST', body: 'rug 7', headers});
+	t.like(JSON.parse(limited.body), {outcome: 'unknown'});
+	t.is(state.claims, 0);
+	const withoutKey = await send(port, {headers: {'x-request-timeout-ms': '30'}});
+	t.like(JSON.parse(withoutKey.body), {outcome: 'not-run'});
+});
