Hand partitions over to known processes only

The store showed 18 partition records whose owner had an empty incarnation: the list names an instance, but until it has answered it is not known which process runs on it, and partitions were handed to that.

Ruled out: a slow refresh of the records (they were read; their owner did not exist); the exchange each 2 s (it only made the window longer).

Change: the plan of owners holds known processes only; claim gauges in /metrics.

--- a/packages/coordination/claims/src/ownership.ts
+++ b/packages/coordination/claims/src/ownership.ts
@@ -1,5 +1,5 @@
 /** Decides who should own each partition and which records this instance changes for that. */
-import {rankByRendezvous} from '@turmericbay/membership';
+import {rankByRendezvous, unknownIncarnation} from '@turmericbay/membership';
 import {InstanceRole, InstanceState} from '@turmericbay/types';
 import type {
 	AvailabilityZone, InstanceDirectory, InstanceId, InstanceRecord, ProcessIdentity,
@@ -11,7 +11,7 @@
 const handBackMilliseconds = 60_000;
 
 export type OwnerPlan = {
-	/** The instances that should own partitions. */
+	/** The processes that should own partitions, as far as they are known. */
 	readonly owners: ReadonlyMap<InstanceId, {readonly identity: ProcessIdentity; readonly zone: AvailabilityZone}>;
 	/** The instance that should own each partition; empty if no entry instance is listed. */
 	readonly byPartition: readonly InstanceId[];
@@ -26,9 +26,10 @@
 	const chosen = new Set([...zones].flatMap(zone => rankByRendezvous({
 		subject: 'claims owner', candidates: live.filter(record => record.zone === zone).map(({instance}) => instance),
 	}).slice(0, ownersPerZone)));
-	const owners = new Map(live.filter(({instance}) => chosen.has(instance)).map(({instance, incarnation, zone}) =>
-		[instance, {identity: {instance, incarnation}, zone}]));
-	const candidates = [...owners.keys()];
+	// Nothing is handed to an instance of which it is not known which process runs on it.
+	const owners = new Map(live.filter(({instance, incarnation}) => chosen.has(instance) && incarnation !== unknownIncarnation)
+		.map(({instance, incarnation, zone}) => [instance, {identity: {instance, incarnation}, zone}]));
+	const candidates = [...chosen];
 	return {
 		owners,
 		byPartition: candidates.length === 0
--- a/packages/programs/daemon/src/daemon.ts
+++ b/packages/programs/daemon/src/daemon.ts
@@ -138,7 +138,19 @@
 	};
 };
 
-const recordGauges = ({metrics, platform}: EntryInstanceOptions, {gateway, documentWatch}: EntryInstanceParts): void => {
+const recordClaims = ({metrics}: EntryInstanceOptions, {claims}: EntryInstanceParts): void => {
+	const {owned, serving, claims: held, memoryMode, pendingSettlements} = claims.status();
+	metrics.setGauge('turmericbay_claim_partitions_owned', owned.length);
+	metrics.setGauge('turmericbay_claim_partitions_serving', serving.length);
+	metrics.setGauge('turmericbay_claims', held);
+	metrics.setGauge('turmericbay_claims_in_memory_mode', memoryMode ? 1 : 0);
+	metrics.setGauge('turmericbay_claim_settlements_pending', pendingSettlements);
+};
+
+const recordGauges = (options: EntryInstanceOptions, parts: EntryInstanceParts): void => {
+	const {metrics, platform} = options;
+	const {gateway, documentWatch} = parts;
+	recordClaims(options, parts);
 	for (const {pool, queued, inFlight} of gateway.status().pools) {
 		metrics.setGauge('turmericbay_queued', queued, {pool});
 		metrics.setGauge('turmericbay_in_flight', inFlight, {pool});
