Bound the exchange whatever the number of entry instances

Cause: the capacity tables showed the cost of an idle daemon growing with the entry instances: 2.1% of a core and 10 KB/s at 6, 7.3% and 21.7 KB/s at 36.

Ruled out: random peers only (a confirmation has to come through a watcher of the own zone each 500 ms).

Change: watchers of the own zone each 500 ms, its other instances each 1 s, other zones each 2 s and at most two of them a tick.

--- a/packages/programs/daemon/src/entry-instance.ts
+++ b/packages/programs/daemon/src/entry-instance.ts
@@ -93,17 +93,17 @@
 		return listed.length > 0 ? listed : settings.peers.members;
 	};
 
-	const chooseWatching = () => chooseWatchers({
+	const chooseZoneWatchers = (): ReadonlySet<string> => new Set(chooseWatchers({
 		zone,
 		live: [...listLiveEntries().filter(({instance}) => instance !== self.instance), self],
-	}).includes(self.instance);
+	}));
 	// Asked for several times a second; the answer changes with the list only.
-	let isWatching = chooseWatching();
+	let watchers = chooseZoneWatchers();
 	directory.subscribe(() => {
-		isWatching = chooseWatching();
+		watchers = chooseZoneWatchers();
 	});
 	const listSource = createInstanceListSource({
-		list: platform.list, directory, incarnations, isWatcher: () => isWatching, clock, logger,
+		list: platform.list, directory, incarnations, isWatcher: () => watchers.has(self.instance), clock, logger,
 	});
 
 	// The parts below refer to each other through this function, which is first called after all exist.
@@ -126,6 +126,7 @@
 		random,
 		logger,
 		describeKnowledge: describe,
+		watchers: () => watchers,
 		wantedListAgeMilliseconds: () => listSource.wantedAgeMilliseconds(),
 		onAnswer({row, response, askedAtMilliseconds}) {
 			const {knowledge} = response;
--- a/packages/programs/daemon/src/peer-exchange.ts
+++ b/packages/programs/daemon/src/peer-exchange.ts
@@ -46,15 +46,16 @@
 export const exchangeIntervalMilliseconds = 500;
 /** Shorter than two intervals, so that a silent peer delays its own row only. */
 const exchangeTimeoutMilliseconds = 900;
+/** Watchers of the own zone are asked each interval, since confirmations and lists come from them. */
+const ownZoneIntervalMilliseconds = 1000;
 /**
  * Peers of other zones serve as a second way for documents and loads; asking
  * them as often as the own zone cost half of an idle daemon's processor time.
  */
 const otherZoneIntervalMilliseconds = 2000;
-/** Up to this number of members every peer is asked in each interval. */
-const fullMeshMembers = 12;
-/** Peers of other zones that are asked in each interval once there are more. */
-const randomPeersPerInterval = 3;
+/** Bounds the messages of a tick, however many entry instances there are. */
+const otherZonePeersPerTick = 2;
+const timerToleranceMilliseconds = 50;
 
 const isReachableAfter = (error: PeerError): boolean => {
 	switch (error.code) {
@@ -70,28 +71,32 @@
 	}
 };
 
+const intervalOf = (row: PeerRow, zone: AvailabilityZone, watchers: ReadonlySet<InstanceId>): number => {
+	if (row.member.zone !== zone) {
+		return otherZoneIntervalMilliseconds;
+	}
+
+	return watchers.has(row.member.instance) ? exchangeIntervalMilliseconds : ownZoneIntervalMilliseconds;
+};
+
+/** Rows whose interval is over; of other zones at most a few, taken at random. */
 const selectRows = (options: {
 	rows: readonly PeerRow[];
 	zone: AvailabilityZone;
+	watchers: ReadonlySet<InstanceId>;
 	random: RandomSource;
 	now: number;
 }): readonly PeerRow[] => {
-	const {rows, zone, random, now} = options;
-	const isDue = (row: PeerRow) => now - (row.lastAskedAtMilliseconds ?? Number.NEGATIVE_INFINITY) >= otherZoneIntervalMilliseconds;
-	if (rows.length < fullMeshMembers) {
-		return rows.filter(row => row.member.zone === zone || isDue(row));
-	}
-
-	const others = rows.filter(row => row.member.zone !== zone);
-	const chosen = new Set(rows.filter(row => row.member.zone === zone));
-	for (let count = 0; count < randomPeersPerInterval && others.length > 0; count += 1) {
-		const [row] = others.splice(Math.floor(random() * others.length), 1);
-		if (row !== undefined) {
-			chosen.add(row);
-		}
+	const {rows, zone, watchers, random, now} = options;
+	// Timers fire a little early or late; a row must not miss its turn for that.
+	const isDue = (row: PeerRow) => now - (row.lastAskedAtMilliseconds ?? Number.NEGATIVE_INFINITY) >= intervalOf(row, zone, watchers) - timerToleranceMilliseconds;
+	const due = rows.filter(row => !row.isAsking && isDue(row));
+	const others = due.filter(row => row.member.zone !== zone);
+	while (others.length > otherZonePeersPerTick) {
+		others.splice(Math.floor(random() * others.length), 1);
 	}
 
-	return [...chosen];
+	return [...due.filter(row => row.member.zone === zone), ...others];
 };
 
 export const createPeerExchange = (options: {
@@ -103,6 +108,8 @@
 	readonly logger: Logger;
 	/** What this instance knows, built anew for each question. */
 	readonly describeKnowledge: () => Knowledge;
+	/** Entry instances of the own zone that read the platform each second. */
+	readonly watchers: () => ReadonlySet<InstanceId>;
 	/** Age above which this instance asks for the peer's instance list; undefined if it needs none. */
 	readonly wantedListAgeMilliseconds: () => number | undefined;
 	readonly onAnswer: (answer: {readonly row: PeerRow; readonly response: ExchangeResponse; readonly askedAtMilliseconds: number}) => void;
@@ -158,8 +165,8 @@
 		findRow: instance => rows.find(row => row.member.instance === instance),
 		async exchange() {
 			const due = selectRows({
-				rows, zone: options.zone, random: options.random, now: clock.monotonicMilliseconds(),
-			}).filter(row => !row.isAsking);
+				rows, zone: options.zone, watchers: options.watchers(), random: options.random, now: clock.monotonicMilliseconds(),
+			});
 			await Promise.all(due.map(async row => askPeer(row)));
 		},
 		close() {
