Let a stopping process hand its partitions to the next in rank

Cause: a planned stop sometimes waited for its bound of 5 s and left partitions behind: their first in rank had given them away within the last minute, and nothing is handed back to such a process.

Ruled out: handing back at once (partitions would move to and fro between processes that see different lists).

Change: a process that stops also takes the next owners in rank.

--- a/packages/coordination/claims/src/owner.ts
+++ b/packages/coordination/claims/src/owner.ts
@@ -152,7 +152,7 @@
 		const released = new Set<number>();
 		for (const owned of claims.partitions.values()) {
 			const shouldGo = !slot.isFailing() && findSuccessor({
-				partition: owned.partition, record: owned.stored.record, self: identity, plan, now: now().wall,
+				partition: owned.partition, record: owned.stored.record, self: identity, plan, now: now().wall, isStopping: draining,
 			}) !== undefined;
 			if (owned.phase === PartitionPhase.Serving && shouldGo) {
 				owned.phase = PartitionPhase.Releasing;
@@ -183,6 +183,7 @@
 			isProvenGone: gone => directory.isProvenGone(gone),
 			releasable: chooseReleased(),
 			now: now().wall,
+			isStopping: draining,
 			mayTake: !draining && sessionId !== undefined && isListed(),
 		});
 		switch (step?.type) {
--- a/packages/coordination/claims/src/ownership.ts
+++ b/packages/coordination/claims/src/ownership.ts
@@ -71,6 +71,7 @@
 	readonly releasable: ReadonlySet<number>;
 	/** True if this process may take partitions: it is listed, has a session and does not stop. */
 	readonly mayTake: boolean;
+	readonly isStopping: boolean;
 	readonly now: number;
 };
 
@@ -99,22 +100,35 @@
 const hasGivenAway = (record: PartitionRecord, identity: ProcessIdentity, now: number) =>
 	record.sources.some(source => isSame(source, identity) && now - source.endedAt < handBackMilliseconds);
 
-/** The process that should own the partition instead of this one. */
+/**
+ * The process that should own the partition instead of this one. A process that
+ * stops also takes the next in rank, if the first gave the partition away.
+ */
 export const findSuccessor = (options: {
-	readonly partition: number; readonly record: PartitionRecord; readonly self: ProcessIdentity; readonly plan: OwnerPlan; readonly now: number;
+	readonly partition: number;
+	readonly record: PartitionRecord;
+	readonly self: ProcessIdentity;
+	readonly plan: OwnerPlan;
+	readonly now: number;
+	readonly isStopping?: boolean;
 }): ProcessIdentity | undefined => {
-	const {partition, record, self, plan, now} = options;
-	const desired = plan.owners.get(plan.byPartition[partition] ?? '')?.identity;
-	return desired && desired.instance !== self.instance && !hasGivenAway(record, desired, now) ? desired : undefined;
+	const {partition, record, self, plan, now, isStopping = false} = options;
+	const desired = plan.byPartition[partition] ?? '';
+	const ranked = isStopping
+		? [desired, ...rankByRendezvous({subject: `partition ${partition}`, candidates: [...plan.owners.keys()]})]
+		: [desired];
+	return ranked
+		.map(instance => plan.owners.get(instance)?.identity)
+		.find(identity => identity !== undefined && identity.instance !== self.instance && !hasGivenAway(record, identity, now));
 };
 
-const findHandOver = ({plan, self, records, releasable, now}: OwnershipView): OwnershipStep | undefined => {
+const findHandOver = ({plan, self, records, releasable, now, isStopping}: OwnershipView): OwnershipStep | undefined => {
 	let to: ProcessIdentity | undefined;
 	const partitions: number[] = [];
 	for (const partition of releasable) {
 		const record = records.get(partition)?.record;
 		const successor = record && findSuccessor({
-			partition, record, self, plan, now,
+			partition, record, self, plan, now, isStopping,
 		});
 		if (successor && isSame(record.owner, self) && (!to || isSame(to, successor))) {
 			to = successor;
--- a/packages/coordination/claims/test/ownership.test.ts
+++ b/packages/coordination/claims/test/ownership.test.ts
@@ -33,3 +33,16 @@
 		partition, record, self, plan: after, now: 0,
 	}), {instance: 'b', incarnation: 'run-b'});
 });
+
+// Guards against a planned stop that waits for its bound because the first in rank gave the partition away lately.
+test('a process that stops hands over to the next in rank', t => {
+	const self = {instance: 'a', incarnation: 'run-a'};
+	const plan = planFor([entry('b', 'run-b'), entry('c', 'run-c')]);
+	const partition = plan.byPartition.indexOf('b');
+	const givenAway = {...record, sources: [{instance: 'b', incarnation: 'run-b', endedAt: 0}]};
+	const options = {
+		partition, record: givenAway, self, plan, now: 1000,
+	};
+	t.is(findSuccessor(options), undefined);
+	t.deepEqual(findSuccessor({...options, isStopping: true}), {instance: 'c', incarnation: 'run-c'});
+});
--- a/packages/tools/demo/src/main.ts
+++ b/packages/tools/demo/src/main.ts
@@ -18,7 +18,7 @@
 import {AnswerClass} from './send.js';
 
 const seed = 20_261_204;
-const loadMilliseconds = 12_000;
+const loadMilliseconds = 15_000;
 const runMilliseconds = 20;
 /** The whole demo ends within this time, whatever hangs. */
 const boundMilliseconds = 60_000;
