Begin no step while a listed entry instance has not answered; tidy twin logic

Cause: the demo's wave rebooted 0 instead of 2 upstreams since other zones are asked each 2 s: a drain waited for the confirmation of an entry instance whose process was not known yet, which can never come.

Ruled out: leaving such an instance out of the wait (it may be routing).

--- a/packages/common/types/src/instances.ts
+++ b/packages/common/types/src/instances.ts
@@ -19,6 +19,12 @@
 	Worker = 'worker',
 }
 
+/**
+ * Stands for a listed instance of which it is not known which process runs on
+ * it: none of its processes can be proven gone by such a list.
+ */
+export const unknownIncarnation = '';
+
 export type InstanceRecord = {
 	readonly instance: InstanceId;
 	readonly incarnation: Incarnation;
--- a/packages/coordination/claims/src/owner.ts
+++ b/packages/coordination/claims/src/owner.ts
@@ -19,6 +19,7 @@
 import {readQuestion} from './question.js';
 import type {Records} from './records.js';
 import {createSegmentWrites} from './segment-writes.js';
+import {createTidying} from './tidying.js';
 import {createWriteSlot} from './write-slot.js';
 import type {StoreCounters, Write} from './write-slot.js';
 
@@ -29,8 +30,7 @@
 const ownershipIntervalMilliseconds = 500;
 const refreshIntervalMilliseconds = 5000;
 const idleRefreshIntervalMilliseconds = 30_000;
-const tidyIntervalMilliseconds = 10_000;
-const sessionCheckIntervalMilliseconds = 1000;
+const expiryIntervalMilliseconds = 10_000;
 /** A refresh that a question asked for waits this long after the last one. */
 const requestedRefreshMilliseconds = 500;
 
@@ -65,9 +65,7 @@
 	let refreshedAt = Number.NEGATIVE_INFINITY;
 	let refreshWanted = true;
 	let recordsAreTrusted = false;
-	let sessionCheckAt = Number.NEGATIVE_INFINITY;
 	let ownershipAt = Number.NEGATIVE_INFINITY;
-	let tidyAt = Number.NEGATIVE_INFINITY;
 	let expiryAt = Number.NEGATIVE_INFINITY;
 	let claimsWrittenAt = Number.NEGATIVE_INFINITY;
 	const planOwners = createOwnerPlanner(directory);
@@ -88,6 +86,10 @@
 		incarnation: identity.incarnation, claims, blocks, onConflict: distrustRecords,
 	});
 
+	const tidying = createTidying({
+		session, claims, partitionWrites, segmentWrites,
+	});
+
 	const isMemoryMode = () => recordsAreTrusted && session.isCertainlyLapsed() && slot.isFailing();
 
 	/** Brings the tables in line with the records just read. */
@@ -216,31 +218,6 @@
 		return segmentWrites.writeClaims(time);
 	};
 
-	/** Partitions that were just handed over cannot be served from memory before their records name this session. */
-	const renewSession = (time: Times): Write | undefined => {
-		const sessionId = session.sessionId();
-		if (time.monotonic < sessionCheckAt || sessionId === undefined || claims.memoryGrantCount() > 0) {
-			return undefined;
-		}
-
-		sessionCheckAt = time.monotonic + sessionCheckIntervalMilliseconds;
-		return partitionWrites.renewSession(sessionId);
-	};
-
-	const tidy = (time: Times): Write | undefined => {
-		const renewal = renewSession(time);
-		if (renewal !== undefined || time.monotonic < tidyAt) {
-			return renewal;
-		}
-
-		const write = segmentWrites.writeMerge(time) ?? segmentWrites.writeExpiry(time) ?? partitionWrites.pruneSource(time.wall);
-		if (!write) {
-			tidyAt = time.monotonic + tidyIntervalMilliseconds;
-		}
-
-		return write;
-	};
-
 	const startNextWrite = (time: Times) => {
 		const isOwner = claims.partitions.size > 0 || plan.owners.has(identity.instance);
 		const interval = isOwner ? refreshIntervalMilliseconds : idleRefreshIntervalMilliseconds;
@@ -254,7 +231,7 @@
 		}
 
 		// Merges and deletions take their turn in the pace of the claims.
-		const write = writeClaims(time) ?? (time.monotonic >= claimsWrittenAt + paceMilliseconds ? tidy(time) : undefined);
+		const write = writeClaims(time) ?? (time.monotonic >= claimsWrittenAt + paceMilliseconds ? tidying.next(time) : undefined);
 		if (write) {
 			claimsWrittenAt = time.monotonic;
 			slot.start(write);
@@ -268,7 +245,7 @@
 			void loader.tick();
 			claims.expireWaiting(time, isMemoryMode());
 			if (time.monotonic >= expiryAt) {
-				expiryAt = time.monotonic + tidyIntervalMilliseconds;
+				expiryAt = time.monotonic + expiryIntervalMilliseconds;
 				claims.expireClaims(time);
 			}
 
--- a/packages/coordination/claims/src/ownership.ts
+++ b/packages/coordination/claims/src/ownership.ts
@@ -1,6 +1,6 @@
 /** Decides who should own each partition and which records this instance changes for that. */
-import {rankByRendezvous, unknownIncarnation} from '@turmericbay/membership';
-import {InstanceRole, InstanceState} from '@turmericbay/types';
+import {rankByRendezvous} from '@turmericbay/membership';
+import {InstanceRole, InstanceState, unknownIncarnation} from '@turmericbay/types';
 import type {
 	AvailabilityZone, InstanceDirectory, InstanceId, InstanceRecord, ProcessIdentity,
 } from '@turmericbay/types';
--- a/packages/coordination/claims/test/ownership.test.ts
+++ b/packages/coordination/claims/test/ownership.test.ts
@@ -1,6 +1,5 @@
 import test from 'ava';
-import {unknownIncarnation} from '@turmericbay/membership';
-import {InstanceRole, InstanceState} from '@turmericbay/types';
+import {InstanceRole, InstanceState, unknownIncarnation} from '@turmericbay/types';
 import type {InstanceRecord} from '@turmericbay/types';
 import {createOwnerPlanner, findSuccessor} from '../src/ownership.js';
 
--- a/packages/coordination/fleet-ledger/src/ledger.ts
+++ b/packages/coordination/fleet-ledger/src/ledger.ts
@@ -5,7 +5,7 @@
 import type {
 	Clock, InstanceControl, InstanceId, KeyValueStore, PoolName, RegionName,
 } from '@turmericbay/types';
-import {InstanceRole} from '@turmericbay/types';
+import {InstanceRole, unknownIncarnation} from '@turmericbay/types';
 import {buildView} from './build-view.js';
 import type {ViewPorts} from './build-view.js';
 import type {ReportEvent} from './events.js';
@@ -101,6 +101,13 @@
 	};
 };
 
+/**
+ * While a listed entry instance has not answered yet, a step would wait for a
+ * process that has no name and never confirms.
+ */
+const isEntryUnknown = (directory: ViewPorts['directory']): boolean => directory.instances()
+	.some(({role, incarnation}) => role === InstanceRole.Entry && incarnation === unknownIncarnation);
+
 const buildRules = (options: FleetLedgerOptions): FleetRules | undefined => {
 	const document = options.configuration.current()?.document;
 	return document && {
@@ -162,7 +169,7 @@
 		const known = states.current();
 		const rules = buildRules(options);
 		const listAge = directory.ageMilliseconds();
-		if (!known || !rules || listAge === undefined || listAge > maximumListAgeMilliseconds) {
+		if (!known || !rules || listAge === undefined || listAge > maximumListAgeMilliseconds || isEntryUnknown(directory)) {
 			return;
 		}
 
--- a/packages/coordination/fleet-ledger/test/faults.test.ts
+++ b/packages/coordination/fleet-ledger/test/faults.test.ts
@@ -1,7 +1,7 @@
 /* eslint-disable no-await-in-loop -- each case is a sequence */
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import test from 'ava';
-import {InstanceRole} from '@turmericbay/types';
+import {InstanceRole, unknownIncarnation} from '@turmericbay/types';
 import {MovePhase, StepPhase} from '../src/index.js';
 import {createWorld, longestRunMilliseconds} from './support/world.js';
 import type {Entry, World} from './support/world.js';
@@ -165,3 +165,19 @@
 	await runRounds(world, 30);
 	t.true(world.entries.every(entry => entry.ledger.effectivePool('runner-2') === 'reserve'));
 });
+
+// Guards against a wave that waits for a process without a name, which never confirms.
+test('no step begins while a listed entry instance has not answered', async t => {
+	const world = build();
+	world.addInstance({
+		instance: 'entry-9', role: InstanceRole.Entry, pool: 'entry', zone: 'a', rack: 'rack-9',
+	});
+	const record = world.platform.get('entry-9')!;
+	world.platform.set('entry-9', {...record, incarnation: unknownIncarnation});
+	await runRounds(world, 60);
+	t.is(world.counts.reboots, 0);
+	t.is(readStep(world, StepPhase.Draining), undefined);
+	world.platform.delete('entry-9');
+	await runRounds(world, 90);
+	t.true(world.counts.reboots > 0);
+});
--- a/packages/coordination/membership/src/directory.ts
+++ b/packages/coordination/membership/src/directory.ts
@@ -2,7 +2,7 @@
  * Instance directory, fed with copies of the platform's list that this process
  * or a peer has read.
  */
-import {InstanceRole} from '@turmericbay/types';
+import {InstanceRole, unknownIncarnation} from '@turmericbay/types';
 import type {
 	Clock, InstanceDirectory, InstanceId, InstanceRecord, ProcessIdentity,
 } from '@turmericbay/types';
@@ -27,12 +27,6 @@
 
 const defaultReadsToConfirm = 5;
 
-/**
- * Stands for a listed instance of which it is not known which process runs on
- * it: none of its processes can be proven gone by such a list.
- */
-export const unknownIncarnation = '';
-
 export enum OfferRefusal {
 	/** The list is not newer than the newest one seen. */
 	Older = 'older',
--- a/packages/coordination/membership/src/index.ts
+++ b/packages/coordination/membership/src/index.ts
@@ -2,7 +2,7 @@
  * Who is there: the instance directory with proof that a process is gone, the
  * session of this process under a lease, and rendezvous hashing over instances.
  */
-export {createInstanceDirectory, OfferRefusal, unknownIncarnation} from './directory.js';
+export {createInstanceDirectory, OfferRefusal} from './directory.js';
 export type {ObservedDirectory, OfferOutcome} from './directory.js';
 export {createSession, sessionKey, sessionsPrefix} from './session.js';
 export type {Session, SessionRecord, SessionView} from './session.js';
--- a/packages/coordination/membership/test/directory.test.ts
+++ b/packages/coordination/membership/test/directory.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava';
 import {
-	createManualClock, InstanceRole, InstanceState,
+	createManualClock, InstanceRole, InstanceState, unknownIncarnation,
 } from '@turmericbay/types';
 import type {InstanceRecord} from '@turmericbay/types';
-import {createInstanceDirectory, OfferRefusal, unknownIncarnation} from '../src/index.js';
+import {createInstanceDirectory, OfferRefusal} from '../src/index.js';
 
 const record = (instance: string, incarnation: string, role = InstanceRole.Entry): InstanceRecord => ({
 	instance, incarnation, address: '127.0.0.1:1', role, pool: 'entry', zone: 'a', rack: 'r', state: InstanceState.Live,
--- a/packages/peers/peer-protocol/src/peer-server.ts
+++ b/packages/peers/peer-protocol/src/peer-server.ts
@@ -3,6 +3,7 @@
 import type {ServerHttp2Session} from 'node:http2';
 import type {ServiceImpl} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {listenOn} from '@turmericbay/types';
 import {createBearerCheck} from './authentication.js';
 import {PeerService} from './generated/turmericbay/peer/v1/peer_pb.js';
 
@@ -39,14 +40,7 @@
 	});
 
 	return {
-		listen: async ({host, port}) => new Promise((resolve, reject) => {
-			server.once('error', reject);
-			server.listen(port, host, () => {
-				server.off('error', reject);
-				const address = server.address();
-				resolve(typeof address === 'object' && address !== null ? address.port : port);
-			});
-		}),
+		listen: async ({host, port}) => listenOn({server, host, port}),
 		close: async () => new Promise(resolve => {
 			server.close(() => {
 				resolve();
--- a/packages/programs/daemon/src/entry-incarnations.ts
+++ b/packages/programs/daemon/src/entry-incarnations.ts
@@ -5,8 +5,7 @@
  * ended, so an answer with another incarnation proves that the former is gone.
  * Until an instance has answered, its run is unknown and nothing is proven.
  */
-import {unknownIncarnation} from '@turmericbay/membership';
-import {InstanceRole} from '@turmericbay/types';
+import {InstanceRole, unknownIncarnation} from '@turmericbay/types';
 import type {InstanceRecord, ProcessIdentity} from '@turmericbay/types';
 
 export type EntryIncarnations = {
--- a/packages/programs/daemon/src/operations-server.ts
+++ b/packages/programs/daemon/src/operations-server.ts
@@ -6,6 +6,7 @@
 import polka from 'polka';
 import {createOperatorHandler, operatorPathPrefix} from '@turmericbay/peer-protocol';
 import type {OperatorServiceImplementation} from '@turmericbay/peer-protocol';
+import {listenOn} from '@turmericbay/types';
 
 export type Readiness
 	= | {readonly type: 'ready'}
@@ -29,21 +30,8 @@
 		token: options.token,
 		onRejected: options.onRejected,
 	});
-	const app = polka()
-		.get('/healthz', (_request, response) => {
-			response.end('ok\n');
-		})
-		.get('/readyz', (_request, response) => {
-			const readiness = options.readiness();
-			response.statusCode = readiness.type === 'ready' ? 200 : 503;
-			response.end(readiness.type === 'ready' ? 'ready\n' : `not ready: ${readiness.reason}\n`);
-		})
-		.get('/metrics', (_request, response) => {
-			response.setHeader('content-type', 'text/plain; version=0.0.4');
-			response.end(options.renderMetrics());
-		});
 	const server = createServer();
-	const app_ = polka({server})
+	const app = polka({server})
 		.use((request, response, next) => {
 			if (request.url.startsWith(operatorPathPrefix)) {
 				handleOperatorCall(request, response);
@@ -63,16 +51,10 @@
 			response.setHeader('content-type', 'text/plain; version=0.0.4');
 			response.end(options.renderMetrics());
 		});
+	server.on('request', app.handler);
 
 	return {
-		listen: async ({host, port}) => new Promise((resolve, reject) => {
-			server.once('error', reject);
-			app_.listen({port, host}, () => {
-				server.off('error', reject);
-				const address = server.address();
-				resolve(typeof address === 'object' && address !== null ? address.port : port);
-			});
-		}),
+		listen: async ({host, port}) => listenOn({server, host, port}),
 		close: async () => new Promise(resolve => {
 			server.close(() => {
 				resolve();
--- a/packages/traffic/gateway/src/caller-server.ts
+++ b/packages/traffic/gateway/src/caller-server.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Duplex} from 'node:stream';
 import polka from 'polka';
-import {ProblemCode} from '@turmericbay/types';
+import {listenOn, ProblemCode} from '@turmericbay/types';
 import type {Problem} from '@turmericbay/types';
 import type {GatewaySettings} from './ports.js';
 import {answerProblem, answerRawProblem} from './problem-answer.js';
@@ -111,14 +111,7 @@
 	server.on('request', callers.handler);
 
 	return {
-		listen: async ({host, port}) => new Promise((resolve, reject) => {
-			server.once('error', reject);
-			server.listen(port, host, () => {
-				server.off('error', reject);
-				const address = server.address();
-				resolve({port: typeof address === 'object' && address !== null ? address.port : port});
-			});
-		}),
+		listen: async ({host, port}) => ({port: await listenOn({server, host, port})}),
 		beginDrain() {
 			draining = true;
 		},
