Split the wiring of an entry instance by concern

Cause: createEntryInstance had grown to 180 lines; a newcomer had to read all of it to follow one part.

Change: membership, grants and fleet are wired in modules of their own. Behaviour is unchanged.

--- a/packages/programs/daemon/src/entry-instance.ts
+++ b/packages/programs/daemon/src/entry-instance.ts
@@ -7,36 +7,33 @@
 import type {Claims} from '@turmericbay/claims';
 import {createKeyAuthenticator} from '@turmericbay/document';
 import type {KeyAuthenticator} from '@turmericbay/document';
-import {chooseWatchers, createDocumentWatch} from '@turmericbay/document-watch';
+import {createDocumentWatch} from '@turmericbay/document-watch';
 import type {DocumentWatch, EntryInstance as Member} from '@turmericbay/document-watch';
 import {createGateway} from '@turmericbay/gateway';
 import type {Gateway} from '@turmericbay/gateway';
-import {createGrantHolder} from '@turmericbay/grant-ledger';
 import type {GrantHolder} from '@turmericbay/grant-ledger';
-import {createInstanceDirectory, createSession} from '@turmericbay/membership';
+import {createSession} from '@turmericbay/membership';
 import type {ObservedDirectory, Session} from '@turmericbay/membership';
 import type {Knowledge} from '@turmericbay/peer-protocol';
 import {formatNetworkAddress} from '@turmericbay/settings';
 import type {Settings} from '@turmericbay/settings';
 import type {Logger, Metrics, Tracing} from '@turmericbay/telemetry';
-import {InstanceRole, InstanceState} from '@turmericbay/types';
 import type {Clock, ProcessIdentity, RandomSource} from '@turmericbay/types';
 import {createClaimPeer} from './claims-service.js';
 import {logDocumentEvent} from './document-events.js';
 import {createDocumentPeers} from './document-peers.js';
-import {createEntryIncarnations} from './entry-incarnations.js';
 import {createFleetParts} from './fleet-parts.js';
 import type {FleetParts} from './fleet-parts.js';
 import {createGatewayTelemetry} from './gateway-telemetry.js';
-import {createInstanceListSource} from './instance-list-source.js';
+import {createGrantParts} from './grant-parts.js';
 import type {InstanceListSource} from './instance-list-source.js';
 import {describeKnowledge, toPeerAnswer, toPeerLoad} from './knowledge.js';
+import {createMembershipParts} from './membership-parts.js';
 import {createPeerExchange} from './peer-exchange.js';
 import type {PeerExchange} from './peer-exchange.js';
 import {createPeerService} from './peer-service.js';
 import type {PlatformParts} from './platform-parts.js';
 import {listOwnTeams} from './status-source.js';
-import {listTeamLimits} from './team-limits.js';
 
 export type EntryInstanceOptions = {
 	readonly settings: Settings;
@@ -83,27 +80,10 @@
 	const self: Member = {instance: identity.instance, zone};
 	let draining = false;
 
-	const incarnations = createEntryIncarnations();
-	incarnations.note(identity);
-	const directory = createInstanceDirectory({clock});
-	const listLiveEntries = (): readonly Member[] => {
-		const listed = directory.instances()
-			.filter(({role, state}) => role === InstanceRole.Entry && state === InstanceState.Live)
-			.map(({instance, zone: listedZone}) => ({instance, zone: listedZone}));
-		return listed.length > 0 ? listed : settings.peers.members;
-	};
-
-	const chooseZoneWatchers = (): ReadonlySet<string> => new Set(chooseWatchers({
-		zone,
-		live: [...listLiveEntries().filter(({instance}) => instance !== self.instance), self],
-	}));
-	// Asked for several times a second; the answer changes with the list only.
-	let watchers = chooseZoneWatchers();
-	directory.subscribe(() => {
-		watchers = chooseZoneWatchers();
-	});
-	const listSource = createInstanceListSource({
-		list: platform.list, directory, incarnations, isWatcher: () => watchers.has(self.instance), clock, logger,
+	const {
+		directory, incarnations, listSource, listLiveEntries, watchers,
+	} = createMembershipParts({
+		self, identity, members: settings.peers.members, list: platform.list, clock, logger,
 	});
 
 	// The parts below refer to each other through this function, which is first called after all exist.
@@ -126,7 +106,7 @@
 		random,
 		logger,
 		describeKnowledge: describe,
-		watchers: () => watchers,
+		watchers,
 		wantedListAgeMilliseconds: () => listSource.wantedAgeMilliseconds(),
 		onAnswer({row, response, askedAtMilliseconds}) {
 			const {knowledge} = response;
@@ -153,36 +133,12 @@
 		},
 	});
 
-	const grants = createGrantHolder({
-		store: platform.store,
-		clock,
-		random,
-		identity,
-		zone,
-		directory,
-		peer: {
-			async requestTransfer({to, team, units}) {
-				const row = exchange.findRow(to.instance);
-				const answer = await row?.client.call(async (service, callOptions) => service.transferGrant({team, units, ...identity}, callOptions));
-				return answer?.isOk() ? answer.value.units : 0;
-			},
-		},
-	});
-	documentWatch.subscribe(({version, document}) => {
-		grants.setLimits({version, limits: listTeamLimits(document)});
-	});
-
+	const shared = {
+		store: platform.store, clock, random, identity, zone, directory,
+	};
+	const grants = createGrantParts({...shared, documentWatch, exchange});
 	const session = createSession({store: platform.store, clock, identity});
-	const claims = createClaims({
-		store: platform.store,
-		clock,
-		random,
-		identity,
-		zone,
-		directory,
-		session,
-		peer: createClaimPeer({exchange: () => exchange, identity}),
-	});
+	const claims = createClaims({...shared, session, peer: createClaimPeer({exchange: () => exchange, identity})});
 	const fleet = createFleetParts({
 		region: settings.instance.region,
 		identity,
