Keep claims in memory mode until the store takes writes again

When the platform answered again the session was renewed first and memory mode ended, while a write of the outage still waited for its timeout, so claims had nowhere to go.

Ruled out: ending that write early (it may take effect).

Change: memory mode goes on until the write slot works; a partition whose record names the present session grants nothing from memory, since a successor would trust its records. The call to a key's owner is a span (entry to peer).

--- a/packages/common/types/src/ports.ts
+++ b/packages/common/types/src/ports.ts
@@ -28,6 +28,8 @@
 		readonly queue: QueueName;
 		/** SHA-256 of method, path and body. */
 		readonly fingerprint: Uint8Array;
+		/** W3C trace context of the request, for the span of the call to the owner. */
+		readonly traceparent?: string;
 	}): Promise<ClaimDecision>;
 	settle(options: {
 		readonly key: string;
--- a/packages/coordination/claims/src/claims.ts
+++ b/packages/coordination/claims/src/claims.ts
@@ -195,7 +195,7 @@
 	};
 
 	return {
-		async claim({key, team, queue, fingerprint}): Promise<ClaimDecision> {
+		async claim({key, team, queue, fingerprint, traceparent}): Promise<ClaimDecision> {
 			const parsed = parseKey(key);
 			if (!parsed) {
 				return {type: 'refused', problem: malformedKey};
@@ -210,7 +210,7 @@
 			sequence += 1;
 			const attempt = formatAttempt({startedAt, sequence, source});
 			return decisionOf(await askInTime(parsed.partition, {
-				key: parsed.key, team, queue, fingerprint, attempt,
+				key: parsed.key, team, queue, fingerprint, attempt, traceparent,
 			}), attempt);
 		},
 		settle(settlement) {
--- a/packages/coordination/claims/src/messages.ts
+++ b/packages/coordination/claims/src/messages.ts
@@ -23,6 +23,8 @@
 	readonly fingerprint: Uint8Array;
 	/** As made by `formatAttempt`; unique, and carries when the attempt began. */
 	readonly attempt: string;
+	/** W3C trace context of the request; the owner's decision does not depend on it. */
+	readonly traceparent?: string | undefined;
 };
 
 export type SettleMessage = {
--- a/packages/coordination/claims/src/owned-claims.ts
+++ b/packages/coordination/claims/src/owned-claims.ts
@@ -123,9 +123,9 @@
 		}
 	};
 
-	const mayGrantFromMemory = (partition: number) => {
+	const mayGrantFromMemory = (partition: number, sessionId: string | undefined) => {
 		const owned = partitions.get(partition);
-		return owned ? canGrantFromMemory(owned) : false;
+		return owned ? canGrantFromMemory(owned, sessionId) : false;
 	};
 
 	/** A freed key can have been granted or refused again by an earlier owner without a record. */
@@ -216,7 +216,7 @@
 			}
 		},
 		/** Answers what has waited too long, and everything that may be granted from memory. */
-		expireWaiting(now: Times, isMemoryMode: boolean) {
+		expireWaiting(now: Times, {isMemoryMode, sessionId}: {readonly isMemoryMode: boolean; readonly sessionId: string | undefined}) {
 			for (const owned of partitions.values()) {
 				for (const {answer} of owned.postponed.filter(({deadline}) => deadline <= now.monotonic)) {
 					answer(Verdict.Unknown);
@@ -226,7 +226,7 @@
 			}
 
 			for (const entry of recording) {
-				if (isMemoryMode && !entry.inWrite && mayGrantFromMemory(entry.partition)) {
+				if (isMemoryMode && !entry.inWrite && mayGrantFromMemory(entry.partition, sessionId)) {
 					grantFromMemory(entry);
 				} else if (entry.waiting?.some(({deadline}) => deadline <= now.monotonic)) {
 					if (entry.inWrite) {
--- a/packages/coordination/claims/src/owned-partition.ts
+++ b/packages/coordination/claims/src/owned-partition.ts
@@ -38,9 +38,12 @@
 	readonly staged: Map<string, ClaimEntry>;
 };
 
-/** Without its own session in the record an owner that dies counts as one that granted nothing. */
-export const canGrantFromMemory = ({phase, stored}: OwnedPartition) =>
-	phase !== PartitionPhase.Releasing && stored.record.session !== '';
+/**
+ * Without its own session in the record an owner that dies counts as one that
+ * granted nothing; with the present one the records count as complete.
+ */
+export const canGrantFromMemory = ({phase, stored}: OwnedPartition, sessionId: string | undefined) =>
+	phase !== PartitionPhase.Releasing && stored.record.session !== '' && stored.record.session !== sessionId;
 
 export const createOwnedPartition = (partition: number, stored: StoredRecord): OwnedPartition => ({
 	partition,
--- a/packages/coordination/claims/src/owner.ts
+++ b/packages/coordination/claims/src/owner.ts
@@ -65,6 +65,7 @@
 	let refreshedAt = Number.NEGATIVE_INFINITY;
 	let refreshWanted = true;
 	let recordsAreTrusted = false;
+	let memoryMode = false;
 	let ownershipAt = Number.NEGATIVE_INFINITY;
 	let expiryAt = Number.NEGATIVE_INFINITY;
 	let claimsWrittenAt = Number.NEGATIVE_INFINITY;
@@ -90,7 +91,13 @@
 		session, claims, partitionWrites, segmentWrites,
 	});
 
-	const isMemoryMode = () => recordsAreTrusted && session.isCertainlyLapsed() && slot.isFailing();
+	/**
+	 * Goes on after the session is renewed until the store takes writes again. The
+	 * records still name the lapsed session, so a successor does not trust them.
+	 */
+	const updateMemoryMode = () => {
+		memoryMode = recordsAreTrusted && slot.isFailing() && (memoryMode || session.isCertainlyLapsed());
+	};
 
 	/** Brings the tables in line with the records just read. */
 	const reconcile = () => {
@@ -243,7 +250,8 @@
 			const time = now();
 			slot.tick();
 			void loader.tick();
-			claims.expireWaiting(time, isMemoryMode());
+			updateMemoryMode();
+			claims.expireWaiting(time, {isMemoryMode: memoryMode, sessionId: session.sessionId()});
 			if (time.monotonic >= expiryAt) {
 				expiryAt = time.monotonic + expiryIntervalMilliseconds;
 				claims.expireClaims(time);
@@ -278,7 +286,7 @@
 		isDrained: () => draining && slot.isFree() && claims.dirtyCount() === 0
 			&& (claims.partitions.size === 0 || plan.owners.size === 0),
 		plan: () => plan,
-		isMemoryMode,
+		isMemoryMode: () => memoryMode,
 		ownedPartitions: () => [...claims.partitions.keys()],
 		servingPartitions: () => [...claims.partitions.values()].filter(({phase}) => phase === PartitionPhase.Serving).map(({partition}) => partition),
 		claimCount: () => claims.count(),
--- a/packages/programs/daemon/src/claims-service.ts
+++ b/packages/programs/daemon/src/claims-service.ts
@@ -3,6 +3,8 @@
 import type {Claims, ClaimPeer} from '@turmericbay/claims';
 import {ClaimVerdict, Settlement as SettlementMessage} from '@turmericbay/peer-protocol';
 import type {PeerServiceImplementation} from '@turmericbay/peer-protocol';
+import {Hop} from '@turmericbay/telemetry';
+import type {Tracing} from '@turmericbay/telemetry';
 import {Settlement} from '@turmericbay/types';
 import type {ProcessIdentity} from '@turmericbay/types';
 import type {PeerExchange} from './peer-exchange.js';
@@ -30,10 +32,14 @@
 export const createClaimPeer = (options: {
 	readonly exchange: () => PeerExchange;
 	readonly identity: ProcessIdentity;
+	readonly tracing: Tracing;
 }): ClaimPeer => ({
 	async claim({to, message}) {
 		const row = options.exchange().findRow(to.instance);
-		const answer = await row?.client.call(async (service, callOptions) => service.claim({...message, ...options.identity}, callOptions));
+		const span = options.tracing.startSpan({hop: Hop.EntryToPeer, parent: message.traceparent, attributes: {peer: to.instance}});
+		const headers = span.traceparent === undefined ? undefined : {traceparent: span.traceparent};
+		const answer = await row?.client.call(async (service, callOptions) => service.claim({...message, ...options.identity}, {...callOptions, headers}));
+		span.end({failure: answer?.isErr() ? answer.error.code : undefined});
 		return answer?.isOk() ? verdicts.get(answer.value.verdict) : undefined;
 	},
 	async settle({to, message}) {
--- a/packages/programs/daemon/src/entry-instance.ts
+++ b/packages/programs/daemon/src/entry-instance.ts
@@ -17,6 +17,7 @@
 import type {Knowledge} from '@turmericbay/peer-protocol';
 import {formatNetworkAddress} from '@turmericbay/settings';
 import type {Settings} from '@turmericbay/settings';
+import {createDisabledTracing} from '@turmericbay/telemetry';
 import type {Logger, Metrics, Tracing} from '@turmericbay/telemetry';
 import type {Clock, ProcessIdentity, RandomSource} from '@turmericbay/types';
 import {createClaimPeer} from './claims-service.js';
@@ -138,7 +139,7 @@
 	};
 	const grants = createGrantParts({...shared, documentWatch, exchange});
 	const session = createSession({store: platform.store, clock, identity});
-	const claims = createClaims({...shared, session, peer: createClaimPeer({exchange: () => exchange, identity})});
+	const claims = createClaims({...shared, session, peer: createClaimPeer({exchange: () => exchange, identity, tracing: options.tracing ?? createDisabledTracing()})});
 	const fleet = createFleetParts({
 		region: settings.instance.region,
 		identity,
--- a/packages/traffic/gateway/src/attempt.ts
+++ b/packages/traffic/gateway/src/attempt.ts
@@ -68,7 +68,7 @@
 
 /** Claims the key of a request that may not be repeated; returns the problem if that fails. */
 const claim = async (context: AttemptContext, exchange: Exchange, allowed: Allowed): Promise<Problem | undefined> => {
-	const decision = await context.options.claims.claim({...claimIdentity(exchange, allowed), fingerprint: fingerprint(exchange)});
+	const decision = await context.options.claims.claim({...claimIdentity(exchange, allowed), fingerprint: fingerprint(exchange), traceparent: formatTraceparent(exchange.span.context)});
 	exchange.isClaimDecided = true;
 	if (decision.type === 'refused') {
 		return decision.problem;
