Respect every log level of the settings; use one trace context parser

Cause: the last read of the change found that the settings name levels trace, debug, info, warn, error and fatal while the logger looked them up by the names of its enum, so warn and fatal (and trace) counted as information; and that the daemon parsed and wrote traceparent headers with its own copy of the gateway's code.

Ruled out: renaming the levels in the settings (operators know these names).

Change: a table from the settings' names to the levels; the gateway exports its trace context functions and the daemon uses them.

--- a/packages/common/telemetry/src/logger.ts
+++ b/packages/common/telemetry/src/logger.ts
@@ -31,8 +31,15 @@
 	};
 };
 
+/** Names of the levels in the settings; the catalogue has no events below debug or above error. */
+const levelsByName: ReadonlyMap<string, LogLevel> = new Map([
+	['trace', LogLevel.Debug],
+	['debug', LogLevel.Debug],
+	['info', LogLevel.Information],
+	['warn', LogLevel.Warning],
+	['error', LogLevel.Error],
+	['fatal', LogLevel.Error],
+]);
+
 /** Parses a level as it stands in the settings. */
-export const parseLogLevel = (text: string): LogLevel | undefined => {
-	const entry = Object.entries(LogLevel).find(([name]) => name.toLowerCase() === text.toLowerCase());
-	return typeof entry?.[1] === 'number' ? entry[1] : undefined;
-};
+export const parseLogLevel = (text: string): LogLevel | undefined => levelsByName.get(text);
--- a/packages/common/telemetry/test/telemetry.test.ts
+++ b/packages/common/telemetry/test/telemetry.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import {InMemorySpanExporter} from '@opentelemetry/sdk-trace-base';
 import {
-	createDisabledTracing, createLogger, createMetrics, createTracing, Hop, LogEvent, LogLevel, renderLogEventCatalogue, setLogWriter,
+	createDisabledTracing, createLogger, createMetrics, createTracing, Hop, LogEvent, LogLevel, parseLogLevel, renderLogEventCatalogue, setLogWriter,
 } from '../src/index.js';
 
 // Guards against log events that the operators' catalogue does not list.
@@ -56,3 +56,11 @@
 	const parent = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01';
 	t.is(createDisabledTracing().startSpan({hop: Hop.QueueWait, parent}).traceparent, parent);
 });
+
+// Guards against a level of the settings that silently counts as another one.
+test('every level of the settings is known', t => {
+	t.deepEqual(['trace', 'debug', 'info', 'warn', 'error', 'fatal'].map(name => parseLogLevel(name)), [
+		LogLevel.Debug, LogLevel.Debug, LogLevel.Information, LogLevel.Warning, LogLevel.Error, LogLevel.Error,
+	]);
+	t.is(parseLogLevel('loud'), undefined);
+});
--- a/packages/programs/daemon/src/gateway-telemetry.ts
+++ b/packages/programs/daemon/src/gateway-telemetry.ts
@@ -1,6 +1,8 @@
 /** Turns the gateway's spans and events into trace spans, metrics and log events. */
-import {createSilentTelemetry, SpanName} from '@turmericbay/gateway';
-import type {GatewayEvent, GatewayTelemetry, TraceContext} from '@turmericbay/gateway';
+import {
+	createSilentTelemetry, formatTraceparent, parseTraceparent, SpanName,
+} from '@turmericbay/gateway';
+import type {GatewayEvent, GatewayTelemetry} from '@turmericbay/gateway';
 import {Hop, LogEvent} from '@turmericbay/telemetry';
 import type {
 	Logger, Metrics, Tracing,
@@ -16,18 +18,6 @@
 /** Results of an attempt that point to a faulty upstream; the others happen in normal operation. */
 const droppedAnswers = new Set(['cut', 'crossed']);
 
-const traceparentPattern = /^00-(?<traceId>[\da-f]{32})-(?<spanId>[\da-f]{16})-(?<flags>[\da-f]{2})$/v;
-
-const formatParent = (parent: TraceContext | undefined): string | undefined =>
-	parent === undefined ? undefined : `00-${parent.traceId}-${parent.spanId}-${parent.sampled ? '01' : '00'}`;
-
-const parseContext = (traceparent: string | undefined): TraceContext | undefined => {
-	const {traceId, spanId, flags} = traceparentPattern.exec(traceparent ?? '')?.groups ?? {};
-	return traceId === undefined || spanId === undefined
-		? undefined
-		: {traceId, spanId, sampled: flags === '01'};
-};
-
 export const createGatewayTelemetry = (options: {
 	/** Undefined while no exporter is set; trace contexts are then passed on without recording. */
 	readonly tracing: Tracing | undefined;
@@ -69,14 +59,14 @@
 	return {
 		onEvent,
 		startSpan(span) {
-			const hop = tracing?.startSpan({hop: hops[span.name], parent: formatParent(span.parent)});
-			const context = parseContext(hop?.traceparent);
+			const hop = tracing?.startSpan({hop: hops[span.name], parent: span.parent && formatTraceparent(span.parent)});
+			const context = parseTraceparent(hop?.traceparent, span.parent?.traceState);
 			if (hop === undefined || context === undefined) {
 				return silent.startSpan(span);
 			}
 
 			return {
-				context: {...context, traceState: span.parent?.traceState},
+				context,
 				end(attributes) {
 					hop.end({attributes});
 				},
