--- /dev/null
+++ b/packages/common/http-client/src/index.ts
@@ -0,0 +1,160 @@
+/**
+ * Calls over HTTP/1.1 with a deadline. A failure says whether bytes of the
+ * request may have been sent, since only an unsent call may be repeated freely.
+ */
+import {Buffer} from 'node:buffer';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {Dispatcher} from 'undici';
+import {Pool} from 'undici';
+
+export enum HttpFailureKind {
+	/** No byte of the request was sent. */
+	NotSent = 'not-sent',
+	/** The connection ended after bytes may have been sent. */
+	ConnectionLost = 'connection-lost',
+	/** The deadline passed after bytes may have been sent. */
+	Timeout = 'timeout',
+}
+
+export type HttpFailure = {readonly kind: HttpFailureKind; readonly message: string};
+
+export type HttpAnswer = {
+	readonly status: number;
+	readonly text: string;
+};
+
+export type HttpCall = {
+	/** Address and port, without a scheme. */
+	readonly address: string;
+	readonly method: 'GET' | 'POST' | 'DELETE';
+	readonly path: string;
+	/** Sent as it is, with the content type of JSON. */
+	readonly body?: string;
+	readonly headers?: Readonly<Record<string, string>>;
+	/** From the call to the last byte of the answer. */
+	readonly timeoutMilliseconds: number;
+};
+
+export type HttpClient = {
+	call(call: HttpCall): Promise<Result<HttpAnswer, HttpFailure>>;
+	/** Closes the connections to an address that is no longer used. */
+	forget(address: string): void;
+	close(): void;
+};
+
+export type HttpClientOptions = {
+	/** Most connections to one address. */
+	readonly connections: number;
+	/** Shorter than the deadlines of the calls, so that a failed connect is told from a late answer. */
+	readonly connectTimeoutMilliseconds: number;
+	/** Idle connections are closed after this time. */
+	readonly keepAliveMilliseconds: number;
+};
+
+/** Collects one answer; exactly one of `settle`'s outcomes is reported. */
+const createHandler = (settle: (result: Result<HttpAnswer, HttpFailure>) => void) => {
+	let controller: Dispatcher.DispatchController | undefined;
+	let isSettled = false;
+	let status = 0;
+	const chunks: Buffer[] = [];
+	const finish = (result: Result<HttpAnswer, HttpFailure>): void => {
+		if (!isSettled) {
+			isSettled = true;
+			settle(result);
+		}
+	};
+
+	const fail = (kind: HttpFailureKind, message: string): void => {
+		finish(err({kind: controller === undefined ? HttpFailureKind.NotSent : kind, message}));
+	};
+
+	const handler: Dispatcher.DispatchHandler = {
+		onRequestStart(started) {
+			if (isSettled) {
+				started.abort(new Error('the deadline passed before the call was sent'));
+				return;
+			}
+
+			controller = started;
+		},
+		onResponseStart(_, statusCode) {
+			status = statusCode;
+		},
+		onResponseData(_, chunk) {
+			chunks.push(chunk);
+		},
+		onResponseEnd() {
+			finish(ok({status, text: (chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)).toString('utf8')}));
+		},
+		onResponseError(_, error) {
+			fail(HttpFailureKind.ConnectionLost, error.message);
+		},
+	};
+	return {
+		handler,
+		/** Gives the call up; its connection is closed, since it may have gone silent for good. */
+		expire(): void {
+			const sent = controller;
+			fail(HttpFailureKind.Timeout, 'no complete answer within the deadline');
+			sent?.abort(new Error('deadline passed'));
+		},
+	};
+};
+
+export const createHttpClient = (options: HttpClientOptions): HttpClient => {
+	const pools = new Map<string, Pool>();
+	const poolOf = (address: string): Pool => {
+		let pool = pools.get(address);
+		if (pool === undefined) {
+			pool = new Pool(`http://${address}`, {
+				connections: options.connections,
+				connect: {timeout: options.connectTimeoutMilliseconds},
+				keepAliveTimeout: options.keepAliveMilliseconds,
+				// The deadline of each call takes the place of the library's coarse ones.
+				headersTimeout: 0,
+				bodyTimeout: 0,
+			});
+			pools.set(address, pool);
+		}
+
+		return pool;
+	};
+
+	const forget = (address: string): void => {
+		const pool = pools.get(address);
+		pools.delete(address);
+		void pool?.destroy();
+	};
+
+	return {
+		async call({address, method, path, body, headers, timeoutMilliseconds}) {
+			return new Promise(resolve => {
+				const {handler, expire} = createHandler(result => {
+					clearTimeout(timer);
+					resolve(result);
+				});
+				const timer = setTimeout(expire, timeoutMilliseconds);
+				poolOf(address).dispatch({
+					method, path, ...(body !== undefined && {body}),
+					headers: body === undefined ? {...headers} : {...headers, 'content-type': 'application/json'},
+				}, handler);
+			});
+		},
+		forget,
+		close() {
+			for (const address of pools.keys()) {
+				forget(address);
+			}
+		},
+	};
+};
+
+/** Parses JSON; undefined if the text is not JSON. */
+export const parseJson = (text: string): unknown => {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+};
--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -45,6 +45,20 @@
 	MaintenanceStopped = 8002,
 	InstanceFailureRecorded = 8003,
 	FleetLedgerFailed = 8004,
+	JobAccepted = 8501,
+	JobRefused = 8502,
+	JobCancelled = 8503,
+	JobFinished = 8504,
+	JobsLoaded = 8505,
+	RunStarted = 8511,
+	RunChanged = 8512,
+	WorkerUnreachable = 8521,
+	WorkerReachable = 8522,
+	OwnershipGained = 8531,
+	OwnershipLost = 8532,
+	OwnerSeen = 8533,
+	RecordUnreadable = 8541,
+	SettingsReloaded = 8542,
 	InternalError = 9001,
 }
 
@@ -228,6 +242,76 @@
 		message: 'The fleet ledger could not be read, changed or carried out',
 		action: 'No step begins until the platform answers; check the reason.',
 	},
+	[LogEvent.JobAccepted]: {
+		level: LogLevel.Information,
+		message: 'A job was stored and accepted',
+		action: none,
+	},
+	[LogEvent.JobRefused]: {
+		level: LogLevel.Information,
+		message: 'A call about a job was refused',
+		action: 'Look at the reason; callers come back by themselves.',
+	},
+	[LogEvent.JobCancelled]: {
+		level: LogLevel.Information,
+		message: 'The cancellation of a job was decided',
+		action: none,
+	},
+	[LogEvent.JobFinished]: {
+		level: LogLevel.Information,
+		message: 'The final state of a job was stored',
+		action: none,
+	},
+	[LogEvent.JobsLoaded]: {
+		level: LogLevel.Information,
+		message: 'The owner has read the stored jobs and workers',
+		action: none,
+	},
+	[LogEvent.RunStarted]: {
+		level: LogLevel.Information,
+		message: 'A worker was told to run a task',
+		action: none,
+	},
+	[LogEvent.RunChanged]: {
+		level: LogLevel.Information,
+		message: 'A run ended, was adopted or was given up',
+		action: none,
+	},
+	[LogEvent.WorkerUnreachable]: {
+		level: LogLevel.Warning,
+		message: 'A worker does not answer and gets no new work',
+		action: 'Check the worker; its work starts elsewhere when its lease has ended.',
+	},
+	[LogEvent.WorkerReachable]: {
+		level: LogLevel.Information,
+		message: 'A worker answers again',
+		action: none,
+	},
+	[LogEvent.OwnershipGained]: {
+		level: LogLevel.Information,
+		message: 'This instance owns the jobs now',
+		action: none,
+	},
+	[LogEvent.OwnershipLost]: {
+		level: LogLevel.Warning,
+		message: 'This instance no longer owns the jobs',
+		action: 'Another instance takes over; look for pauses of this process or an outage of the store.',
+	},
+	[LogEvent.OwnerSeen]: {
+		level: LogLevel.Information,
+		message: 'The instance that owns the jobs has changed',
+		action: none,
+	},
+	[LogEvent.RecordUnreadable]: {
+		level: LogLevel.Warning,
+		message: 'A record in the store cannot be read and is ignored',
+		action: 'Find out who wrote it.',
+	},
+	[LogEvent.SettingsReloaded]: {
+		level: LogLevel.Information,
+		message: 'SIGHUP was received',
+		action: none,
+	},
 	[LogEvent.InternalError]: {
 		level: LogLevel.Error,
 		message: 'A fault inside the daemon',
--- a/packages/common/types/src/platform.ts
+++ b/packages/common/types/src/platform.ts
@@ -76,10 +76,13 @@
 	/** The remaining time to live; 0 if the lease has lapsed. */
 	renewLease(options: {readonly leaseId: string}): Promise<Result<{readonly timeToLiveSeconds: number}, StoreError>>;
 	revokeLease(options: {readonly leaseId: string}): Promise<Result<void, StoreError>>;
-	/** Reports changed keys until stopped; `onEnd` is called once if the watch breaks. */
+	/** Reports changed and deleted keys until stopped; `onEnd` is called once if the watch breaks. */
 	watch(options: {
 		readonly prefix: string;
 		readonly onChange: (entries: readonly StoredEntry[]) => void;
+		readonly onDelete?: (keys: readonly string[]) => void;
+		/** Called once, when every later change is certain to be reported. */
+		readonly onStart?: () => void;
 		readonly onEnd: (error: StoreError) => void;
 	}): WatchHandle;
 };
--- /dev/null
+++ b/packages/jobs/job-service/src/commits.ts
@@ -0,0 +1,153 @@
+/**
+ * Writes of the owner, many changes in one transaction and one transaction at
+ * a time. Each transaction requires the previous one, so a write whose answer
+ * was lost cannot take effect after a newer one, and a former owner writes nothing.
+ */
+import type {KeyValueStore, StoreOperation} from '@turmericbay/types';
+import type {CommitRecord} from './records.js';
+import {commitKey, parseCommit} from './records.js';
+
+/** The platform takes 32 entries a transaction, conditions included. */
+const operationsPerCommit = 30;
+const firstRetryMilliseconds = 50;
+const longestRetryMilliseconds = 1000;
+
+export type Commits = ReturnType<typeof createCommits>;
+
+export const createCommits = (options: {
+	readonly store: KeyValueStore;
+	readonly epoch: number;
+	readonly revision: number;
+	/** Another owner has written. */
+	readonly onFenced: () => void;
+	readonly onFailure: (message: string) => void;
+	readonly wait: (milliseconds: number) => Promise<void>;
+}) => {
+	const {store, epoch, onFenced, onFailure, wait} = options;
+	let {revision} = options;
+	let sequence = 0;
+	let isEnded = false;
+	let isWriting = false;
+	/** Newest operation for each key, in order of arrival. */
+	const queued = new Map<string, StoreOperation>();
+	let waiting: Array<{readonly keys: Set<string>; readonly resolve: () => void}> = [];
+
+	const keyOf = (operation: StoreOperation): string => operation.type === 'delete-prefix' ? operation.prefix : operation.key;
+
+	/** Writes one batch until its outcome is known; false if this owner is fenced. */
+	const writeBatch = async (batch: readonly StoreOperation[]): Promise<boolean> => {
+		let operations = batch;
+		sequence += 1;
+		let delay = firstRetryMilliseconds;
+		for (;;) {
+			if (isEnded) {
+				return false;
+			}
+
+			const written = await store.transact({
+				conditions: [{key: commitKey, modifiedRevision: revision}],
+				operations: [...operations, {type: 'put', key: commitKey, value: JSON.stringify({epoch, sequence} satisfies CommitRecord)}],
+			});
+			if (written.isOk() && written.value.type === 'committed') {
+				revision = written.value.revision;
+				return true;
+			}
+
+			if (written.isOk()) {
+				// The key was changed: by an earlier try of this batch, or by another owner.
+				const current = await store.read({key: commitKey});
+				if (current.isOk()) {
+					const record = current.value && parseCommit(current.value);
+					if (record?.epoch !== epoch) {
+						return false;
+					}
+
+					revision = current.value!.modifiedRevision;
+					if (record.sequence === sequence) {
+						return true;
+					}
+
+					continue;
+				}
+			} else if (written.error.code === 'STORE_LEASE_NOT_FOUND') {
+				// The values matter more than their removal in time.
+				operations = operations.map(operation => operation.type === 'put' ? {type: 'put', key: operation.key, value: operation.value} : operation);
+				continue;
+			} else {
+				onFailure(written.error.message);
+			}
+
+			await wait(delay);
+			delay = Math.min(longestRetryMilliseconds, delay * 2);
+		}
+	};
+
+	const run = async (): Promise<void> => {
+		if (isWriting) {
+			return;
+		}
+
+		isWriting = true;
+		while (queued.size > 0 && !isEnded) {
+			const batch = [...queued.entries()].slice(0, operationsPerCommit);
+			for (const [key] of batch) {
+				queued.delete(key);
+			}
+
+			if (!await writeBatch(batch.map(([, operation]) => operation))) {
+				if (!isEnded) {
+					isEnded = true;
+					onFenced();
+				}
+
+				break;
+			}
+
+			const written = new Set(batch.map(([key]) => key));
+			waiting = waiting.filter(waiter => {
+				for (const key of waiter.keys) {
+					// A newer value that waits for its turn is not needed by an older waiter.
+					if (written.has(key)) {
+						waiter.keys.delete(key);
+					}
+				}
+
+				if (waiter.keys.size === 0) {
+					waiter.resolve();
+				}
+
+				return waiter.keys.size > 0;
+			});
+		}
+
+		isWriting = false;
+	};
+
+	return {
+		/** Resolves once all operations are stored; never if the owner is fenced first. */
+		async commit(operations: readonly StoreOperation[]): Promise<void> {
+			if (operations.length === 0) {
+				return;
+			}
+
+			for (const operation of operations) {
+				const key = keyOf(operation);
+				// A newer operation takes the place of the older one, at the end of the queue.
+				queued.delete(key);
+				queued.set(key, operation);
+			}
+
+			const stored = new Promise<void>(resolve => {
+				waiting.push({keys: new Set(operations.map(operation => keyOf(operation))), resolve});
+			});
+			void run();
+			await stored;
+		},
+		/** Store revision of the newest write of this owner. */
+		revision: () => revision,
+		queued: () => queued.size,
+		end(): void {
+			isEnded = true;
+		},
+	};
+};
--- /dev/null
+++ b/packages/jobs/job-service/src/follow.ts
@@ -0,0 +1,106 @@
+/** Keeps a view of all keys with a prefix: a listing, then a watch, and both again whenever the watch breaks. */
+import type {KeyValueStore, StoredEntry, StoreError, WatchHandle} from '@turmericbay/types';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+
+/** Keys asked for in one call; the platform cuts a page at about 500. */
+const pageSize = 500;
+const firstRetryMilliseconds = 100;
+const longestRetryMilliseconds = 1000;
+
+export const listAll = async (store: KeyValueStore, prefix: string): Promise<Result<StoredEntry[], StoreError>> => {
+	const entries: StoredEntry[] = [];
+	let after: string | undefined;
+	for (;;) {
+		const page = await store.list({prefix, limit: pageSize, ...(after !== undefined && {after})});
+		if (page.isErr()) {
+			return err(page.error);
+		}
+
+		entries.push(...page.value.entries);
+		after = page.value.entries.at(-1)?.key;
+		if (!page.value.more || after === undefined) {
+			return ok(entries);
+		}
+	}
+};
+
+export const followPrefix = (options: {
+	readonly store: KeyValueStore;
+	readonly prefix: string;
+	/** All entries; keys that are not among them are gone. */
+	readonly onSnapshot: (entries: readonly StoredEntry[]) => void;
+	readonly onChange: (entries: readonly StoredEntry[]) => void;
+	readonly onDelete: (keys: readonly string[]) => void;
+	readonly onTrouble: (error: StoreError) => void;
+}): WatchHandle => {
+	const {store, prefix, onSnapshot, onChange, onDelete, onTrouble} = options;
+	let isStopped = false;
+	let watch: WatchHandle | undefined;
+	let retry: NodeJS.Timeout | undefined;
+	let delay = firstRetryMilliseconds;
+
+	const restart = (error: StoreError): void => {
+		watch?.stop();
+		watch = undefined;
+		if (!isStopped) {
+			onTrouble(error);
+			retry = setTimeout(open, delay);
+			delay = Math.min(longestRetryMilliseconds, delay * 2);
+		}
+	};
+
+	const load = async (opened: WatchHandle | undefined): Promise<void> => {
+		const entries = await listAll(store, prefix);
+		if (isStopped || watch !== opened) {
+			return;
+		}
+
+		if (entries.isErr()) {
+			restart(entries.error);
+			return;
+		}
+
+		delay = firstRetryMilliseconds;
+		onSnapshot(entries.value);
+	};
+
+	const open = (): void => {
+		if (isStopped) {
+			return;
+		}
+
+		const opened: WatchHandle = store.watch({
+			prefix,
+			onChange(entries) {
+				if (watch === opened) {
+					onChange(entries);
+				}
+			},
+			onDelete(keys) {
+				if (watch === opened) {
+					onDelete(keys);
+				}
+			},
+			// Listed after the watch has begun, so that no change falls between the two.
+			onStart() {
+				void load(opened);
+			},
+			onEnd(error) {
+				if (watch === opened) {
+					restart(error);
+				}
+			},
+		});
+		watch = opened;
+	};
+
+	open();
+	return {
+		stop() {
+			isStopped = true;
+			clearTimeout(retry);
+			watch?.stop();
+		},
+	};
+};
--- /dev/null
+++ b/packages/jobs/job-service/src/intake.ts
@@ -0,0 +1,184 @@
+/** What any instance does for callers: accepts, cancels and describes jobs, with the store as the one truth. */
+import type {JobDeclaration} from '@turmericbay/scheduler';
+import {JobState} from '@turmericbay/scheduler';
+import type {KeyValueStore} from '@turmericbay/types';
+import {StoreErrorKind} from '@turmericbay/types';
+import type {OwnerLink} from './owner-link.js';
+import type {Clock} from './ports.js';
+import {
+	cancellationPrefix, jobPrefix, parseJob, parseResult, resultPrefix, TerminalState,
+} from './records.js';
+
+/** Pause between tries of a write whose outcome is unknown. */
+const retryMilliseconds = 80;
+/** Results that are kept at hand; older ones are read from the store. */
+const maximumKnownResults = 20_000;
+
+export type SubmitOutcome = 'accepted' | 'not-stored' | 'unknown';
+export type CancelOutcome = 'cancelled' | 'unknown-job' | 'unavailable';
+export type DescribeOutcome = {readonly type: 'known'; readonly state: JobState} | {readonly type: 'unknown-job'} | {readonly type: 'unavailable'};
+
+const toJobState = (state: TerminalState): JobState => {
+	switch (state) {
+		case TerminalState.Completed: {
+			return JobState.Completed;
+		}
+
+		case TerminalState.Failed: {
+			return JobState.Failed;
+		}
+
+		case TerminalState.Cancelled: {
+			return JobState.Cancelled;
+		}
+
+		default: {
+			return state satisfies never;
+		}
+	}
+};
+
+const isTerminal = (state: JobState): boolean => state === JobState.Completed || state === JobState.Failed || state === JobState.Cancelled;
+
+export type Intake = ReturnType<typeof createIntake>;
+
+export const createIntake = (options: {
+	readonly store: KeyValueStore;
+	readonly link: OwnerLink;
+	readonly clock: Clock;
+	readonly onUnreadable: (key: string) => void;
+}) => {
+	const {store, link, clock, onUnreadable} = options;
+	/** Final states never change. */
+	const results = new Map<string, JobState>();
+
+	const remember = (id: string, state: JobState): void => {
+		if (isTerminal(state)) {
+			results.set(id, state);
+			if (results.size > maximumKnownResults) {
+				results.delete(results.keys().next().value!);
+			}
+		}
+	};
+
+	const wait = async (milliseconds: number): Promise<void> => {
+		await new Promise(resolve => {
+			setTimeout(resolve, milliseconds);
+		});
+	};
+
+	/** The job is read before its result, since the result is written before the job is removed. */
+	const readStored = async (id: string): Promise<DescribeOutcome & {readonly revision?: number}> => {
+		const job = await store.read({key: jobPrefix + id});
+		if (job.isErr()) {
+			return {type: 'unavailable'};
+		}
+
+		const result = await store.read({key: resultPrefix + id});
+		if (result.isErr()) {
+			return {type: 'unavailable'};
+		}
+
+		if (result.value) {
+			const state = parseResult(result.value);
+			if (state !== undefined) {
+				remember(id, toJobState(state));
+				return {type: 'known', state: toJobState(state)};
+			}
+
+			onUnreadable(result.value.key);
+		}
+
+		if (!job.value) {
+			return {type: 'unknown-job'};
+		}
+
+		return {type: 'known', state: JobState.Queued, revision: job.value.modifiedRevision};
+	};
+
+	return {
+		/** Stores a job. After an unknown outcome the same write is tried until the store has told. */
+		async submit(declaration: JobDeclaration, deadline: number): Promise<SubmitOutcome> {
+			const key = jobPrefix + declaration.id;
+			let isUncertain = false;
+			for (;;) {
+				const written = await store.transact({
+					conditions: [{key, modifiedRevision: 0}, {key: resultPrefix + declaration.id, modifiedRevision: 0}],
+					operations: [{type: 'put', key, value: JSON.stringify(declaration)}],
+				});
+				if (written.isOk()) {
+					if (written.value.type === 'committed') {
+						link.announceJob(declaration);
+					}
+
+					return 'accepted';
+				}
+
+				isUncertain ||= written.error.kind !== StoreErrorKind.NotApplied && written.error.kind !== StoreErrorKind.TooLarge;
+				if (!isUncertain) {
+					return 'not-stored';
+				}
+
+				if (clock.now() + retryMilliseconds >= deadline) {
+					return 'unknown';
+				}
+
+				await wait(retryMilliseconds);
+			}
+		},
+		async cancel(id: string, deadline: number): Promise<CancelOutcome> {
+			for (;;) {
+				const stored = await readStored(id);
+				if (stored.type === 'unknown-job') {
+					return 'unknown-job';
+				}
+
+				if (stored.type === 'known') {
+					if (stored.revision === undefined) {
+						return 'cancelled';
+					}
+
+					const written = await store.transact({
+						conditions: [{key: jobPrefix + id, modifiedRevision: stored.revision}],
+						operations: [{type: 'put', key: cancellationPrefix + id, value: ''}],
+					});
+					if (written.isOk() && written.value.type === 'committed') {
+						link.announceCancellation(id);
+						return 'cancelled';
+					}
+				}
+
+				if (clock.now() + retryMilliseconds >= deadline) {
+					return 'unavailable';
+				}
+
+				await wait(retryMilliseconds);
+			}
+		},
+		async describe(id: string): Promise<DescribeOutcome> {
+			const known = results.get(id);
+			if (known !== undefined) {
+				return {type: 'known', state: known};
+			}
+
+			const told = await link.describe(id);
+			if (told !== undefined) {
+				remember(id, told);
+				return {type: 'known', state: told};
+			}
+
+			return readStored(id);
+		},
+		/** Jobs of the queue of which nothing has begun; undefined if neither the owner nor the store answers. */
+		async countPending(queue: string): Promise<number | undefined> {
+			const told = await link.countPending(queue);
+			if (told !== undefined) {
+				return told;
+			}
+
+			// Without an owner nothing begins; jobs already begun are counted as well, since only the owner knows them.
+			const jobs = await store.list({prefix: jobPrefix, limit: 500});
+			return jobs.isErr() ? undefined : jobs.value.entries.filter(entry => parseJob(entry)?.queue === queue).length;
+		},
+	};
+};
--- /dev/null
+++ b/packages/jobs/job-service/src/orders.ts
@@ -0,0 +1,165 @@
+/** Carries out the scheduler's orders on workers and reports their outcomes back. */
+import type {
+	AdviceOrder, Order, PaceOrder, Scheduler, StartOrder, StopOrder, Ticket, WorkerRow,
+} from '@turmericbay/scheduler';
+import {RunPhase} from '@turmericbay/scheduler';
+import type {AdviceClient, Clock, WorkerClient} from './ports.js';
+import {WorkerCallErrorKind} from './ports.js';
+import type {WorkerSession} from './worker-session.js';
+
+/** Pause after advice that was refused because too many calls wait. */
+const advicePauseMilliseconds = 200;
+
+export const createOrders = (options: {
+	readonly scheduler: Scheduler;
+	readonly client: WorkerClient;
+	readonly advice: AdviceClient | undefined;
+	readonly clock: Clock;
+	readonly epoch: number;
+	readonly sessionOf: (worker: WorkerRow) => WorkerSession | undefined;
+	/** Checked directly before each start. */
+	readonly mayStart: () => boolean;
+	readonly onFenced: () => void;
+	readonly onChange: () => void;
+	readonly onStart: (order: StartOrder, outcome: string) => void;
+}) => {
+	const {scheduler, client, advice, clock, epoch, sessionOf, mayStart, onFenced, onChange, onStart} = options;
+	const targetOf = (worker: WorkerRow) => ({id: worker.report.id, address: worker.report.address});
+
+	const start = async (order: StartOrder): Promise<void> => {
+		const {row, ticket} = order;
+		const until = sessionOf(row.worker)?.leaseUntil();
+		if (until === undefined || !mayStart()) {
+			scheduler.noteStart(row, {type: 'rejected', reason: 'late'}, clock.now());
+			return;
+		}
+
+		const started = await client.start({
+			worker: targetOf(row.worker), task: row.task.name, run: row.run, payload: row.task.step.job.declaration.payload,
+			until, fencingToken: epoch, checkpoint: row.task.checkpoint, ticket,
+		});
+		const now = clock.now();
+		if (started.isOk()) {
+			const {rejection} = started.value;
+			scheduler.noteStart(row, rejection === undefined ? {type: 'started'} : {type: 'rejected', reason: rejection}, now);
+			onStart(order, rejection ?? 'started');
+			if (rejection === 'fenced') {
+				onFenced();
+			}
+		} else {
+			switch (started.error.kind) {
+				case WorkerCallErrorKind.NotSent: {
+					scheduler.noteStart(row, {type: 'not-sent'}, now);
+					break;
+				}
+
+				case WorkerCallErrorKind.Unknown: {
+					scheduler.noteStart(row, {type: 'unknown'}, now);
+					sessionOf(row.worker)?.wake();
+					break;
+				}
+
+				case WorkerCallErrorKind.Gone:
+				case WorkerCallErrorKind.Unhealthy: {
+					scheduler.noteStart(row, {type: 'rejected', reason: 'unhealthy'}, now);
+					break;
+				}
+
+				case WorkerCallErrorKind.Fenced: {
+					scheduler.noteStart(row, {type: 'rejected', reason: 'fenced'}, now);
+					onFenced();
+					break;
+				}
+
+				case WorkerCallErrorKind.Invalid: {
+					scheduler.noteStart(row, {type: 'rejected', reason: 'invalid'}, now);
+					break;
+				}
+
+				default: {
+					started.error.kind satisfies never;
+				}
+			}
+
+			onStart(order, `${started.error.kind}: ${started.error.message}`);
+		}
+
+		onChange();
+	};
+
+	const stop = async (order: StopOrder): Promise<void> => {
+		const stopped = await client.stop({
+			worker: targetOf(order.worker), task: order.task, run: order.run, fencingToken: epoch,
+		});
+		if (order.row) {
+			scheduler.noteStop(order.row, stopped.isOk(), clock.now());
+			if (stopped.isOk() && order.row.phase === RunPhase.Unconfirmed) {
+				sessionOf(order.worker)?.wake();
+			}
+		}
+
+		if (stopped.isErr() && stopped.error.kind === WorkerCallErrorKind.Fenced) {
+			onFenced();
+		}
+	};
+
+	const pace = async (order: PaceOrder): Promise<void> => {
+		const {row, percent} = order;
+		const paced = await client.pace({
+			worker: targetOf(row.worker), task: row.task.name, run: row.run, percent, fencingToken: epoch,
+		});
+		scheduler.notePace(row, percent, paced.isOk());
+	};
+
+	const ask = async (order: AdviceOrder): Promise<void> => {
+		const {step, workers} = order;
+		const sentAt = clock.now();
+		const advised = await advice?.advise({step: `${step.job.declaration.id}.${step.occurrence}.${step.index}`, workers});
+		if (advised?.isOk()) {
+			const tickets = new Map<string, Ticket>();
+			for (const [worker, value] of advised.value.tickets) {
+				// Counted from the sending, since the answer may have taken its time.
+				tickets.set(worker, {value, expiresAt: sentAt + advised.value.validMilliseconds, bornAt: scheduler.workers.get(worker)?.bornAt ?? 0});
+			}
+
+			scheduler.noteAdvice(order, tickets);
+			onChange();
+			return;
+		}
+
+		setTimeout(() => {
+			scheduler.noteAdvice(order, undefined);
+			onChange();
+		}, advicePauseMilliseconds);
+	};
+
+	return {
+		carryOut(order: Order): void {
+			switch (order.type) {
+				case 'start': {
+					void start(order);
+					break;
+				}
+
+				case 'stop': {
+					void stop(order);
+					break;
+				}
+
+				case 'pace': {
+					void pace(order);
+					break;
+				}
+
+				case 'advise': {
+					void ask(order);
+					break;
+				}
+
+				default: {
+					order satisfies never;
+				}
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/jobs/job-service/src/owner-link.ts
@@ -0,0 +1,87 @@
+/** The way from any instance to the owner: a call inside the process, or over the peer listener. */
+import type {HttpClient} from '@turmericbay/http-client';
+import {parseJson} from '@turmericbay/http-client';
+import type {JobDeclaration} from '@turmericbay/scheduler';
+import {JobState} from '@turmericbay/scheduler';
+import {z} from 'zod';
+import type {Owner} from './owner.js';
+import type {OwnerRecord} from './records.js';
+
+/** The store is asked instead when the owner does not answer in this time. */
+const peerTimeoutMilliseconds = 300;
+const okStatus = 200;
+
+const stateAnswer = z.object({state: z.enum(JobState)});
+const pendingAnswer = z.object({pending: z.number()});
+
+export type OwnerLink = {
+	/** Tells the owner of a stored job; the owner also finds it in the store. */
+	announceJob(declaration: JobDeclaration): void;
+	announceCancellation(id: string): void;
+	/** Undefined if the owner does not know the job or cannot be asked. */
+	describe(id: string): Promise<JobState | undefined>;
+	countPending(queue: string): Promise<number | undefined>;
+};
+
+export const createOwnerLink = (options: {
+	readonly client: HttpClient;
+	readonly localOwner: () => NonNullable<Owner> | undefined;
+	readonly remoteOwner: () => OwnerRecord | undefined;
+	readonly onTrouble: (address: string, message: string) => void;
+}): OwnerLink => {
+	const {client, localOwner, remoteOwner, onTrouble} = options;
+
+	const call = async (method: 'GET' | 'POST', path: string, body?: string): Promise<unknown> => {
+		const address = remoteOwner()?.address;
+		if (address === undefined) {
+			return undefined;
+		}
+
+		const answer = await client.call({
+			address, method, path, timeoutMilliseconds: peerTimeoutMilliseconds, ...(body !== undefined && {body}),
+		});
+		if (answer.isErr()) {
+			onTrouble(address, answer.error.message);
+			return undefined;
+		}
+
+		return answer.value.status === okStatus ? parseJson(answer.value.text) : undefined;
+	};
+
+	return {
+		announceJob(declaration) {
+			const owner = localOwner();
+			if (owner) {
+				owner.addJob(declaration);
+			} else {
+				void call('POST', '/jobs', JSON.stringify(declaration));
+			}
+		},
+		announceCancellation(id) {
+			const owner = localOwner();
+			if (owner) {
+				owner.cancel(id);
+			} else {
+				void call('POST', `/cancellations/${id}`, '{}');
+			}
+		},
+		async describe(id) {
+			const owner = localOwner();
+			if (owner) {
+				return owner.describe(id);
+			}
+
+			const answer = stateAnswer.safeParse(await call('GET', `/jobs/${id}`));
+			return answer.success ? answer.data.state : undefined;
+		},
+		async countPending(queue) {
+			const owner = localOwner();
+			if (owner) {
+				return owner.countPending(queue);
+			}
+
+			const answer = pendingAnswer.safeParse(await call('GET', `/queues/${encodeURIComponent(queue)}/pending`));
+			return answer.success ? answer.data.pending : undefined;
+		},
+	};
+};
--- /dev/null
+++ b/packages/jobs/job-service/src/ownership.ts
@@ -0,0 +1,158 @@
+/**
+ * One instance at a time owns the jobs: the holder of a leased key. It acts
+ * only while a renewal that it sent itself is younger than the lease, and
+ * after a gap in its clocks only once a renewal has been answered again.
+ */
+import type {KeyValueStore} from '@turmericbay/types';
+import {StoreErrorKind} from '@turmericbay/types';
+import type {Clock} from './ports.js';
+import type {CommitRecord, OwnerRecord} from './records.js';
+import {commitKey, ownerKey, parseCommit} from './records.js';
+
+/** Lease of the owner's key; a crash of the owner stops new starts for about this time. */
+export const ownerLeaseMilliseconds = 3000;
+/** Three renewals may be lost before the lease ends. */
+export const renewIntervalMilliseconds = 700;
+/** The owner stops earlier than its lease ends, by what a call under way may take to reach a worker. */
+const safetyMilliseconds = 300;
+/** The wall clock and the steady clock may drift apart by this between two looks without a pause being suspected. */
+const clockGapMilliseconds = 150;
+
+export type Tenure = {
+	readonly epoch: number;
+	readonly leaseId: string;
+	/** Store revision of the commit key as this owner last wrote it. */
+	readonly commitRevision: number;
+};
+
+export type AcquireOutcome
+	= | {readonly type: 'acquired'; readonly tenure: Tenure; readonly confirmedAt: number}
+		| {readonly type: 'taken'}
+		| {readonly type: 'unavailable'; readonly message: string};
+
+/** Tries once to become the owner. */
+export const acquireOwnership = async (options: {readonly store: KeyValueStore; readonly instance: string; readonly address: string; readonly clock: Clock}): Promise<AcquireOutcome> => {
+	const {store, instance, address, clock} = options;
+	const owner = await store.read({key: ownerKey});
+	if (owner.isErr()) {
+		return {type: 'unavailable', message: owner.error.message};
+	}
+
+	if (owner.value !== undefined) {
+		return {type: 'taken'};
+	}
+
+	const commit = await store.read({key: commitKey});
+	if (commit.isErr()) {
+		return {type: 'unavailable', message: commit.error.message};
+	}
+
+	const previous: CommitRecord = (commit.value && parseCommit(commit.value)) ?? {epoch: 0, sequence: 0};
+	const confirmedAt = clock.now();
+	const lease = await store.grantLease({timeToLiveSeconds: ownerLeaseMilliseconds / 1000});
+	if (lease.isErr()) {
+		return {type: 'unavailable', message: lease.error.message};
+	}
+
+	const epoch = previous.epoch + 1;
+	const record: OwnerRecord = {instance, address, epoch};
+	const {leaseId} = lease.value;
+	const taken = await store.transact({
+		conditions: [{key: ownerKey, modifiedRevision: 0}, {key: commitKey, modifiedRevision: commit.value?.modifiedRevision ?? 0}],
+		operations: [
+			{type: 'put', key: ownerKey, value: JSON.stringify(record), leaseId},
+			{type: 'put', key: commitKey, value: JSON.stringify({epoch, sequence: 0} satisfies CommitRecord)},
+		],
+	});
+	if (taken.isOk() && taken.value.type === 'committed') {
+		return {type: 'acquired', tenure: {epoch, leaseId, commitRevision: taken.value.revision}, confirmedAt};
+	}
+
+	if (taken.isErr() && taken.error.kind === StoreErrorKind.Unknown) {
+		// If it took effect after all, the key blocks others until the lease ends.
+		void store.revokeLease({leaseId});
+		return {type: 'unavailable', message: taken.error.message};
+	}
+
+	void store.revokeLease({leaseId});
+	return {type: 'taken'};
+};
+
+export type Renewal = ReturnType<typeof createRenewal>;
+
+export const createRenewal = (options: {
+	readonly store: KeyValueStore;
+	readonly clock: Clock;
+	readonly tenure: Tenure;
+	readonly confirmedAt: number;
+	readonly onLost: (reason: string) => void;
+	readonly onChange: () => void;
+}) => {
+	const {store, clock, tenure, onLost, onChange} = options;
+	let {confirmedAt} = options;
+	let lastLook = {steady: clock.now(), wall: clock.wallNow()};
+	let isEnded = false;
+	let isRenewing = false;
+	let lastRenewal = clock.now();
+
+	const renew = async (): Promise<void> => {
+		if (isEnded || isRenewing) {
+			return;
+		}
+
+		isRenewing = true;
+		const sentAt = clock.now();
+		lastRenewal = sentAt;
+		const renewed = await store.renewLease({leaseId: tenure.leaseId});
+		isRenewing = false;
+		if (isEnded) {
+			return;
+		}
+
+		if (renewed.isErr()) {
+			return;
+		}
+
+		if (renewed.value.timeToLiveSeconds <= 0) {
+			onLost('the lease has ended');
+			return;
+		}
+
+		// The answer may have waited out a pause of this process.
+		if (clock.now() - sentAt < ownerLeaseMilliseconds && !looksPaused()) {
+			confirmedAt = Math.max(confirmedAt, sentAt);
+			onChange();
+		}
+	};
+
+	const looksPaused = (): boolean => {
+		const look = {steady: clock.now(), wall: clock.wallNow()};
+		const gap = Math.abs((look.wall - lastLook.wall) - (look.steady - lastLook.steady));
+		lastLook = look;
+		return gap > clockGapMilliseconds;
+	};
+
+	return {
+		/** Called often; renews in time and notices pauses of the process. */
+		tick(): void {
+			if (looksPaused()) {
+				confirmedAt = Number.NEGATIVE_INFINITY;
+				void renew();
+				return;
+			}
+
+			if (clock.now() - lastRenewal >= renewIntervalMilliseconds) {
+				void renew();
+			}
+		},
+		/** True while nobody else can be the owner. */
+		isConfirmed(): boolean {
+			return !isEnded && clock.now() < confirmedAt + ownerLeaseMilliseconds - safetyMilliseconds;
+		},
+		/** Steady time of the newest renewal that was answered. */
+		confirmedAt: () => confirmedAt,
+		end(): void {
+			isEnded = true;
+		},
+	};
+};
--- /dev/null
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -0,0 +1,91 @@
+/** The peer listener: what other instances ask the owner, and metrics. */
+import type {Server, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import type {JobDeclaration} from '@turmericbay/scheduler';
+import polka from 'polka';
+import type {Owner} from './owner.js';
+
+const okStatus = 200;
+const notFoundStatus = 404;
+const badRequestStatus = 400;
+/** This instance is not the owner; the caller asks the store. */
+const misdirectedStatus = 421;
+/** A declaration holds at most a body of the callers' limit, in bytes. */
+const maximumBodyBytes = 1_048_576;
+
+const answer = (response: ServerResponse, status: number, body: unknown): void => {
+	const text = JSON.stringify(body);
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)});
+	response.end(text);
+};
+
+const readBody = async (request: AsyncIterable<Buffer>): Promise<string | undefined> => {
+	const chunks: Buffer[] = [];
+	let size = 0;
+	for await (const chunk of request) {
+		size += chunk.length;
+		if (size > maximumBodyBytes) {
+			return undefined;
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks).toString('utf8');
+};
+
+export const createPeerServer = (options: {
+	readonly host: string;
+	readonly port: number;
+	readonly localOwner: () => NonNullable<Owner> | undefined;
+	readonly renderMetrics: () => string;
+}): Server => {
+	const {host, port, localOwner, renderMetrics} = options;
+	const server = createServer();
+	const withOwner = (response: ServerResponse, act: (owner: NonNullable<Owner>) => void): void => {
+		const owner = localOwner();
+		if (owner) {
+			act(owner);
+		} else {
+			answer(response, misdirectedStatus, {});
+		}
+	};
+
+	const router = polka()
+		.get('/jobs/:id', (request, response) => {
+			withOwner(response, owner => {
+				const state = owner.describe(String(request.params['id']));
+				answer(response, state === undefined ? notFoundStatus : okStatus, {state});
+			});
+		})
+		.get('/queues/:queue/pending', (request, response) => {
+			withOwner(response, owner => {
+				answer(response, okStatus, {pending: owner.countPending(decodeURIComponent(String(request.params['queue'])))});
+			});
+		})
+		.post('/jobs', async (request, response) => {
+			const body = await readBody(request);
+			withOwner(response, owner => {
+				if (body === undefined) {
+					answer(response, badRequestStatus, {});
+					return;
+				}
+
+				owner.addJob(JSON.parse(body) as JobDeclaration);
+				answer(response, okStatus, {});
+			});
+		})
+		.post('/cancellations/:id', (request, response) => {
+			withOwner(response, owner => {
+				owner.cancel(String(request.params['id']));
+				answer(response, okStatus, {});
+			});
+		})
+		.get('/metrics', (_, response) => {
+			response.writeHead(okStatus, {'content-type': 'text/plain; version=0.0.4'});
+			response.end(renderMetrics());
+		});
+	server.on('request', router.handler);
+	server.listen(port, host);
+	return server;
+};
--- /dev/null
+++ b/packages/jobs/job-service/src/records.ts
@@ -0,0 +1,76 @@
+/** Keys and values of the job service in the platform's store. */
+import type {JobDeclaration, JobProgress} from '@turmericbay/scheduler';
+import {JobState} from '@turmericbay/scheduler';
+import type {StoredEntry} from '@turmericbay/types';
+
+const root = 'turmericbay/';
+export const ownerKey = `${root}owner`;
+/** Changes with every write of an owner, so that a write with a lost answer cannot be carried out after a newer one. */
+export const commitKey = `${root}commit`;
+export const jobPrefix = `${root}jobs/`;
+export const cancellationPrefix = `${root}cancellations/`;
+export const progressPrefix = `${root}progress/`;
+export const resultPrefix = `${root}results/`;
+/** Workers on which an owner may have started something. */
+export const usedWorkerPrefix = `${root}workers/`;
+
+export type OwnerRecord = {
+	readonly instance: string;
+	/** Address of the owner's peer listener. */
+	readonly address: string;
+	readonly epoch: number;
+};
+
+export type CommitRecord = {readonly epoch: number; readonly sequence: number};
+
+export type UsedWorkerRecord = {readonly id: string; readonly address: string; readonly pool: string; readonly bornAt: number | undefined};
+
+export enum TerminalState {
+	Completed = 'completed',
+	Failed = 'failed',
+	Cancelled = 'cancelled',
+}
+
+export const toTerminalState = (state: JobState): TerminalState | undefined => {
+	switch (state) {
+		case JobState.Completed: {
+			return TerminalState.Completed;
+		}
+
+		case JobState.Failed: {
+			return TerminalState.Failed;
+		}
+
+		case JobState.Cancelled: {
+			return TerminalState.Cancelled;
+		}
+
+		case JobState.Queued:
+		case JobState.Running: {
+			return undefined;
+		}
+
+		default: {
+			return state satisfies never;
+		}
+	}
+};
+
+/** Values are written by this program only; one that cannot be parsed is reported by the caller. */
+const parse = <Value>(entry: StoredEntry): Value | undefined => {
+	try {
+		return JSON.parse(entry.value) as Value;
+	} catch {
+		return undefined;
+	}
+};
+
+export const parseJob = (entry: StoredEntry): JobDeclaration | undefined => parse<JobDeclaration>(entry);
+export const parseProgress = (entry: StoredEntry): JobProgress | undefined => parse<JobProgress>(entry);
+export const parseOwner = (entry: StoredEntry): OwnerRecord | undefined => parse<OwnerRecord>(entry);
+export const parseCommit = (entry: StoredEntry): CommitRecord | undefined => parse<CommitRecord>(entry);
+export const parseUsedWorker = (entry: StoredEntry): UsedWorkerRecord | undefined => parse<UsedWorkerRecord>(entry);
+export const parseResult = (entry: StoredEntry): TerminalState | undefined => {
+	const state = Object.values(TerminalState).find(value => value === entry.value);
+	return state;
+};
--- /dev/null
+++ b/packages/jobs/job-service/src/service.ts
@@ -0,0 +1,197 @@
+/** The job service of one instance: takes ownership when it is free, and serves callers whether or not it owns. */
+import type {HttpClient} from '@turmericbay/http-client';
+import type {KeyValueStore} from '@turmericbay/types';
+import {createConfigurationSource} from './configuration-source.js';
+import {followPrefix} from './follow.js';
+import {createIntake} from './intake.js';
+import type {Owner, OwnerLog} from './owner.js';
+import {createOwner} from './owner.js';
+import {createOwnerLink} from './owner-link.js';
+import {acquireOwnership, createRenewal} from './ownership.js';
+import {createPeerServer} from './peer-server.js';
+import type {
+	AdviceClient, Clock, Configuration, PlatformRecords, WorkerClient,
+} from './ports.js';
+import type {OwnerRecord} from './records.js';
+import {ownerKey, parseOwner} from './records.js';
+
+/** Instances that see the ownership become free try within this time, so that not all of them write at once. */
+const campaignSpreadMilliseconds = 120;
+/** Pause after a try that the store did not answer. */
+const campaignRetryMilliseconds = 300;
+
+export type ServiceLog = OwnerLog & {
+	ownershipGained(epoch: number): void;
+	ownershipLost(epoch: number, reason: string): void;
+	ownerSeen(owner: OwnerRecord | undefined): void;
+	configurationInForce(version: number): void;
+	configurationUnreadable(key: string): void;
+	peerTrouble(address: string, message: string): void;
+};
+
+export type JobService = ReturnType<typeof createJobService>;
+
+export const createJobService = (options: {
+	readonly instance: string;
+	/** Of the peer listener. */
+	readonly host: string;
+	readonly port: number;
+	readonly store: KeyValueStore;
+	readonly records: PlatformRecords;
+	readonly workerClient: WorkerClient;
+	readonly advice: AdviceClient | undefined;
+	readonly peerClient: HttpClient;
+	readonly clock: Clock;
+	readonly random: () => number;
+	readonly longestLeaseMilliseconds: number;
+	readonly leaseMilliseconds: number;
+	readonly log: ServiceLog;
+	readonly renderMetrics: () => string;
+}) => {
+	const {instance, host, port, store, records, workerClient, advice, peerClient, clock, random, longestLeaseMilliseconds, leaseMilliseconds, log, renderMetrics} = options;
+	const address = `${host}:${port}`;
+	let owner: NonNullable<Owner> | undefined;
+	let seenOwner: OwnerRecord | undefined;
+	let isCampaigning = false;
+	let isStopping = false;
+	let campaignTimer: NodeJS.Timeout | undefined;
+	let abandon: ((reason: string) => void) | undefined;
+
+	const configuration = createConfigurationSource({
+		store, records, clock,
+		onChange(next) {
+			log.configurationInForce(next.version);
+			owner?.setConfiguration(next);
+			campaignSoon(0);
+		},
+		onUnreadable: log.configurationUnreadable,
+		onTrouble(message) {
+			log.storeTrouble('configuration', message);
+		},
+	});
+
+	const campaign = async (): Promise<void> => {
+		const current = configuration.current();
+		if (isStopping || isCampaigning || owner || seenOwner || !current) {
+			return;
+		}
+
+		isCampaigning = true;
+		const acquired = await acquireOwnership({
+			store, instance, address, clock,
+		});
+		if (acquired.type !== 'acquired') {
+			isCampaigning = false;
+			campaignSoon(campaignRetryMilliseconds);
+			return;
+		}
+
+		const {tenure} = acquired;
+		log.ownershipGained(tenure.epoch);
+		let isLost = false;
+		const onLost = (reason: string): void => {
+			if (isLost) {
+				return;
+			}
+
+			isLost = true;
+			log.ownershipLost(tenure.epoch, reason);
+			owner?.end();
+			owner = undefined;
+			renewal.end();
+			void store.revokeLease({leaseId: tenure.leaseId});
+			seenOwner = undefined;
+			campaignSoon(campaignRetryMilliseconds);
+		};
+
+		const renewal = createRenewal({
+			store, clock, tenure, confirmedAt: acquired.confirmedAt, onLost,
+			onChange() {
+				// The scheduler runs each tick and looks at the renewal itself.
+			},
+		});
+		abandon = onLost;
+		const created = await createOwner({
+			store, records, tenure, renewal, workerClient, advice, clock,
+			configuration: () => configuration.current() ?? current,
+			longestLeaseMilliseconds, leaseMilliseconds, onLost, log,
+		});
+		isCampaigning = false;
+		if (isLost) {
+			created?.end();
+		} else if (created) {
+			owner = created;
+			owner.setConfiguration(configuration.current() ?? current);
+		} else {
+			onLost('the lease ended while the jobs were read');
+		}
+	};
+
+	const campaignSoon = (pause: number): void => {
+		if (!isStopping) {
+			clearTimeout(campaignTimer);
+			campaignTimer = setTimeout(() => {
+				void campaign();
+			}, pause + random() * campaignSpreadMilliseconds);
+		}
+	};
+
+	const seeOwner = (next: OwnerRecord | undefined): void => {
+		if (next?.epoch !== seenOwner?.epoch) {
+			log.ownerSeen(next);
+		}
+
+		seenOwner = next;
+		if (next === undefined) {
+			campaignSoon(0);
+		}
+	};
+
+	const ownerFollow = followPrefix({
+		store, prefix: ownerKey,
+		onSnapshot(entries) {
+			seeOwner(entries[0] && parseOwner(entries[0]));
+		},
+		onChange(entries) {
+			seeOwner(entries.at(-1) && parseOwner(entries.at(-1)!));
+		},
+		onDelete() {
+			seeOwner(undefined);
+		},
+		onTrouble(error) {
+			log.storeTrouble('owner', error.message);
+		},
+	});
+
+	const link = createOwnerLink({
+		client: peerClient,
+		localOwner: () => owner,
+		remoteOwner: () => seenOwner?.instance === instance ? undefined : seenOwner,
+		onTrouble: log.peerTrouble,
+	});
+	const server = createPeerServer({
+		host, port, localOwner: () => owner, renderMetrics,
+	});
+
+	return {
+		intake: createIntake({
+			store, link, clock, onUnreadable: log.configurationUnreadable,
+		}),
+		configuration: (): Configuration | undefined => configuration.current(),
+		/** Milliseconds since the configuration was certainly the newest. */
+		configurationAge: () => configuration.age(),
+		owner: () => owner,
+		/** Hands the ownership over at once; callers are served until the process ends. */
+		handOver(): void {
+			isStopping = true;
+			clearTimeout(campaignTimer);
+			abandon?.('this instance is stopping');
+		},
+		close(): void {
+			configuration.stop();
+			ownerFollow.stop();
+			server.close();
+			peerClient.close();
+		},
+	};
+};
--- /dev/null
+++ b/packages/jobs/job-service/src/worker-session.ts
@@ -0,0 +1,167 @@
+/** The conversation of the owner with one worker: takes it over, extends its lease, reads its lists and acknowledges ends once they are stored. */
+import type {Scheduler, WorkerRow} from '@turmericbay/scheduler';
+import {lapseTime} from '@turmericbay/scheduler';
+import type {Clock, WorkerClient} from './ports.js';
+import {WorkerCallErrorKind} from './ports.js';
+
+/** Longest wait of a worker for an end before it answers with its lists; also how old the measured figures may be. */
+const busyWaitMilliseconds = 900;
+const idleWaitMilliseconds = 1800;
+/** Pause after a call that brought nothing new although ends wait to be stored, so that the worker is not asked in a tight loop. */
+const unstoredPauseMilliseconds = 150;
+const firstRetryMilliseconds = 100;
+const longestRetryMilliseconds = 800;
+/** Longest wait for the store before the lists are read again without an acknowledgement. */
+const storeWaitMilliseconds = 400;
+
+export type WorkerSession = {
+	/** End of a lease that is given now, on the worker's clock; undefined until the worker has answered once. */
+	leaseUntil(): number | undefined;
+	/** Asks for the lists at once instead of after the pause of a retry. */
+	wake(): void;
+	end(): void;
+};
+
+export const createWorkerSession = (options: {
+	readonly worker: WorkerRow;
+	readonly client: WorkerClient;
+	readonly scheduler: Scheduler;
+	readonly clock: Clock;
+	readonly epoch: number;
+	readonly leaseMilliseconds: number;
+	/** False once the lease of the owner is too old for leases to be extended. */
+	readonly mayExtend: () => boolean;
+	/** Resolves when all that the scheduler has changed so far is stored. */
+	readonly store: () => Promise<void>;
+	readonly onFenced: () => void;
+	readonly onChange: () => void;
+	readonly onTrouble: (worker: WorkerRow, message: string) => void;
+	readonly onAnswer: (worker: WorkerRow) => void;
+	/** The life that this session spoke with has ended. */
+	readonly onGone: (worker: WorkerRow) => void;
+}): WorkerSession => {
+	const {worker, client, scheduler, clock, epoch, leaseMilliseconds, mayExtend, store, onFenced, onChange, onTrouble, onAnswer, onGone} = options;
+	let isEnded = false;
+	/** The worker's clock as of `at`, from the newest answer. */
+	let reading: {readonly clockMilliseconds: number; readonly at: number; readonly bornAt: number | undefined} | undefined;
+	let storedEnd = 0;
+	let retryDelay = firstRetryMilliseconds;
+	let wakeUp: (() => void) | undefined;
+
+	const pause = async (milliseconds: number): Promise<void> => {
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(resolve, milliseconds);
+			wakeUp = () => {
+				clearTimeout(timer);
+				resolve();
+			};
+		});
+		wakeUp = undefined;
+	};
+
+	const leaseUntil = (): number | undefined => {
+		if (!reading) {
+			return undefined;
+		}
+
+		const now = clock.now();
+		// Entered before the call is sent: it may be carried out although its answer is lost.
+		worker.lapsesBy = Math.max(worker.lapsesBy, lapseTime({now, leaseMilliseconds}));
+		return Math.round(reading.clockMilliseconds + (now - reading.at) + leaseMilliseconds);
+	};
+
+	const hold = async (): Promise<void> => {
+		const sentAt = clock.now();
+		const until = mayExtend() ? leaseUntil() : undefined;
+		const acknowledgedEnd = storedEnd;
+		const appliedBefore = worker.appliedEnd;
+		const held = await client.hold({
+			worker: {id: worker.report.id, address: worker.report.address},
+			fencingToken: epoch,
+			acknowledgedEnd,
+			until,
+			waitMilliseconds: reading === undefined || worker.failures > 0 ? 0 : (worker.runs.size > 0 ? busyWaitMilliseconds : idleWaitMilliseconds),
+		});
+		if (isEnded) {
+			return;
+		}
+
+		if (held.isErr()) {
+			switch (held.error.kind) {
+				case WorkerCallErrorKind.Fenced: {
+					onFenced();
+					return;
+				}
+
+				case WorkerCallErrorKind.Gone: {
+					onGone(worker);
+					return;
+				}
+
+				case WorkerCallErrorKind.NotSent:
+				case WorkerCallErrorKind.Unknown:
+				case WorkerCallErrorKind.Unhealthy:
+				case WorkerCallErrorKind.Invalid: {
+					worker.failures += 1;
+					onTrouble(worker, held.error.message);
+					onChange();
+					await pause(retryDelay);
+					retryDelay = Math.min(longestRetryMilliseconds, retryDelay * 2);
+					return;
+				}
+
+				default: {
+					held.error.kind satisfies never;
+					return;
+				}
+			}
+		}
+
+		const {clockMilliseconds, lists, bornAt} = held.value;
+		if (reading && reading.bornAt !== bornAt) {
+			storedEnd = 0;
+		}
+
+		reading = {clockMilliseconds, at: clock.now(), bornAt};
+		retryDelay = firstRetryMilliseconds;
+		if (worker.failures > 0) {
+			onAnswer(worker);
+		}
+
+		scheduler.applyLists({
+			worker, lists, sentAt, now: clock.now(),
+		});
+		onChange();
+		if (worker.appliedEnd > storedEnd) {
+			const end = worker.appliedEnd;
+			const life = worker.bornAt;
+			const stored = store().then(() => {
+				if (worker.bornAt === life) {
+					storedEnd = Math.max(storedEnd, end);
+				}
+			});
+			await Promise.race([stored, pause(storeWaitMilliseconds)]);
+			if (storedEnd < end && worker.appliedEnd === appliedBefore) {
+				await pause(unstoredPauseMilliseconds);
+			}
+		}
+	};
+
+	const run = async (): Promise<void> => {
+		while (!isEnded) {
+			await hold();
+		}
+	};
+
+	void run();
+	return {
+		leaseUntil,
+		wake() {
+			wakeUp?.();
+		},
+		end() {
+			isEnded = true;
+			wakeUp?.();
+		},
+	};
+};
--- /dev/null
+++ b/packages/jobs/scheduler/src/index.ts
@@ -0,0 +1,9 @@
+/** Decides which task of which job runs on which worker. */
+export * from './model.js';
+export {estimateChain, isActive} from './jobs.js';
+export type {SchedulerEvent} from './lists.js';
+export type {PaceOrder} from './pacing.js';
+export type {AdviceOrder, StartOrder} from './placement.js';
+export * from './progress.js';
+export * from './scheduler.js';
+export {lapseTime, slowestWorkerClock} from './workers.js';
--- /dev/null
+++ b/packages/jobs/scheduler/src/jobs.ts
@@ -0,0 +1,197 @@
+/** The table of jobs: occurrences, steps and tasks, and what their ends mean. */
+import type {
+	JobDeclaration, JobRow, QueuePolicy, StepRow, TaskRow,
+} from './model.js';
+import {formatTaskName, JobState} from './model.js';
+import type {JobProgress} from './progress.js';
+
+/** A late result still counts until three times the objective (the users' rules, benefit). */
+const lateFactor = 3;
+
+const createStep = (job: JobRow, occurrence: number, index: number): StepRow => {
+	const declaration = job.declaration.steps[index]!;
+	const step: StepRow = {
+		job, occurrence, index, declaration, tasks: [], remaining: declaration.taskCount, waiting: declaration.taskCount,
+		gangFailures: 0, tickets: new Map(), advisedAgainst: new Set(), adviceInFlight: false,
+	};
+	for (let task = 0; task < declaration.taskCount; task += 1) {
+		step.tasks.push({
+			name: formatTaskName({
+				job: job.declaration.id, occurrence, step: index, index: task,
+			}),
+			step, index: task, done: false, runs: new Map(), lastRun: 0, failures: 0, failedOn: [], checkpoint: '', notBefore: 0,
+		});
+	}
+
+	return step;
+};
+
+/** Milliseconds of work on the longest chain of steps, by the declared estimates. */
+export const estimateChain = (declaration: JobDeclaration): number => {
+	const ends: number[] = [];
+	for (const step of declaration.steps) {
+		const begin = Math.max(0, ...step.after.map(index => ends[index] ?? 0));
+		ends.push(begin + step.estimateMilliseconds);
+	}
+
+	return Math.max(0, ...ends);
+};
+
+export type JobTable = ReturnType<typeof createJobTable>;
+
+export const createJobTable = () => {
+	const jobs = new Map<string, JobRow>();
+	/** Jobs with changes that are not stored yet. */
+	const changedJobs = new Set<JobRow>();
+
+	const markChanged = (job: JobRow): void => {
+		job.changed = true;
+		changedJobs.add(job);
+	};
+
+	const openOccurrence = (job: JobRow, occurrence: number): StepRow[] => {
+		const steps = job.declaration.steps.map((_, index) => createStep(job, occurrence, index));
+		job.occurrences.set(occurrence, steps);
+		return steps;
+	};
+
+	const occurrenceCount = (job: JobRow): number => Math.max(1, job.declaration.repetitions);
+
+	const finishIfComplete = (job: JobRow): void => {
+		if (job.state === JobState.Queued || job.state === JobState.Running) {
+			if (job.finishedOccurrences >= occurrenceCount(job)) {
+				job.state = JobState.Completed;
+			}
+		}
+	};
+
+	const closeOccurrence = (job: JobRow, occurrence: number): void => {
+		const steps = job.occurrences.get(occurrence);
+		if (steps?.every(step => step.remaining === 0)) {
+			job.occurrences.delete(occurrence);
+			job.finishedOccurrences += 1;
+			finishIfComplete(job);
+		}
+	};
+
+	const markTaskDone = (task: TaskRow): void => {
+		if (task.done || task.step.declaration.longRunning) {
+			return;
+		}
+
+		task.done = true;
+		task.step.remaining -= 1;
+		if (task.runs.size === 0) {
+			task.step.waiting -= 1;
+		}
+
+		markChanged(task.step.job);
+		closeOccurrence(task.step.job, task.step.occurrence);
+	};
+
+	const restoreProgress = (job: JobRow, progress: JobProgress): void => {
+		job.begun = progress.begun;
+		job.nextOccurrence = Math.max(job.nextOccurrence, progress.nextOccurrence);
+		for (const occurrence of progress.openOccurrences) {
+			const steps = job.occurrences.get(occurrence.occurrence) ?? openOccurrence(job, occurrence.occurrence);
+			for (const [index, done] of occurrence.done.entries()) {
+				for (const task of done) {
+					const row = steps[index]?.tasks[task];
+					if (row && !row.done) {
+						row.done = true;
+						row.step.remaining -= 1;
+						row.step.waiting -= 1;
+					}
+				}
+			}
+		}
+
+		for (const [name, failures] of Object.entries(progress.failures)) {
+			const task = find(name);
+			if (task) {
+				task.failures = failures;
+			}
+		}
+
+		for (const [name, checkpoint] of Object.entries(progress.checkpoints)) {
+			const task = find(name);
+			if (task) {
+				task.checkpoint = checkpoint;
+			}
+		}
+
+		job.finishedOccurrences = progress.finishedOccurrences;
+		finishIfComplete(job);
+	};
+
+	const find = (name: string): TaskRow | undefined => {
+		const [id, occurrence, step, index] = name.split('.');
+		return jobs.get(id ?? '')?.occurrences.get(Number(occurrence))?.[Number(step)]?.tasks[Number(index)];
+	};
+
+	return {
+		jobs,
+		changedJobs,
+		markChanged,
+		markTaskDone,
+		find,
+		add(options: {
+			readonly declaration: JobDeclaration;
+			readonly policy: QueuePolicy | undefined;
+			readonly progress: JobProgress | undefined;
+			readonly restored: boolean;
+			readonly now: number;
+			readonly wallNow: number;
+		}): JobRow {
+			const {declaration, policy, progress, restored, now, wallNow} = options;
+			const known = jobs.get(declaration.id);
+			if (known) {
+				return known;
+			}
+
+			// Clocks of instances differ, so an age is never taken as negative.
+			const age = Math.max(0, wallNow - declaration.submittedAt);
+			const objective = (policy?.stretch ?? 1) * estimateChain(declaration) + (policy?.objectiveMilliseconds ?? 0);
+			const job: JobRow = {
+				declaration, occurrences: new Map(), nextOccurrence: 0, finishedOccurrences: 0, state: JobState.Queued, begun: false,
+				restored, changed: false, knownAt: now, dueBy: now - age + objective, lateBy: now - age + lateFactor * objective,
+			};
+			jobs.set(declaration.id, job);
+			if (progress) {
+				restoreProgress(job, progress);
+			}
+
+			if (declaration.repetitions === 0 && job.nextOccurrence === 0) {
+				job.nextOccurrence = 1;
+				openOccurrence(job, 0);
+			}
+
+			return job;
+		},
+		/** Opens the occurrences of scheduled jobs that have become due. */
+		openDueOccurrences(wallNow: number): void {
+			for (const job of jobs.values()) {
+				const {repetitions, firstDueAt, intervalMilliseconds} = job.declaration;
+				if (job.state === JobState.Queued || job.state === JobState.Running) {
+					while (job.nextOccurrence < repetitions && firstDueAt + job.nextOccurrence * intervalMilliseconds <= wallNow) {
+						openOccurrence(job, job.nextOccurrence);
+						job.nextOccurrence += 1;
+						markChanged(job);
+					}
+				}
+			}
+		},
+		remove(job: JobRow): void {
+			jobs.delete(job.declaration.id);
+			changedJobs.delete(job);
+		},
+	};
+};
+
+/** True once every step that this one waits for has ended. */
+export const isStepReady = (step: StepRow): boolean => {
+	const steps = step.job.occurrences.get(step.occurrence);
+	return steps !== undefined && step.declaration.after.every(index => steps[index]?.remaining === 0);
+};
+
+export const isActive = (job: JobRow): boolean => job.state === JobState.Queued || job.state === JobState.Running;
--- /dev/null
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -0,0 +1,231 @@
+/** Chooses a worker for each task that may start, in the order in which jobs can still meet their objective. */
+import {estimateChain, isActive, isStepReady} from './jobs.js';
+import type {
+	JobRow, Policies, QueuePolicy, Resources, RunRow, StepRow, TaskRow, WorkerRow,
+} from './model.js';
+import {rackOf, RunPhase} from './model.js';
+import type {WorkerTable} from './workers.js';
+import {roomOf} from './workers.js';
+
+/** A worker that has answered nothing for longer gets no new work; its list of runs is asked for each second. */
+const silenceMilliseconds = 2500;
+/** Workers named in one call for advice; the service takes time for each. */
+const advisedWorkersPerCall = 12;
+/** A ticket is not used in the last part of its life, which the order to the worker needs. */
+const ticketMarginMilliseconds = 300;
+
+export type AdviceOrder = {readonly type: 'advise'; readonly step: StepRow; readonly workers: readonly string[]};
+export type StartOrder = {readonly type: 'start'; readonly row: RunRow; readonly ticket: string | undefined};
+
+const fits = (worker: WorkerRow, room: Resources): boolean => {
+	const {capacity} = worker.report;
+	const {used} = worker;
+	return used.cpuMillis + room.cpuMillis <= capacity.cpuMillis
+		&& used.memoryMegabytes + room.memoryMegabytes <= capacity.memoryMegabytes
+		&& used.accelerators + room.accelerators <= capacity.accelerators;
+};
+
+const isUsable = (worker: WorkerRow, now: number): boolean =>
+	worker.listed && worker.resolved && worker.isRecorded && !worker.report.draining && !worker.closing
+	&& worker.failures === 0 && worker.answeredAt > now - silenceMilliseconds && worker.avoidUntil <= now;
+
+const freeShare = (worker: WorkerRow): number => 1 - worker.used.cpuMillis / Math.max(1, worker.report.capacity.cpuMillis);
+
+/** Late jobs come after those that can still be in time, and jobs past any use after these. */
+const lateness = (job: JobRow, now: number): number => {
+	const remaining = estimateChain(job.declaration);
+	if (now + remaining <= job.dueBy) {
+		return 0;
+	}
+
+	return now + remaining <= job.lateBy ? 1 : 2;
+};
+
+const isLongRunning = (job: JobRow): boolean => job.declaration.steps.some(step => step.longRunning);
+
+export const createPlacement = (options: {
+	readonly workers: WorkerTable;
+	readonly policies: () => Policies;
+	/** Run numbers of this owner lie above those of its predecessors. */
+	readonly firstRun: () => number;
+}) => {
+	const {workers, policies, firstRun} = options;
+
+	const withinMaximum = (task: TaskRow, count: number, extraUse: Resources): boolean => {
+		const {workspace} = task.step.job.declaration;
+		const maximum = workspace === undefined ? undefined : policies().workspaces.get(workspace)?.maximum;
+		if (!maximum || workspace === undefined) {
+			return true;
+		}
+
+		const use = workers.workspaceUse.get(workspace) ?? {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0};
+		const {resources} = task.step.declaration;
+		const holds = (limit: number, used: number, extra: number, need: number): boolean => limit === 0 || used + extra + need * count <= limit;
+		return holds(maximum.cpuMillis, use.cpuMillis, extraUse.cpuMillis, resources.cpuMillis)
+			&& holds(maximum.memoryMegabytes, use.memoryMegabytes, extraUse.memoryMegabytes, resources.memoryMegabytes)
+			&& holds(maximum.accelerators, use.accelerators, extraUse.accelerators, resources.accelerators);
+	};
+
+	const countOn = (step: StepRow, worker: WorkerRow): number => {
+		let count = 0;
+		for (const task of step.tasks) {
+			for (const row of task.runs.values()) {
+				count += row.worker === worker ? 1 : 0;
+			}
+		}
+
+		return count;
+	};
+
+	const isAllowed = (task: TaskRow, worker: WorkerRow): boolean => {
+		const {requiredLabel, maximumPerWorker} = task.step.declaration;
+		return (requiredLabel === undefined || worker.report.labels.includes(requiredLabel))
+			&& (maximumPerWorker === 0 || countOn(task.step, worker) < maximumPerWorker);
+	};
+
+	const score = (task: TaskRow, worker: WorkerRow): number => {
+		const {preferredRack} = task.step.declaration;
+		const nearData = preferredRack !== undefined && rackOf(worker.report) === preferredRack ? 2 : 0;
+		const failedHere = task.failedOn.includes(worker.report.id) ? -4 : 0;
+		return nearData + failedHere + freeShare(worker);
+	};
+
+	const choose = (task: TaskRow, candidates: readonly WorkerRow[]): WorkerRow | undefined => {
+		const room = roomOf(task);
+		let best: WorkerRow | undefined;
+		let bestScore = Number.NEGATIVE_INFINITY;
+		for (const worker of candidates) {
+			if (fits(worker, room) && isAllowed(task, worker)) {
+				const value = score(task, worker);
+				if (value > bestScore) {
+					best = worker;
+					bestScore = value;
+				}
+			}
+		}
+
+		return best;
+	};
+
+	const start = (task: TaskRow, worker: WorkerRow, now: number, run?: number): StartOrder => {
+		const row = workers.addRun({
+			task, worker, run: run ?? Math.max(task.lastRun + 1, firstRun()), phase: RunPhase.Starting, now,
+		});
+		return {type: 'start', row, ticket: task.step.tickets.get(worker.report.id)?.value};
+	};
+
+	/** Members of a gang start together or not at all. */
+	const placeGang = (step: StepRow, candidates: readonly WorkerRow[], now: number): StartOrder[] => {
+		if (step.tasks.some(task => task.runs.size > 0 || task.notBefore > now) || !withinMaximum(step.tasks[0]!, step.tasks.length, {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0})) {
+			return [];
+		}
+
+		const racks = step.declaration.sameRack ? [...new Set(candidates.map(worker => rackOf(worker.report)))] : [undefined];
+		const groups = racks.map(rack => rack === undefined ? candidates : candidates.filter(worker => rackOf(worker.report) === rack));
+		if (step.declaration.sameRack) {
+			groups.push(candidates);
+		}
+
+		const run = Math.max(firstRun(), ...step.tasks.map(task => task.lastRun + 1));
+		for (const group of groups) {
+			const orders: StartOrder[] = [];
+			for (const task of step.tasks) {
+				const worker = choose(task, group);
+				if (worker) {
+					orders.push(start(task, worker, now, run));
+				}
+			}
+
+			if (orders.length === step.tasks.length) {
+				return orders;
+			}
+
+			for (const order of orders) {
+				workers.removeRun(order.row);
+			}
+		}
+
+		return [];
+	};
+
+	const holdsTicket = (step: StepRow, worker: WorkerRow, now: number): boolean => {
+		const ticket = step.tickets.get(worker.report.id);
+		return ticket !== undefined && ticket.expiresAt - ticketMarginMilliseconds > now && ticket.bornAt === (worker.bornAt ?? 0);
+	};
+
+	const placeStep = (step: StepRow, queue: QueuePolicy, usable: readonly WorkerRow[], now: number): Array<StartOrder | AdviceOrder> => {
+		const orders: Array<StartOrder | AdviceOrder> = [];
+		const candidates = queue.advice ? usable.filter(worker => holdsTicket(step, worker, now)) : usable;
+		if (step.declaration.gang) {
+			orders.push(...placeGang(step, candidates, now));
+		} else {
+			for (const task of step.tasks) {
+				if (task.done || task.runs.size > 0 || task.notBefore > now) {
+					continue;
+				}
+
+				if (!withinMaximum(task, 1, {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0})) {
+					break;
+				}
+
+				const worker = choose(task, candidates);
+				if (!worker) {
+					break;
+				}
+
+				orders.push(start(task, worker, now));
+			}
+		}
+
+		if (queue.advice && step.waiting > 0 && !step.adviceInFlight) {
+			const room = roomOf(step.tasks[0]!);
+			const unknown = usable
+				.filter(worker => !step.advisedAgainst.has(worker.report.id) && !holdsTicket(step, worker, now) && fits(worker, room))
+				.toSorted((left, right) => freeShare(right) - freeShare(left));
+			if (unknown.length > 0) {
+				step.adviceInFlight = true;
+				orders.push({type: 'advise', step, workers: unknown.slice(0, advisedWorkersPerCall).map(worker => worker.report.id)});
+			}
+		}
+
+		return orders;
+	};
+
+	return {
+		/** Orders for all tasks that may start now; each start is already entered in the tables. */
+		place(jobs: Iterable<JobRow>, isBlocked: (job: JobRow, pool: string) => boolean, now: number): Array<StartOrder | AdviceOrder> {
+			const byPool = new Map<string, Array<{readonly job: JobRow; readonly queue: QueuePolicy; readonly rank: number}>>();
+			for (const job of jobs) {
+				const queue = policies().queues.get(job.declaration.queue);
+				if (!queue || !isActive(job) || isBlocked(job, queue.pool)) {
+					continue;
+				}
+
+				const rank = queue.priority * 4 + (isLongRunning(job) ? 0 : 1 + lateness(job, now));
+				const list = byPool.get(queue.pool) ?? [];
+				list.push({job, queue, rank});
+				byPool.set(queue.pool, list);
+			}
+
+			const orders: Array<StartOrder | AdviceOrder> = [];
+			for (const [pool, list] of byPool) {
+				const usable = [...workers.workers.values()].filter(worker => worker.report.pool === pool && isUsable(worker, now));
+				if (usable.length === 0) {
+					continue;
+				}
+
+				for (const {job, queue} of list.toSorted((left, right) => left.rank - right.rank || left.job.dueBy - right.job.dueBy)) {
+					for (const steps of job.occurrences.values()) {
+						for (const step of steps) {
+							if (step.waiting > 0 && isStepReady(step)) {
+								orders.push(...placeStep(step, queue, usable, now));
+							}
+						}
+					}
+				}
+			}
+
+			return orders;
+		},
+	};
+};
--- /dev/null
+++ b/packages/jobs/scheduler/src/progress.ts
@@ -0,0 +1,53 @@
+/** What has to survive the owner of a job: ends that workers no longer report, attempts and checkpoints. */
+import type {JobRow} from './model.js';
+
+export type OccurrenceProgress = {
+	readonly occurrence: number;
+	/** Indices of the tasks that are done, for each step. */
+	readonly done: ReadonlyArray<readonly number[]>;
+};
+
+export type JobProgress = {
+	readonly begun: boolean;
+	readonly nextOccurrence: number;
+	readonly finishedOccurrences: number;
+	readonly openOccurrences: readonly OccurrenceProgress[];
+	/** Failed runs by task name. */
+	readonly failures: Readonly<Record<string, number>>;
+	readonly checkpoints: Readonly<Record<string, string>>;
+};
+
+export const readProgress = (job: JobRow): JobProgress => {
+	const failures: Record<string, number> = {};
+	const checkpoints: Record<string, string> = {};
+	const openOccurrences: OccurrenceProgress[] = [];
+	for (const [occurrence, steps] of job.occurrences) {
+		const done: number[][] = [];
+		for (const step of steps) {
+			const doneHere: number[] = [];
+			for (const task of step.tasks) {
+				if (task.done) {
+					doneHere.push(task.index);
+					continue;
+				}
+
+				if (task.failures > 0) {
+					failures[task.name] = task.failures;
+				}
+
+				if (task.checkpoint !== '') {
+					checkpoints[task.name] = task.checkpoint;
+				}
+			}
+
+			done.push(doneHere);
+		}
+
+		openOccurrences.push({occurrence, done});
+	}
+
+	return {
+		begun: job.begun, nextOccurrence: job.nextOccurrence, finishedOccurrences: job.finishedOccurrences,
+		openOccurrences, failures, checkpoints,
+	};
+};
--- /dev/null
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -0,0 +1,299 @@
+/**
+ * The deciding core of the owner: tables of jobs, workers and runs, and the
+ * systems that run over them each tick. It does no input or output; times and
+ * answers are passed in, orders are returned.
+ */
+import {createJobTable, isActive} from './jobs.js';
+import type {SchedulerEvent} from './lists.js';
+import {createReconciler} from './lists.js';
+import type {
+	JobDeclaration, JobRow, Policies, RunRow, Ticket, WorkerLists, WorkerReport, WorkerRow,
+} from './model.js';
+import {JobState, RunPhase} from './model.js';
+import type {PaceOrder} from './pacing.js';
+import {createPacing} from './pacing.js';
+import type {AdviceOrder, StartOrder} from './placement.js';
+import {createPlacement} from './placement.js';
+import type {JobProgress} from './progress.js';
+import {createWorkerTable} from './workers.js';
+
+/** Starts of one owner stay below this number for each task, so that the next owner's numbers are higher without a write per start. */
+const runsPerEpoch = 1000;
+/** An unanswered stop is sent again after this time. */
+const stopRepeatMilliseconds = 500;
+/** A worker that rejected a start for want of room is left alone until its next list. */
+const rejectedPauseMilliseconds = 250;
+/** A worker that says it is unhealthy gets no new work for this time. */
+const unhealthyPauseMilliseconds = 1500;
+/** A worker that fails what it starts gets no new work for this time. */
+const failingPauseMilliseconds = 4000;
+/** Failed runs after which a worker counts as failing, if they outnumber its good ones. */
+const failingRuns = 3;
+/** Counts of ends are halved after this time, so that a worker is judged by its last seconds. */
+const countHalfLifeMilliseconds = 3000;
+
+export type StopOrder = {readonly type: 'stop'; readonly worker: WorkerRow; readonly task: string; readonly run: number; readonly row: RunRow | undefined};
+export type Order = StartOrder | AdviceOrder | PaceOrder | StopOrder;
+
+export type StartOutcome
+	= | {readonly type: 'started'}
+		| {readonly type: 'rejected'; readonly reason: 'fenced' | 'superseded' | 'late' | 'room' | 'ticket' | 'unhealthy' | 'invalid'}
+		| {readonly type: 'not-sent'}
+		| {readonly type: 'unknown'};
+
+export type Scheduler = ReturnType<typeof createScheduler>;
+
+export const createScheduler = (options: {
+	/** Rises with each change of the owner; 1 for the first. */
+	readonly epoch: number;
+	readonly emit: (event: SchedulerEvent) => void;
+}) => {
+	const {epoch, emit} = options;
+	let policies: Policies = {queues: new Map(), pools: new Map(), workspaces: new Map()};
+	let countsHalvedAt = Number.NEGATIVE_INFINITY;
+	const jobs = createJobTable();
+	const workers = createWorkerTable();
+	const reconciler = createReconciler({
+		jobs, workers, policyOf: queue => policies.queues.get(queue), emit,
+	});
+	const placement = createPlacement({workers, policies: () => policies, firstRun: () => (epoch - 1) * runsPerEpoch + 1});
+	const pacing = createPacing();
+
+	const needsStop = (row: RunRow, now: number): boolean => {
+		if (row.stopInFlight || row.phase === RunPhase.Starting) {
+			return false;
+		}
+
+		if (row.stopSentAt !== undefined && now - row.stopSentAt < stopRepeatMilliseconds) {
+			return false;
+		}
+
+		const isUnwanted = !isActive(row.task.step.job) || row.task.done;
+		switch (row.phase) {
+			case RunPhase.Running: {
+				return isUnwanted;
+			}
+
+			case RunPhase.Unconfirmed: {
+				// A list that was asked for after the doubt and does not show the run leaves only the late order to be ruled out.
+				return row.stoppedAt === undefined && (isUnwanted || row.worker.answeredAt > (row.doubtedAt ?? row.startedAt));
+			}
+
+			case RunPhase.Stopping: {
+				return row.stoppedAt === undefined;
+			}
+
+			default: {
+				return row.phase satisfies never;
+			}
+		}
+	};
+
+	const planStops = (now: number): StopOrder[] => {
+		const orders: StopOrder[] = reconciler.unwanted.splice(0).map(({worker, task, run}) => ({
+			type: 'stop', worker, task, run, row: undefined,
+		}));
+		for (const worker of workers.workers.values()) {
+			for (const row of worker.runs.values()) {
+				if (needsStop(row, now)) {
+					row.stopInFlight = true;
+					row.stopSentAt = now;
+					if (row.phase === RunPhase.Running) {
+						row.phase = RunPhase.Stopping;
+					}
+
+					orders.push({
+						type: 'stop', worker, task: row.task.name, run: row.run, row,
+					});
+				}
+			}
+		}
+
+		return orders;
+	};
+
+	const judgeWorkers = (now: number): void => {
+		const isHalving = now - countsHalvedAt > countHalfLifeMilliseconds;
+		for (const worker of workers.workers.values()) {
+			if (worker.recentFailures >= failingRuns && worker.recentFailures > worker.recentSuccesses) {
+				worker.avoidUntil = Math.max(worker.avoidUntil, now + failingPauseMilliseconds);
+				worker.recentFailures = 0;
+			}
+
+			if (isHalving) {
+				worker.recentFailures /= 2;
+				worker.recentSuccesses /= 2;
+			}
+		}
+
+		countsHalvedAt = isHalving ? now : countsHalvedAt;
+	};
+
+	const unresolvedPools = (): Set<string> => {
+		const pools = new Set<string>();
+		for (const worker of workers.workers.values()) {
+			if (!worker.resolved) {
+				pools.add(worker.report.pool);
+			}
+		}
+
+		return pools;
+	};
+
+	return {
+		jobs: jobs.jobs,
+		changedJobs: jobs.changedJobs,
+		workers: workers.workers,
+		workspaceUse: workers.workspaceUse,
+		setPolicies(next: Policies): void {
+			policies = next;
+		},
+		addJob(declaration: JobDeclaration, context: {readonly progress?: JobProgress; readonly restored: boolean; readonly now: number; readonly wallNow: number}): JobRow {
+			return jobs.add({
+				declaration, policy: policies.queues.get(declaration.queue), progress: context.progress, restored: context.restored, now: context.now, wallNow: context.wallNow,
+			});
+		},
+		cancelJob(id: string): void {
+			const job = jobs.jobs.get(id);
+			if (job && isActive(job)) {
+				job.state = JobState.Cancelled;
+				jobs.markChanged(job);
+			}
+		},
+		/** True if nothing of the job runs or may still start. */
+		isSettled(job: JobRow): boolean {
+			for (const steps of job.occurrences.values()) {
+				for (const step of steps) {
+					if (step.tasks.some(task => task.runs.size > 0)) {
+						return false;
+					}
+				}
+			}
+
+			return !job.restored || unresolvedPools().size === 0;
+		},
+		removeJob(job: JobRow): void {
+			jobs.remove(job);
+		},
+		reportWorker(change: {readonly report: WorkerReport; readonly listed: boolean; readonly resolved: boolean; readonly lapsesBy: number; readonly now: number}): WorkerRow {
+			const worker = workers.report(change);
+			if (change.listed && change.report.bornAt !== undefined && worker.bornAt !== undefined && change.report.bornAt !== worker.bornAt) {
+				reconciler.rebirth(worker, change.report.bornAt);
+			}
+
+			return worker;
+		},
+		/** The worker ended: another process answers at its address. */
+		loseWorker(worker: WorkerRow): void {
+			worker.resolved = true;
+			for (const row of worker.runs.values()) {
+				reconciler.drop(row, 'lost');
+			}
+
+			worker.lapsesBy = Number.NEGATIVE_INFINITY;
+		},
+		applyLists(change: {readonly worker: WorkerRow; readonly lists: WorkerLists; readonly sentAt: number; readonly now: number}): void {
+			change.worker.answeredAt = Math.max(change.worker.answeredAt, change.sentAt);
+			change.worker.failures = 0;
+			reconciler.apply(change);
+		},
+		noteStart(row: RunRow, outcome: StartOutcome, now: number): void {
+			const {worker, task} = row;
+			switch (outcome.type) {
+				case 'started': {
+					row.confirmedAt ??= now;
+					if (row.phase === RunPhase.Starting || row.phase === RunPhase.Unconfirmed) {
+						row.phase = RunPhase.Running;
+					}
+
+					if (!task.step.job.begun) {
+						task.step.job.begun = true;
+						jobs.markChanged(task.step.job);
+					}
+
+					break;
+				}
+
+				case 'unknown': {
+					if (row.phase === RunPhase.Starting) {
+						row.phase = RunPhase.Unconfirmed;
+						row.doubtedAt = now;
+						worker.failures += 1;
+					}
+
+					break;
+				}
+
+				case 'not-sent': {
+					worker.failures += 1;
+					reconciler.drop(row, 'not-run');
+					break;
+				}
+
+				case 'rejected': {
+					task.notBefore = now;
+					if (outcome.reason === 'room' || outcome.reason === 'late') {
+						worker.avoidUntil = Math.max(worker.avoidUntil, now + rejectedPauseMilliseconds);
+					} else if (outcome.reason === 'unhealthy') {
+						worker.avoidUntil = Math.max(worker.avoidUntil, now + unhealthyPauseMilliseconds);
+					} else if (outcome.reason === 'ticket') {
+						task.step.tickets.delete(worker.report.id);
+					} else if (outcome.reason === 'invalid') {
+						task.notBefore = now + stopRepeatMilliseconds;
+					}
+
+					reconciler.drop(row, 'not-run');
+					break;
+				}
+
+				default: {
+					outcome satisfies never;
+				}
+			}
+		},
+		noteStop(row: RunRow, isAnswered: boolean, now: number): void {
+			row.stopInFlight = false;
+			if (isAnswered) {
+				row.stoppedAt = now;
+			}
+		},
+		notePace(row: RunRow, percent: number, isAnswered: boolean): void {
+			row.paceInFlight = false;
+			if (isAnswered) {
+				row.pacePercent = percent;
+			}
+		},
+		noteAdvice(order: AdviceOrder, tickets: ReadonlyMap<string, Ticket> | undefined): void {
+			order.step.adviceInFlight = false;
+			if (!tickets) {
+				return;
+			}
+
+			for (const worker of order.workers) {
+				const ticket = tickets.get(worker);
+				if (ticket) {
+					order.step.tickets.set(worker, ticket);
+				} else {
+					order.step.advisedAgainst.add(worker);
+				}
+			}
+		},
+		/** Orders of this tick. Without `mayStart` nothing new is started. */
+		plan(context: {readonly now: number; readonly wallNow: number; readonly mayStart: boolean}): Order[] {
+			const {now, wallNow, mayStart} = context;
+			reconciler.expireLeases(now);
+			jobs.openDueOccurrences(wallNow);
+			judgeWorkers(now);
+			const orders: Order[] = planStops(now);
+			if (mayStart) {
+				const pools = unresolvedPools();
+				orders.push(
+					...placement.place(jobs.jobs.values(), (job, pool) => job.restored && pools.has(pool), now),
+					...pacing.pace(workers.workers.values(), now),
+				);
+			}
+
+			return orders;
+		},
+	};
+};
