Carry out waves, move machines with the demand, store before acknowledging

Ruled out: late orders of workers (runs were acked 14 s before the second start). Change: commits number their operations and a flush waits for all of them; orders under way count as away; waves close, evacuate and order; visitors follow the backlog between pools and go home.

--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -57,6 +57,8 @@
 	OwnershipGained = 8531,
 	OwnershipLost = 8532,
 	OwnerSeen = 8533,
+	WaveStep = 8535,
+	MachineMoved = 8536,
 	RecordUnreadable = 8541,
 	SettingsReloaded = 8542,
 	InternalError = 9001,
@@ -302,6 +304,16 @@
 		message: 'The instance that owns the jobs has changed',
 		action: none,
 	},
+	[LogEvent.WaveStep]: {
+		level: LogLevel.Information,
+		message: 'A step of a maintenance wave was decided',
+		action: none,
+	},
+	[LogEvent.MachineMoved]: {
+		level: LogLevel.Information,
+		message: 'A machine was ordered into another pool',
+		action: none,
+	},
 	[LogEvent.RecordUnreadable]: {
 		level: LogLevel.Warning,
 		message: 'A record in the store cannot be read and is ignored',
--- a/packages/jobs/job-service/src/commits.ts
+++ b/packages/jobs/job-service/src/commits.ts
@@ -28,9 +28,11 @@
 	let sequence = 0;
 	let isEnded = false;
 	let isWriting = false;
-	/** Newest operation for each key, in order of arrival. */
-	const queued = new Map<string, StoreOperation>();
-	let waiting: Array<{readonly keys: Set<string>; readonly resolve: () => void}> = [];
+	/** Newest operation for each key, in ascending order of its number. */
+	const queued = new Map<string, {readonly operation: StoreOperation; readonly number: number}>();
+	let lastNumber = 0;
+	/** Each waits until every operation up to its number is stored. */
+	let waiting: Array<{number: number; readonly resolve: () => void}> = [];
 
 	const keyOf = (operation: StoreOperation): string => operation.type === 'delete-prefix' ? operation.prefix : operation.key;
 
@@ -94,7 +96,7 @@
 				queued.delete(key);
 			}
 
-			if (!await writeBatch(batch.map(([, operation]) => operation))) {
+			if (!await writeBatch(batch.map(([, {operation}]) => operation))) {
 				if (!isEnded) {
 					isEnded = true;
 					onFenced();
@@ -103,46 +105,57 @@
 				break;
 			}
 
-			const written = new Set(batch.map(([key]) => key));
+			const [oldest] = queued.values();
 			waiting = waiting.filter(waiter => {
-				for (const key of waiter.keys) {
-					// A newer value that waits for its turn is not needed by an older waiter.
-					if (written.has(key)) {
-						waiter.keys.delete(key);
-					}
-				}
-
-				if (waiter.keys.size === 0) {
+				const isStored = oldest === undefined || waiter.number < oldest.number;
+				if (isStored) {
 					waiter.resolve();
 				}
 
-				return waiter.keys.size > 0;
+				return !isStored;
 			});
 		}
 
 		isWriting = false;
 	};
 
+	const enqueue = (operation: StoreOperation): void => {
+		const key = keyOf(operation);
+		const older = queued.get(key);
+		lastNumber += 1;
+		// A newer operation takes the place of the older one, at the end of the queue; who waits for the older one waits for the newer.
+		queued.delete(key);
+		queued.set(key, {operation, number: lastNumber});
+		if (older) {
+			for (const waiter of waiting) {
+				waiter.number = waiter.number >= older.number ? lastNumber : waiter.number;
+			}
+		}
+	};
+
+	const flush = async (): Promise<void> => {
+		if (queued.size === 0 && !isWriting) {
+			return;
+		}
+
+		const stored = new Promise<void>(resolve => {
+			waiting.push({number: lastNumber, resolve});
+		});
+		void run();
+		await stored;
+	};
+
 	return {
 		/** Resolves once all operations are stored; never if the owner is fenced first. */
 		async commit(operations: readonly StoreOperation[]): Promise<void> {
-			if (operations.length === 0) {
-				return;
-			}
-
 			for (const operation of operations) {
-				const key = keyOf(operation);
-				// A newer operation takes the place of the older one, at the end of the queue.
-				queued.delete(key);
-				queued.set(key, operation);
+				enqueue(operation);
 			}
 
-			const stored = new Promise<void>(resolve => {
-				waiting.push({keys: new Set(operations.map(operation => keyOf(operation))), resolve});
-			});
-			void run();
-			await stored;
+			await flush();
 		},
+		/** Resolves once everything that was passed to `commit` before is stored. */
+		flush,
 		/** Store revision of the newest write of this owner. */
 		revision: () => revision,
 		queued: () => queued.size,
--- /dev/null
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -0,0 +1,203 @@
+/** Carries out maintenance waves through the machines' service. Only the confirmed owner orders, and not directly after a change of the owner. */
+import type {
+	Scheduler, WaveMachine, WaveRow, WorkerRow,
+} from '@turmericbay/scheduler';
+import {planWave} from '@turmericbay/scheduler';
+import type {StoredEntry, StoreOperation} from '@turmericbay/types';
+import type {MachineList} from './machine-list.js';
+import type {
+	Clock, MachineService, PlatformRecords,
+} from './ports.js';
+import {MachineState} from './ports.js';
+import {waveProgressPrefix} from './records.js';
+
+/**
+ * A new owner leaves machines alone for this time: two holders must not take turns within the
+ * platform's 3 s, and a call of the former owner may still be on its way.
+ */
+export const quietMilliseconds = 3500;
+/** A machine that was busy is tried again after this time. */
+const retryMilliseconds = 500;
+
+export type MaintenanceLog = {
+	wave(wave: number, machine: string | undefined, what: string): void;
+};
+
+export type Maintenance = ReturnType<typeof createMaintenance>;
+
+export const createMaintenance = (options: {
+	readonly scheduler: Scheduler;
+	readonly machines: MachineService;
+	readonly list: MachineList;
+	readonly records: PlatformRecords;
+	readonly clock: Clock;
+	readonly holder: string;
+	readonly epoch: number;
+	readonly tookOverAt: number;
+	readonly mayOrder: () => boolean;
+	readonly commit: (operations: readonly StoreOperation[]) => Promise<void>;
+	/** The worker's life has been ended by the platform. */
+	readonly retire: (worker: WorkerRow) => void;
+	readonly log: MaintenanceLog;
+}) => {
+	const {scheduler, machines, list, records, clock, holder, epoch, tookOverAt, mayOrder, commit, retire, log} = options;
+	const waves = new Map<number, WaveRow>();
+	const completed = new Set<number>();
+	const retryAt = new Map<string, number>();
+	/** Machines begun in waves before this owner, by wave. */
+	const restored = new Map<number, readonly string[]>();
+	/** When each machine's upkeep was accepted; an older list says nothing about it. */
+	const acceptedAt = new Map<string, number>();
+
+	const writeStatus = (wave: WaveRow, isCompleted: boolean): void => {
+		void commit([
+			{type: 'put', key: waveProgressPrefix + wave.wave, value: JSON.stringify([...wave.begun])},
+			{type: 'put', ...records.encodeWaveStatus({wave: wave.wave, isCompleted})},
+		]);
+	};
+
+	const noteBegun = (wave: WaveRow, machine: string): void => {
+		wave.begun.add(machine);
+		wave.closing.delete(machine);
+		const isCompleted = wave.machines.every(name => wave.begun.has(name));
+		if (isCompleted) {
+			completed.add(wave.wave);
+			log.wave(wave.wave, undefined, 'completed');
+		}
+
+		writeStatus(wave, isCompleted);
+	};
+
+	const order = async (wave: WaveRow, machine: string): Promise<void> => {
+		wave.ordered.add(machine);
+		const worker = list.workerOn(machine);
+		if (worker) {
+			worker.ending = true;
+		}
+
+		const outcome = await machines.upkeep({
+			machine, wave: wave.wave, holder, fencingToken: epoch,
+		});
+		wave.ordered.delete(machine);
+		log.wave(wave.wave, machine, outcome);
+		switch (outcome) {
+			case 'accepted': {
+				acceptedAt.set(machine, clock.now());
+				wave.down.add(machine);
+				if (worker) {
+					retire(worker);
+				}
+
+				noteBegun(wave, machine);
+				break;
+			}
+
+			case 'foreign':
+			case 'invalid': {
+				noteBegun(wave, machine);
+				break;
+			}
+
+			case 'busy':
+			case 'fenced':
+			case 'unknown':
+			case 'refused': {
+				retryAt.set(machine, clock.now() + retryMilliseconds);
+				if (worker && outcome !== 'unknown') {
+					worker.ending = false;
+				}
+
+				break;
+			}
+
+			default: {
+				outcome satisfies never;
+			}
+		}
+	};
+
+	const view = (): Map<string, WaveMachine> => new Map(list.records().map(({machine, pool, state}) => [machine, {
+		machine, pool, isUp: state === MachineState.Up, worker: list.workerOn(machine),
+	}]));
+
+	const runWave = (wave: WaveRow, now: number): void => {
+		const known = view();
+		for (const machine of wave.down) {
+			if (list.sentAt() > (acceptedAt.get(machine) ?? 0) && known.get(machine)?.isUp !== false) {
+				wave.down.delete(machine);
+			}
+		}
+
+		for (const machine of wave.machines) {
+			// A machine that has left the platform needs no upkeep.
+			if (!wave.begun.has(machine) && known.size > 0 && !known.has(machine)) {
+				noteBegun(wave, machine);
+			}
+		}
+
+		const usable = new Map([...known].filter(([machine]) => (retryAt.get(machine) ?? 0) <= now));
+		const backlogged = new Set([...scheduler.poolDemands()].filter(([, demand]) => demand.waitingCpuMillis > 0).map(([pool]) => pool));
+		const plan = planWave({
+			wave, machines: usable, workers: scheduler.workers.values(), backlogged, now,
+		});
+		for (const row of plan.evacuate) {
+			row.isEvacuating = true;
+		}
+
+		for (const machine of plan.ready) {
+			if (!wave.ordered.has(machine) && wave.down.size + wave.ordered.size < wave.maximumAtOnce) {
+				void order(wave, machine);
+			}
+		}
+	};
+
+	return {
+		restore(entries: readonly StoredEntry[]): void {
+			for (const entry of entries) {
+				const wave = Number(entry.key.slice(waveProgressPrefix.length));
+				restored.set(wave, JSON.parse(entry.value) as string[]);
+			}
+		},
+		/** Adds a wave that the operator has asked for. */
+		request(entry: StoredEntry): boolean {
+			const wave = records.decodeWave(entry);
+			if (!wave) {
+				return false;
+			}
+
+			if (!waves.has(wave.wave)) {
+				const row: WaveRow = {
+					wave: wave.wave, machines: wave.machines, maximumAtOnce: wave.maximumAtOnce, endsAt: clock.now() + wave.withinMilliseconds,
+					begun: new Set(restored.get(wave.wave)), closing: new Map(), ordered: new Set(), down: new Set(),
+				};
+				waves.set(wave.wave, row);
+				if (row.machines.every(machine => row.begun.has(machine))) {
+					completed.add(row.wave);
+				}
+
+				log.wave(wave.wave, undefined, 'requested');
+				if (!completed.has(row.wave)) {
+					writeStatus(row, false);
+				}
+			}
+
+			return true;
+		},
+		/** True while a wave has closed the machine or is about to order its upkeep. */
+		isReserved: (machine: string) => [...waves.values()].some(wave => wave.closing.has(machine) || wave.ordered.has(machine) || wave.down.has(machine)),
+		tick(): void {
+			const open = [...waves.values()].filter(wave => !completed.has(wave.wave) || wave.down.size > 0);
+			const now = clock.now();
+			if (open.length === 0 || now < tookOverAt + quietMilliseconds || !mayOrder()) {
+				return;
+			}
+
+			list.refresh();
+			if (list.records().length > 0) {
+				for (const wave of open) {
+					runWave(wave, now);
+				}
+			}
+		},
+	};
+};
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -8,14 +8,19 @@
 import type {KeyValueStore, StoredEntry, StoreOperation, WatchHandle} from '@turmericbay/types';
 import {createCommits} from './commits.js';
 import {followPrefix, listAll} from './follow.js';
+import type {MaintenanceLog} from './maintenance.js';
+import {createMachineList} from './machine-list.js';
+import {createMaintenance} from './maintenance.js';
+import type {PoolMoveLog} from './pool-moves.js';
+import {createPoolMoves} from './pool-moves.js';
 import {createOrders} from './orders.js';
 import type {Renewal, Tenure} from './ownership.js';
 import type {
-	AdviceClient, Clock, Configuration, PlatformRecords, WorkerClient,
+	AdviceClient, Clock, Configuration, MachineService, PlatformRecords, WorkerClient,
 } from './ports.js';
 import type {UsedWorkerRecord} from './records.js';
 import {
-	cancellationPrefix, jobPrefix, parseJob, parseProgress, parseUsedWorker, progressPrefix, resultPrefix, TerminalState, toTerminalState, usedWorkerPrefix,
+	cancellationPrefix, homesKey, jobPrefix, parseJob, parseProgress, parseUsedWorker, progressPrefix, resultPrefix, TerminalState, toTerminalState, usedWorkerPrefix, waveProgressPrefix,
 } from './records.js';
 import type {WorkerSession} from './worker-session.js';
 import {createWorkerSession} from './worker-session.js';
@@ -33,7 +38,7 @@
 const resultSeconds = 600;
 const resultLeaseRefreshMilliseconds = 60_000;
 
-export type OwnerLog = {
+export type OwnerLog = MaintenanceLog & PoolMoveLog & {
 	scheduler(event: SchedulerEvent): void;
 	start(order: StartOrder, outcome: string): void;
 	workerLost(worker: WorkerRow, message: string): void;
@@ -53,6 +58,9 @@
 	readonly renewal: Renewal;
 	readonly workerClient: WorkerClient;
 	readonly advice: AdviceClient | undefined;
+	/** Undefined where the platform has no machines' service. */
+	readonly machines: MachineService | undefined;
+	readonly instance: string;
 	readonly clock: Clock;
 	readonly configuration: () => Configuration;
 	/** Longest lease that workers take. */
@@ -65,7 +73,7 @@
 const idOf = (key: string): string => key.slice(key.lastIndexOf('/') + 1);
 
 export const createOwner = async (options: OwnerOptions) => {
-	const {store, records, tenure, renewal, workerClient, advice, clock, configuration, longestLeaseMilliseconds, leaseMilliseconds, onLost, log} = options;
+	const {store, records, tenure, renewal, workerClient, advice, machines, instance, clock, configuration, longestLeaseMilliseconds, leaseMilliseconds, onLost, log} = options;
 	const tookOverAt = clock.now();
 	let isEnded = false;
 	let isLoaded = false;
@@ -76,6 +84,8 @@
 	const finished = new Map<string, {readonly state: TerminalState; readonly at: number}>();
 	const finishing = new Set<string>();
 	const cancelledEarly = new Set<string>();
+	/** Lives of workers that were ended for a machine's sake; their entries stay in the list for a while. */
+	const retired = new Map<string, number | undefined>();
 	let resultLease: {readonly leaseId: string; readonly at: number} | undefined;
 
 	const scheduler = createScheduler({epoch: tenure.epoch, emit: event => {
@@ -123,6 +133,33 @@
 		onStart: log.start,
 	});
 
+	/** Ends the session with a life of a worker that is over. */
+	const dropWorker = (worker: WorkerRow): void => {
+		const {id, address} = worker.report;
+		scheduler.loseWorker(worker);
+		sessions.get(id)?.end();
+		sessions.delete(id);
+		scheduler.workers.delete(id);
+		workerClient.forget({id, address});
+		requestTick();
+	};
+
+	const createMachineDuties = (service: MachineService) => {
+		const shared = {
+			scheduler, machines: service, list: createMachineList({machines: service, scheduler, clock}), clock, holder: instance, epoch: tenure.epoch, tookOverAt, mayOrder: mayStart,
+			retire(worker: WorkerRow) {
+				retired.set(worker.report.id, worker.bornAt);
+				dropWorker(worker);
+			},
+			commit: async (operations: readonly StoreOperation[]) => commits.commit(operations),
+			log,
+		};
+		const maintenance = createMaintenance({...shared, records});
+		return {maintenance, poolMoves: createPoolMoves({...shared, isReserved: maintenance.isReserved})};
+	};
+
+	const {maintenance, poolMoves} = machines ? createMachineDuties(machines) : {};
+
 	const refreshResultLease = async (): Promise<void> => {
 		const granted = await store.grantLease({timeToLiveSeconds: resultSeconds});
 		if (granted.isOk()) {
@@ -167,7 +204,8 @@
 		}
 
 		scheduler.changedJobs.clear();
-		await Promise.all([...writes, commits.commit(operations)]);
+		// Changes that an earlier call has taken may still be on their way.
+		await Promise.all([...writes, commits.commit(operations), commits.flush()]);
 	};
 
 	const removeSettled = (): void => {
@@ -253,6 +291,8 @@
 
 		removeSettled();
 		removeWorkers(now);
+		maintenance?.tick();
+		poolMoves?.tick();
 	};
 
 	const openSession = (worker: WorkerRow): void => {
@@ -270,18 +310,15 @@
 			onChange: requestTick,
 			onTrouble: log.workerLost,
 			onAnswer: log.workerRegained,
-			onGone(gone) {
-				scheduler.loseWorker(gone);
-				sessions.get(id)?.end();
-				sessions.delete(id);
-				scheduler.workers.delete(id);
-				workerClient.forget({id, address: gone.report.address});
-				requestTick();
-			},
+			onGone: dropWorker,
 		}));
 	};
 
 	const reportWorker = (report: WorkerReport, isRestored: boolean): void => {
+		if (retired.has(report.id) && retired.get(report.id) === report.bornAt) {
+			return;
+		}
+
 		const isKnown = scheduler.workers.has(report.id);
 		const now = clock.now();
 		const worker = scheduler.reportWorker({
@@ -359,11 +396,11 @@
 	};
 
 	const load = async (): Promise<boolean> => {
-		const [workers, used, jobs, progress, cancellations] = await Promise.all([
+		const [workers, used, jobs, progress, cancellations, waves, homes] = await Promise.all([
 			listAll(store, records.workerPrefix), listAll(store, usedWorkerPrefix), listAll(store, jobPrefix),
-			listAll(store, progressPrefix), listAll(store, cancellationPrefix),
+			listAll(store, progressPrefix), listAll(store, cancellationPrefix), listAll(store, waveProgressPrefix), store.read({key: homesKey}),
 		]);
-		if (workers.isErr() || used.isErr() || jobs.isErr() || progress.isErr() || cancellations.isErr()) {
+		if (waves.isErr() || homes.isErr() || workers.isErr() || used.isErr() || jobs.isErr() || progress.isErr() || cancellations.isErr()) {
 			return false;
 		}
 
@@ -407,6 +444,8 @@
 			cancel(idOf(entry.key));
 		}
 
+		maintenance?.restore(waves.value);
+		poolMoves?.restore(homes.value);
 		isLoaded = true;
 		log.loaded({jobs: scheduler.jobs.size, workers: scheduler.workers.size, milliseconds: clock.now() - tookOverAt});
 		return true;
@@ -428,12 +467,19 @@
 			unlist([...scheduler.workers.keys()].filter(id => !present.has(id)));
 		});
 		const ignore = (): void => {
-			// Jobs and cancellations are deleted by this owner alone.
+			// Jobs and cancellations are deleted by this owner alone, waves by nobody.
 		};
 
 		follow(jobPrefix, entries => {
 			addJobEntries(entries, false);
 		}, ignore);
+		follow(records.wavePrefix, entries => {
+			for (const entry of entries) {
+				if (maintenance?.request(entry) === false) {
+					log.unreadable(entry.key);
+				}
+			}
+		}, ignore);
 		follow(cancellationPrefix, entries => {
 			for (const entry of entries) {
 				cancel(idOf(entry.key));
--- /dev/null
+++ b/packages/jobs/job-service/src/pool-moves.ts
@@ -0,0 +1,145 @@
+/** Moves machines between pools as the planner says. */
+import type {PoolMachine, PoolMove, Scheduler, WorkerRow} from '@turmericbay/scheduler';
+import {createPoolPlanner} from '@turmericbay/scheduler';
+import type {StoredEntry, StoreOperation} from '@turmericbay/types';
+import type {MachineList} from './machine-list.js';
+import {quietMilliseconds} from './maintenance.js';
+import type {Clock, MachineService} from './ports.js';
+import {MachineState} from './ports.js';
+import {homesKey} from './records.js';
+
+/** Pools are looked at this often. */
+const planMilliseconds = 150;
+/** A machine that could not be moved is left alone for this time. */
+const retryMilliseconds = 2000;
+/** A move whose end the list does not show is forgotten after this time. */
+const longestMoveMilliseconds = 6000;
+
+export type PoolMoveLog = {
+	move(move: PoolMove, outcome: string): void;
+};
+
+export type PoolMoves = ReturnType<typeof createPoolMoves>;
+
+export const createPoolMoves = (options: {
+	readonly scheduler: Scheduler;
+	readonly machines: MachineService;
+	readonly list: MachineList;
+	readonly clock: Clock;
+	readonly holder: string;
+	readonly epoch: number;
+	readonly tookOverAt: number;
+	readonly mayOrder: () => boolean;
+	readonly commit: (operations: readonly StoreOperation[]) => Promise<void>;
+	/** Machines that a wave is about to take. */
+	readonly isReserved: (machine: string) => boolean;
+	/** The worker's life has been ended by the platform. */
+	readonly retire: (worker: WorkerRow) => void;
+	readonly log: PoolMoveLog;
+}) => {
+	const {scheduler, machines, list, clock, holder, epoch, tookOverAt, mayOrder, commit, isReserved, retire, log} = options;
+	const planner = createPoolPlanner();
+	const homes = new Map<string, string>();
+	const incoming = new Map<string, string>();
+	const movedAt = new Map<string, number>();
+	const retryAt = new Map<string, number>();
+	const impossible = new Set<string>();
+	let plannedAt = Number.NEGATIVE_INFINITY;
+
+	const order = async (move: PoolMove): Promise<void> => {
+		const {machine, to} = move;
+		const worker = list.workerOn(machine);
+		if (worker) {
+			worker.closing = true;
+		}
+
+		incoming.set(machine, to);
+		movedAt.set(machine, Number.POSITIVE_INFINITY);
+		const outcome = await machines.move({
+			machine, pool: to, holder, fencingToken: epoch,
+		});
+		log.move(move, outcome);
+		movedAt.set(machine, clock.now());
+		if (outcome === 'accepted') {
+			if (worker) {
+				retire(worker);
+			}
+
+			return;
+		}
+
+		if (outcome === 'invalid') {
+			impossible.add(`${machine} ${to}`);
+		}
+
+		if (outcome !== 'unknown') {
+			incoming.delete(machine);
+			if (worker) {
+				worker.closing = false;
+			}
+		}
+
+		retryAt.set(machine, clock.now() + retryMilliseconds);
+	};
+
+	/** Forgets moves whose end the list shows. */
+	const settle = (now: number): void => {
+		for (const [machine, pool] of incoming) {
+			const at = movedAt.get(machine) ?? now;
+			const record = list.records().find(entry => entry.machine === machine);
+			const isSeen = list.sentAt() > at && record?.pool === pool && record.state === MachineState.Up;
+			if (isSeen || now - at > longestMoveMilliseconds) {
+				incoming.delete(machine);
+				const worker = list.workerOn(machine);
+				if (worker) {
+					worker.closing = false;
+				}
+			}
+		}
+	};
+
+	/** The pools of the machines when they are first seen; stored, since a later owner sees them where the moves have left them. */
+	const noteHomes = (known: readonly PoolMachine[]): void => {
+		let isNew = false;
+		for (const {machine, pool} of known) {
+			if (!homes.has(machine)) {
+				homes.set(machine, pool);
+				isNew = true;
+			}
+		}
+
+		if (isNew) {
+			void commit([{type: 'put', key: homesKey, value: JSON.stringify([...homes])}]);
+		}
+	};
+
+	return {
+		restore(entry: StoredEntry | undefined): void {
+			for (const [machine, pool] of entry ? JSON.parse(entry.value) as Array<[string, string]> : []) {
+				homes.set(machine, pool);
+			}
+		},
+		tick(): void {
+			const now = clock.now();
+			if (now < tookOverAt + quietMilliseconds || now - plannedAt < planMilliseconds || !mayOrder()) {
+				return;
+			}
+
+			plannedAt = now;
+			list.refresh();
+			settle(now);
+			const known: PoolMachine[] = list.records().map(({machine, pool, state, cpuMillis}) => ({
+				machine, pool, cpuMillis, isUp: state === MachineState.Up, worker: list.workerOn(machine),
+			}));
+			noteHomes(known);
+			const standbyPools = new Set([...scheduler.policies().pools.values()].filter(pool => pool.standby).map(pool => pool.name));
+			const demands = new Map([...scheduler.poolDemands()].filter(([pool]) => !standbyPools.has(pool)));
+			for (const move of planner.plan({
+				machines: known, homes, demands, standbyPools, incoming, now,
+				isPossible: (machine, pool) => !isReserved(machine) && (retryAt.get(machine) ?? 0) <= now && !impossible.has(`${machine} ${pool}`),
+			})) {
+				void order(move);
+			}
+		},
+	};
+};
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -10,7 +10,7 @@
 import {acquireOwnership, createRenewal} from './ownership.js';
 import {createPeerServer} from './peer-server.js';
 import type {
-	AdviceClient, Clock, Configuration, PlatformRecords, WorkerClient,
+	AdviceClient, Clock, Configuration, MachineService, PlatformRecords, WorkerClient,
 } from './ports.js';
 import type {OwnerRecord} from './records.js';
 import {ownerKey, parseOwner} from './records.js';
@@ -40,6 +40,7 @@
 	readonly records: PlatformRecords;
 	readonly workerClient: WorkerClient;
 	readonly advice: AdviceClient | undefined;
+	readonly machines: MachineService | undefined;
 	readonly peerClient: HttpClient;
 	readonly clock: Clock;
 	readonly random: () => number;
@@ -48,7 +49,7 @@
 	readonly log: ServiceLog;
 	readonly renderMetrics: () => string;
 }) => {
-	const {instance, host, port, store, records, workerClient, advice, peerClient, clock, random, longestLeaseMilliseconds, leaseMilliseconds, log, renderMetrics} = options;
+	const {instance, host, port, store, records, workerClient, advice, machines, peerClient, clock, random, longestLeaseMilliseconds, leaseMilliseconds, log, renderMetrics} = options;
 	const address = `${host}:${port}`;
 	let owner: NonNullable<Owner> | undefined;
 	let seenOwner: OwnerRecord | undefined;
@@ -112,7 +113,7 @@
 		});
 		abandon = onLost;
 		const created = await createOwner({
-			store, records, tenure, renewal, workerClient, advice, clock,
+			store, records, tenure, renewal, workerClient, advice, machines, instance, clock,
 			configuration: () => configuration.current() ?? current,
 			longestLeaseMilliseconds, leaseMilliseconds, onLost, log,
 		});
--- a/packages/jobs/scheduler/src/index.ts
+++ b/packages/jobs/scheduler/src/index.ts
@@ -7,3 +7,5 @@
 export * from './progress.js';
 export * from './scheduler.js';
 export {lapseTime, slowestWorkerClock} from './workers.js';
+export * from './waves.js';
+export * from './pools.js';
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -138,6 +138,8 @@
 	measured: number;
 	pacePercent: number;
 	paceInFlight: boolean;
+	/** Stopped here to be started elsewhere. */
+	isEvacuating: boolean;
 	/** When the target was first exceeded without a break; undefined while it is met. */
 	overTargetSince: number | undefined;
 	/** When the percentage last grew. */
@@ -230,6 +232,8 @@
 	isRecorded: boolean;
 	/** Closed for new work by a wave or a move. */
 	closing: boolean;
+	/** An order that ends this life is on its way. */
+	ending: boolean;
 	readonly runs: Map<string, RunRow>;
 	used: {cpuMillis: number; memoryMegabytes: number; accelerators: number};
 	/** Recent ends by cause, to recognise workers that fail what they start. */
--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -87,7 +87,9 @@
 		const {preferredRack} = task.step.declaration;
 		const nearData = preferredRack !== undefined && rackOf(worker.report) === preferredRack ? 2 : 0;
 		const failedHere = task.failedOn.includes(worker.report.id) ? -4 : 0;
-		return nearData + failedHere + freeShare(worker);
+		// Tasks that serve are spread, so that a machine can be taken away without stopping several of one step.
+		const together = task.step.declaration.longRunning ? -countOn(task.step, worker) : 0;
+		return nearData + failedHere + together + freeShare(worker);
 	};
 
 	const choose = (task: TaskRow, candidates: readonly WorkerRow[]): WorkerRow | undefined => {
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -3,7 +3,7 @@
  * systems that run over them each tick. It does no input or output; times and
  * answers are passed in, orders are returned.
  */
-import {createJobTable, isActive} from './jobs.js';
+import {createJobTable, isActive, isStepReady} from './jobs.js';
 import type {SchedulerEvent} from './lists.js';
 import {createReconciler} from './lists.js';
 import type {
@@ -14,6 +14,7 @@
 import {createPacing} from './pacing.js';
 import type {AdviceOrder, StartOrder} from './placement.js';
 import {createPlacement} from './placement.js';
+import type {PoolDemand} from './pools.js';
 import type {JobProgress} from './progress.js';
 import {createWorkerTable} from './workers.js';
 
@@ -68,7 +69,7 @@
 			return false;
 		}
 
-		const isUnwanted = !isActive(row.task.step.job) || row.task.done;
+		const isUnwanted = !isActive(row.task.step.job) || row.task.done || row.isEvacuating;
 		switch (row.phase) {
 			case RunPhase.Running: {
 				return isUnwanted;
@@ -140,7 +141,34 @@
 		return pools;
 	};
 
+	/** Pools that run work, with the need of tasks that could start and have no room. */
+	const poolDemands = (): Map<string, PoolDemand> => {
+		const waiting = new Map<string, number>();
+		for (const {pool} of policies.queues.values()) {
+			waiting.set(pool, 0);
+		}
+
+		for (const job of jobs.jobs.values()) {
+			const pool = policies.queues.get(job.declaration.queue)?.pool;
+			if (pool === undefined || !isActive(job)) {
+				continue;
+			}
+
+			for (const steps of job.occurrences.values()) {
+				for (const step of steps) {
+					if (step.waiting > 0 && !step.declaration.fills && isStepReady(step)) {
+						waiting.set(pool, (waiting.get(pool) ?? 0) + step.waiting * step.declaration.resources.cpuMillis);
+					}
+				}
+			}
+		}
+
+		return new Map([...waiting].map(([pool, waitingCpuMillis]) => [pool, {waitingCpuMillis}]));
+	};
+
 	return {
+		poolDemands,
+		policies: () => policies,
 		jobs: jobs.jobs,
 		changedJobs: jobs.changedJobs,
 		workers: workers.workers,
--- a/packages/jobs/scheduler/src/workers.ts
+++ b/packages/jobs/scheduler/src/workers.ts
@@ -48,7 +48,7 @@
 			const {task, worker, run, phase, now} = options;
 			const row: RunRow = {
 				task, worker, run, phase, startedAt: now, confirmedAt: phase === RunPhase.Starting ? undefined : now, doubtedAt: undefined, stopSentAt: undefined,
-				stoppedAt: undefined, stopInFlight: false, percent: 0, measured: 0, pacePercent: 100, paceInFlight: false,
+				stoppedAt: undefined, stopInFlight: false, percent: 0, measured: 0, pacePercent: 100, paceInFlight: false, isEvacuating: false,
 				overTargetSince: undefined, progressedAt: now,
 			};
 			if (task.runs.size === 0 && !task.done) {
@@ -88,7 +88,7 @@
 
 			const row: WorkerRow = {
 				report, listed, bornAt: report.bornAt, resolved, lapsesBy, answeredAt: Number.NEGATIVE_INFINITY, failures: 0,
-				appliedEnd: 0, avoidUntil: 0, isRecorded: false, closing: false, runs: new Map(), used: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0},
+				appliedEnd: 0, avoidUntil: 0, isRecorded: false, closing: false, ending: false, runs: new Map(), used: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0},
 				recentFailures: 0, recentSuccesses: 0,
 			};
 			workers.set(report.id, row);
