Treat what runs on a machine as unknown until a list was read after the newest order

Ruled out: two upkeeps in one tick (both orders were seconds apart). Change: the list of machines notes orders; a machine counts as moving until a newer list; a worker that has not been heard of counts likewise.

--- a/packages/jobs/job-service/src/machine-list.ts
+++ b/packages/jobs/job-service/src/machine-list.ts
@@ -1,6 +1,7 @@
 /** The platform's list of machines, read no more often than needed. */
 import type {Scheduler, WorkerRow} from '@turmericbay/scheduler';
 import type {Clock, MachineRecord, MachineService} from './ports.js';
+import {MachineState} from './ports.js';
 
 /** A move or an upkeep takes two seconds; its end is seen this much later at most. */
 const intervalMilliseconds = 500;
@@ -13,6 +14,8 @@
 	let sentAt = Number.NEGATIVE_INFINITY;
 	let endedAt = Number.NEGATIVE_INFINITY;
 	let isReading = false;
+	/** Steady time of the newest order for each machine: an older list says nothing about it. */
+	const orderedAt = new Map<string, number>();
 
 	const read = async (): Promise<void> => {
 		isReading = true;
@@ -26,9 +29,17 @@
 		}
 	};
 
+	/** What runs on the machine is known: no order came after the list, and its worker has been heard of. */
+	const isKnown = (record: MachineRecord): boolean =>
+		(orderedAt.get(record.machine) ?? Number.NEGATIVE_INFINITY) < sentAt && (record.worker === undefined || scheduler.workers.has(record.worker));
+
 	return {
-		/** The newest list that was read; empty before. */
-		records: () => records,
+		/** The newest list that was read; empty before. A machine of which it is not known what runs there counts as moving. */
+		records: (): readonly MachineRecord[] => records.map(record => record.state === MachineState.Up && !isKnown(record) ? {...record, state: MachineState.Moving} : record),
+		/** Called when an order for the machine is sent, and again when it is answered. */
+		noteOrder(machine: string): void {
+			orderedAt.set(machine, clock.now());
+		},
 		/** Send time of the call that brought it. */
 		sentAt: () => sentAt,
 		workerOn(machine: string): WorkerRow | undefined {
--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -75,9 +75,11 @@
 			worker.ending = true;
 		}
 
+		list.noteOrder(machine);
 		const outcome = await machines.upkeep({
 			machine, wave: wave.wave, holder, fencingToken: epoch,
 		});
+		list.noteOrder(machine);
 		wave.ordered.delete(machine);
 		log.wave(wave.wave, machine, outcome);
 		switch (outcome) {
--- a/packages/jobs/job-service/src/pool-moves.ts
+++ b/packages/jobs/job-service/src/pool-moves.ts
@@ -55,9 +55,11 @@
 
 		incoming.set(machine, to);
 		movedAt.set(machine, Number.POSITIVE_INFINITY);
+		list.noteOrder(machine);
 		const outcome = await machines.move({
 			machine, pool: to, holder, fencingToken: epoch,
 		});
+		list.noteOrder(machine);
 		log.move(move, outcome);
 		movedAt.set(machine, clock.now());
 		if (outcome === 'accepted') {
--- /dev/null
+++ b/packages/jobs/scheduler/test/support/builders.ts
@@ -0,0 +1,74 @@
+/** Short ways to declare jobs and workers in tests. */
+import type {
+	JobDeclaration, Policies, RunningEntry, Scheduler, StepDeclaration, WorkerReport, WorkerRow,
+} from '../../src/index.js';
+import {createScheduler, RunPhase} from '../../src/index.js';
+
+export const pool = 'pickups';
+export const queue = 'quotes';
+
+export const createStep = (overrides: Partial<StepDeclaration> = {}): StepDeclaration => ({
+	taskCount: 1, resources: {cpuMillis: 1000, memoryMegabytes: 100, accelerators: 0}, estimateMilliseconds: 500, after: [], checkpointing: false,
+	gang: false, sameRack: false, requiredLabel: undefined, preferredRack: undefined, maximumPerWorker: 0, speculative: false, longRunning: false,
+	image: '', targetMilliseconds: 0, fills: false, maximumAway: undefined, ...overrides,
+});
+
+export const createJob = (id: string, steps: readonly StepDeclaration[], overrides: Partial<JobDeclaration> = {}): JobDeclaration => ({
+	id, queue, workspace: undefined, payload: 'payload', steps, repetitions: 0, firstDueAt: 0, intervalMilliseconds: 0, submittedAt: 0, ...overrides,
+});
+
+export const createPolicies = (overrides: Partial<Policies> = {}): Policies => ({
+	queues: new Map([[queue, {
+		name: queue, pool, priority: 0, maximumAttempts: 2, stretch: 2, objectiveMilliseconds: 600, advice: undefined,
+	}]]),
+	pools: new Map([[pool, {name: pool, enforcesCapacity: true, standby: false}]]),
+	workspaces: new Map(),
+	...overrides,
+});
+
+export const createReport = (id: string, overrides: Partial<WorkerReport> = {}): WorkerReport => ({
+	id, bornAt: 1, address: '10.0.0.1:80', pool, zone: 'north', draining: false,
+	capacity: {cpuMillis: 4000, memoryMegabytes: 10_000, accelerators: 0}, labels: ['a', 'r1-1'], ...overrides,
+});
+
+export const createTestScheduler = (policies: Policies = createPolicies(), epoch = 1): Scheduler => {
+	const scheduler = createScheduler({epoch, emit: () => undefined});
+	scheduler.setPolicies(policies);
+	return scheduler;
+};
+
+/** Adds a worker that has answered and may be used. */
+export const addWorker = (scheduler: Scheduler, report: WorkerReport, now = 0): WorkerRow => {
+	const worker = scheduler.reportWorker({
+		report, listed: true, resolved: true, lapsesBy: Number.NEGATIVE_INFINITY, now,
+	});
+	worker.isRecorded = true;
+	answer(scheduler, worker, now);
+	return worker;
+};
+
+/** The worker answers a call that was sent at `now` with all runs that it is known to have. */
+export const answer = (scheduler: Scheduler, worker: WorkerRow, now: number, running?: readonly RunningEntry[]): void => {
+	scheduler.applyLists({
+		worker, sentAt: now, now,
+		lists: {
+			bornAt: worker.bornAt, ended: [], partial: false,
+			running: running ?? [...worker.runs.values()].filter(row => row.phase === RunPhase.Running).map(row => ({
+				task: row.task.name, run: row.run, checkpoint: '', percent: 100, measured: 0,
+			})),
+		},
+	});
+};
+
+/** Plans once and lets every start succeed; returns the names of the started tasks with their workers. */
+export const startAll = (scheduler: Scheduler, now: number): Array<readonly [string, string]> => {
+	const started: Array<readonly [string, string]> = [];
+	for (const order of scheduler.plan({now, wallNow: now, mayStart: true})) {
+		if (order.type === 'start') {
+			scheduler.noteStart(order.row, {type: 'started'}, now);
+			started.push([order.row.task.name, order.row.worker.report.id]);
+		}
+	}
+
+	return started;
+};
--- /dev/null
+++ b/packages/jobs/scheduler/test/waves.test.ts
@@ -0,0 +1,58 @@
+import test from 'ava';
+import type {WaveMachine, WaveRow} from '../src/index.js';
+import {mayTakeAway, planWave} from '../src/index.js';
+import {
+	addWorker, answer, createJob, createReport, createStep, createTestScheduler, startAll,
+} from './support/builders.js';
+
+const createWave = (machines: readonly string[], overrides: Partial<WaveRow> = {}): WaveRow => ({
+	wave: 1, machines, maximumAtOnce: 2, endsAt: 60_000, begun: new Set(), closing: new Map(), ordered: new Set(), down: new Set(), ...overrides,
+});
+
+const serve = (tasks: number, maximumAway: number) => {
+	const scheduler = createTestScheduler();
+	const workers = ['w1', 'w2', 'w3'].map(id => addWorker(scheduler, createReport(id)));
+	scheduler.addJob(createJob('service', [createStep({taskCount: tasks, longRunning: true, maximumAway})]), {restored: false, now: 0, wallNow: 0});
+	startAll(scheduler, 1);
+	for (const worker of workers) {
+		answer(scheduler, worker, 2);
+	}
+
+	return {scheduler, workers};
+};
+
+// Guards against two upkeeps at the same time that each count the other's tasks as at work.
+test('an order under way counts as away', t => {
+	const {workers} = serve(2, 1);
+	const [first, second] = workers.filter(worker => worker.runs.size > 0);
+	t.true(mayTakeAway(first!));
+	first!.ending = true;
+	t.false(mayTakeAway(second!));
+});
+
+// Guards against a wave that never ends: a machine with several tasks of one step could not be taken at all.
+test('tasks of one step on one machine are moved away one after the other', t => {
+	const {scheduler, workers} = serve(6, 1);
+	const worker = workers[0]!;
+	t.is(worker.runs.size, 2);
+	const machines = new Map<string, WaveMachine>([['m1', {machine: 'm1', pool: worker.report.pool, isUp: true, worker}]]);
+	const wave = createWave(['m1']);
+	const plan = planWave({
+		wave, machines, workers: scheduler.workers.values(), backlogged: new Set(), now: 10,
+	});
+	t.deepEqual(plan.ready, []);
+	t.is(plan.evacuate.length, 1);
+	t.is(plan.evacuate[0]!.worker, worker);
+});
+
+test('no more machines are taken at once than the wave allows', t => {
+	const {scheduler, workers} = serve(0, 1);
+	const machines = new Map<string, WaveMachine>(workers.map((worker, index) => [`m${index}`, {
+		machine: `m${index}`, pool: worker.report.pool, isUp: true, worker,
+	}]));
+	const wave = createWave([...machines.keys()], {endsAt: 0});
+	planWave({
+		wave, machines, workers: scheduler.workers.values(), backlogged: new Set(), now: 10,
+	});
+	t.is(wave.closing.size, 2);
+});
