--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -71,10 +71,6 @@
 	const order = async (wave: WaveRow, machine: string): Promise<void> => {
 		wave.ordered.add(machine);
 		const worker = list.workerOn(machine);
-		if (worker) {
-			worker.ending = true;
-		}
-
 		list.noteOrder(machine);
 		const outcome = await machines.upkeep({
 			machine, wave: wave.wave, holder, fencingToken: epoch,
@@ -142,14 +138,8 @@
 		const plan = planWave({
 			wave, machines: usable, workers: scheduler.workers.values(), backlogged, now,
 		});
-		for (const row of plan.evacuate) {
-			row.isEvacuating = true;
-		}
-
 		for (const machine of plan.ready) {
-			if (!wave.ordered.has(machine) && wave.down.size + wave.ordered.size < wave.maximumAtOnce) {
-				void order(wave, machine);
-			}
+			void order(wave, machine);
 		}
 	};
 
--- a/packages/jobs/scheduler/src/waves.ts
+++ b/packages/jobs/scheduler/src/waves.ts
@@ -99,6 +99,46 @@
 
 const hasShortWork = (worker: WorkerRow): boolean => [...worker.runs.values()].some(row => !row.task.step.declaration.longRunning);
 
+/**
+ * The machine whose upkeep is ordered next, if any. Its worker is marked at once: tasks of
+ * one step may stand on several machines, and each order is judged after the one before it.
+ */
+const chooseReady = (wave: WaveRow, machines: ReadonlyMap<string, WaveMachine>, now: number): string[] => {
+	for (const [machine, closedAt] of wave.closing) {
+		const known = machines.get(machine);
+		if (!known?.isUp) {
+			continue;
+		}
+
+		const {worker} = known;
+		if (worker === undefined) {
+			return [machine];
+		}
+
+		if (mayTakeAway(worker) && (!hasShortWork(worker) || now - closedAt > closingMilliseconds)) {
+			worker.ending = true;
+			return [machine];
+		}
+	}
+
+	return [];
+};
+
+const chooseEvacuations = (wave: WaveRow, machines: ReadonlyMap<string, WaveMachine>): RunRow[] => {
+	const rows: RunRow[] = [];
+	for (const machine of wave.closing.keys()) {
+		const worker = machines.get(machine)?.worker;
+		const row = worker && !worker.ending ? chooseEvacuation(worker) : undefined;
+		if (row) {
+			row.isEvacuating = true;
+			rows.push(row);
+		}
+	}
+
+	return rows;
+};
+
+/** Closes machines, and names those to be ordered now and the runs that are stopped to be started elsewhere. */
 export const planWave = (options: {
 	readonly wave: WaveRow;
 	readonly machines: ReadonlyMap<string, WaveMachine>;
@@ -155,24 +195,5 @@
 		}
 	}
 
-	const ready: string[] = [];
-	const evacuate: RunRow[] = [];
-	for (const [machine, closedAt] of wave.closing) {
-		const worker = machines.get(machine)?.worker;
-		if (worker === undefined) {
-			ready.push(machine);
-		} else if (mayTakeAway(worker)) {
-			if (!hasShortWork(worker) || now - closedAt > closingMilliseconds) {
-				ready.push(machine);
-			}
-		} else {
-			const row = chooseEvacuation(worker);
-			if (row && evacuate.every(other => other.task.step !== row.task.step)) {
-				evacuate.push(row);
-			}
-		}
-	}
-
-	// Tasks of one step may stand on several of these machines; each order is judged after the one before it.
-	return {ready: ready.slice(0, 1), evacuate};
+	return {ready: chooseReady(wave, machines, now), evacuate: chooseEvacuations(wave, machines)};
 };
--- a/packages/jobs/scheduler/test/waves.test.ts
+++ b/packages/jobs/scheduler/test/waves.test.ts
@@ -56,3 +56,17 @@
 	});
 	t.is(wave.closing.size, 2);
 });
+
+// Guards against an upkeep and an evacuation in one tick that each count the other's task as at work.
+test('an upkeep and an evacuation of one step do not go together', t => {
+	const {scheduler, workers} = serve(4, 1);
+	const machines = new Map<string, WaveMachine>(workers.map((worker, index) => [`m${index}`, {
+		machine: `m${index}`, pool: worker.report.pool, isUp: true, worker,
+	}]));
+	const wave = createWave([...machines.keys()], {maximumAtOnce: 3, endsAt: 0});
+	const plan = planWave({
+		wave, machines, workers: scheduler.workers.values(), backlogged: new Set(), now: 10,
+	});
+	t.is(plan.ready.length, 1);
+	t.deepEqual(plan.evacuate, []);
+});
