Shorten the owner's lease, copy tasks of silent workers, judge workers by their speed

Cause: after the loss of the owner nothing started for 3 s; work of dark workers waited 4.8 s; slow workers got as much work as others; hung runs never ended. Ruled out: taking the ownership before its lease ends on a missing peer answer: an instance of a cut zone would take it from a sound owner.

--- a/packages/jobs/job-service/src/ownership.ts
+++ b/packages/jobs/job-service/src/ownership.ts
@@ -7,12 +7,14 @@
 import {StoreErrorKind} from '@turmericbay/types';
 import type {Clock} from './ports.js';
 import type {CommitRecord, OwnerRecord} from './records.js';
-import {commitKey, ownerKey, parseCommit} from './records.js';
+import {
+	commitKey, ownerKey, parseCommit, parseOwner,
+} from './records.js';
 
 /** Lease of the owner's key; a crash of the owner stops new starts for about this time. */
-export const ownerLeaseMilliseconds = 3000;
-/** Three renewals may be lost before the lease ends. */
-export const renewIntervalMilliseconds = 700;
+export const ownerLeaseMilliseconds = 2000;
+/** Four renewals may be lost before the owner pauses. A renewal does not wait for the answer of the one before it. */
+const renewIntervalMilliseconds = 330;
 /** The owner stops earlier than its lease ends, by what a call under way may take to reach a worker. */
 const safetyMilliseconds = 300;
 /** The wall clock and the steady clock may drift apart by this between two looks without a pause being suspected. */
@@ -39,7 +41,13 @@
 	}
 
 	if (owner.value !== undefined) {
-		return {type: 'taken'};
+		const holder = parseOwner(owner.value);
+		if (holder?.instance !== instance || holder.leaseId === undefined) {
+			return {type: 'taken'};
+		}
+
+		// The former life of this process held the ownership. It is over, so its lease need not be waited out.
+		await store.revokeLease({leaseId: holder.leaseId});
 	}
 
 	const commit = await store.read({key: commitKey});
@@ -55,8 +63,10 @@
 	}
 
 	const epoch = previous.epoch + 1;
-	const record: OwnerRecord = {instance, address, epoch};
 	const {leaseId} = lease.value;
+	const record: OwnerRecord = {
+		instance, address, epoch, leaseId,
+	};
 	const taken = await store.transact({
 		conditions: [{key: ownerKey, modifiedRevision: 0}, {key: commitKey, modifiedRevision: commit.value?.modifiedRevision ?? 0}],
 		operations: [
@@ -92,24 +102,17 @@
 	let {confirmedAt} = options;
 	let lastLook = {steady: clock.now(), wall: clock.wallNow()};
 	let isEnded = false;
-	let isRenewing = false;
 	let lastRenewal = clock.now();
 
 	const renew = async (): Promise<void> => {
-		if (isEnded || isRenewing) {
+		if (isEnded) {
 			return;
 		}
 
-		isRenewing = true;
 		const sentAt = clock.now();
 		lastRenewal = sentAt;
 		const renewed = await store.renewLease({leaseId: tenure.leaseId});
-		isRenewing = false;
-		if (isEnded) {
-			return;
-		}
-
-		if (renewed.isErr()) {
+		if (isEnded || renewed.isErr()) {
 			return;
 		}
 
--- a/packages/jobs/job-service/src/records.ts
+++ b/packages/jobs/job-service/src/records.ts
@@ -25,6 +25,8 @@
 	/** Address of the owner's peer listener. */
 	readonly address: string;
 	readonly epoch: number;
+	/** Lease of the owner's key. */
+	readonly leaseId: string;
 };
 
 export type CommitRecord = {readonly epoch: number; readonly sequence: number};
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -73,7 +73,7 @@
 
 	const campaign = async (): Promise<void> => {
 		const current = configuration.current();
-		if (isStopping || isCampaigning || owner || seenOwner || !current) {
+		if (isStopping || isCampaigning || owner || (seenOwner && seenOwner.instance !== instance) || !current) {
 			return;
 		}
 
@@ -143,7 +143,8 @@
 		}
 
 		seenOwner = next;
-		if (next === undefined) {
+		// An owner of this name that is not this process is its former life.
+		if (next === undefined || (next.instance === instance && !owner)) {
 			campaignSoon(0);
 		}
 	};
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -239,6 +239,8 @@
 	/** Recent ends by cause, to recognise workers that fail what they start. */
 	recentFailures: number;
 	recentSuccesses: number;
+	/** Progress of its runs against their estimates, relative to all workers; 1 is usual. */
+	speed: number;
 };
 
 export type RunningEntry = {
--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -11,6 +11,8 @@
 const silenceMilliseconds = 2500;
 /** Workers named in one call for advice; the service takes time for each. */
 const advisedWorkersPerCall = 12;
+/** A run on a slow worker is copied after this many times its estimate. */
+const copyAfterFactor = 1.5;
 /** A ticket is not used in the last part of its life, which the order to the worker needs. */
 const ticketMarginMilliseconds = 300;
 
@@ -29,6 +31,9 @@
 	worker.listed && worker.resolved && worker.isRecorded && !worker.report.draining && !worker.closing
 	&& worker.failures === 0 && worker.answeredAt > now - silenceMilliseconds && worker.avoidUntil <= now;
 
+/** Below this speed a worker is used only when no other has room. */
+const slowSpeed = 0.5;
+
 const freeShare = (worker: WorkerRow): number => 1 - worker.used.cpuMillis / Math.max(1, worker.report.capacity.cpuMillis);
 
 /** Late jobs come after those that can still be in time, and jobs past any use after these. */
@@ -89,7 +94,8 @@
 		const failedHere = task.failedOn.includes(worker.report.id) ? -4 : 0;
 		// Tasks that serve are spread, so that a machine can be taken away without stopping several of one step.
 		const together = task.step.declaration.longRunning ? -countOn(task.step, worker) : 0;
-		return nearData + failedHere + together + freeShare(worker);
+		const slow = worker.speed < slowSpeed ? -3 : 0;
+		return nearData + failedHere + together + slow + freeShare(worker);
 	};
 
 	const choose = (task: TaskRow, candidates: readonly WorkerRow[]): WorkerRow | undefined => {
@@ -116,6 +122,36 @@
 		return {type: 'start', row, ticket: task.step.tickets.get(worker.report.id)?.value};
 	};
 
+	/** A run that may be on a worker that is lost, or gets on slowly: a copy may finish first. */
+	const needsCopy = (row: RunRow, now: number): boolean => {
+		const {worker} = row;
+		if (row.isEvacuating || row.phase === RunPhase.Stopping) {
+			return false;
+		}
+
+		const isSilent = worker.failures > 0 || worker.answeredAt < now - silenceMilliseconds;
+		const elapsed = now - row.startedAt;
+		return isSilent || (worker.speed < slowSpeed && elapsed > copyAfterFactor * row.task.step.declaration.estimateMilliseconds);
+	};
+
+	/** Copies of tasks that allow it, on other workers, while there is room. */
+	const placeCopies = (step: StepRow, candidates: readonly WorkerRow[], now: number): StartOrder[] => {
+		const orders: StartOrder[] = [];
+		for (const task of step.tasks) {
+			const [row] = task.runs.values();
+			if (task.done || task.runs.size !== 1 || !row || !needsCopy(row, now) || !withinMaximum(task, 1, {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0})) {
+				continue;
+			}
+
+			const worker = choose(task, candidates.filter(candidate => candidate !== row.worker && candidate.speed >= slowSpeed));
+			if (worker) {
+				orders.push(start(task, worker, now));
+			}
+		}
+
+		return orders;
+	};
+
 	/** Members of a gang start together or not at all. */
 	const placeGang = (step: StepRow, candidates: readonly WorkerRow[], now: number): StartOrder[] => {
 		if (step.tasks.some(task => task.runs.size > 0 || task.notBefore > now) || !withinMaximum(step.tasks[0]!, step.tasks.length, {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0})) {
@@ -222,6 +258,10 @@
 							if (step.waiting > 0 && isStepReady(step)) {
 								orders.push(...placeStep(step, queue, usable, now));
 							}
+
+							if (step.declaration.speculative && step.remaining > 0 && !queue.advice) {
+								orders.push(...placeCopies(step, usable, now));
+							}
 						}
 					}
 				}
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -16,6 +16,7 @@
 import {createPlacement} from './placement.js';
 import type {PoolDemand} from './pools.js';
 import type {JobProgress} from './progress.js';
+import {createSpeeds} from './speeds.js';
 import {createWorkerTable} from './workers.js';
 
 /** Starts of one owner stay below this number for each task, so that the next owner's numbers are higher without a write per start. */
@@ -59,6 +60,7 @@
 	});
 	const placement = createPlacement({workers, policies: () => policies, firstRun: () => (epoch - 1) * runsPerEpoch + 1});
 	const pacing = createPacing();
+	const speeds = createSpeeds();
 
 	const needsStop = (row: RunRow, now: number): boolean => {
 		if (row.stopInFlight || row.phase === RunPhase.Starting) {
@@ -114,6 +116,7 @@
 	};
 
 	const judgeWorkers = (now: number): void => {
+		speeds.judge(workers.workers.values(), now);
 		const isHalving = now - countsHalvedAt > countHalfLifeMilliseconds;
 		for (const worker of workers.workers.values()) {
 			if (worker.recentFailures >= failingRuns && worker.recentFailures > worker.recentSuccesses) {
@@ -121,6 +124,12 @@
 				worker.recentFailures = 0;
 			}
 
+			for (const row of speeds.findStuck(worker, now)) {
+				row.isEvacuating = true;
+				row.task.failedOn.push(worker.report.id);
+				worker.avoidUntil = Math.max(worker.avoidUntil, now + failingPauseMilliseconds);
+			}
+
 			if (isHalving) {
 				worker.recentFailures /= 2;
 				worker.recentSuccesses /= 2;
--- a/packages/jobs/scheduler/src/workers.ts
+++ b/packages/jobs/scheduler/src/workers.ts
@@ -89,7 +89,7 @@
 			const row: WorkerRow = {
 				report, listed, bornAt: report.bornAt, resolved, lapsesBy, answeredAt: Number.NEGATIVE_INFINITY, failures: 0,
 				appliedEnd: 0, avoidUntil: 0, isRecorded: false, closing: false, ending: false, runs: new Map(), used: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0},
-				recentFailures: 0, recentSuccesses: 0,
+				recentFailures: 0, recentSuccesses: 0, speed: 1,
 			};
 			workers.set(report.id, row);
 			return row;
--- a/packages/jobs/scheduler/test/support/builders.ts
+++ b/packages/jobs/scheduler/test/support/builders.ts
@@ -7,6 +7,9 @@
 export const pool = 'pickups';
 export const queue = 'quotes';
 
+/** Later than any time in these tests. */
+const leaseEnd = 1_000_000;
+
 export const createStep = (overrides: Partial<StepDeclaration> = {}): StepDeclaration => ({
 	taskCount: 1, resources: {cpuMillis: 1000, memoryMegabytes: 100, accelerators: 0}, estimateMilliseconds: 500, after: [], checkpointing: false,
 	gang: false, sameRack: false, requiredLabel: undefined, preferredRack: undefined, maximumPerWorker: 0, speculative: false, longRunning: false,
@@ -43,6 +46,7 @@
 		report, listed: true, resolved: true, lapsesBy: Number.NEGATIVE_INFINITY, now,
 	});
 	worker.isRecorded = true;
+	worker.lapsesBy = leaseEnd;
 	answer(scheduler, worker, now);
 	return worker;
 };
