Let pools hold what their arrivals need; idle machines rest or go where they are needed

Change: need is estimated from arriving work over part of a job's spare time, running work and backlog; a serving task without a place calls for a machine; the fullest worker is taken first so that others become free.

--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -134,7 +134,7 @@
 		}
 
 		const usable = new Map([...known].filter(([machine]) => (retryAt.get(machine) ?? 0) <= now));
-		const backlogged = new Set([...scheduler.poolDemands()].filter(([, demand]) => demand.waitingCpuMillis > 0).map(([pool]) => pool));
+		const backlogged = new Set([...scheduler.poolDemands(now)].filter(([, demand]) => demand.waiting > 0).map(([pool]) => pool));
 		const plan = planWave({
 			wave, machines: usable, workers: scheduler.workers.values(), backlogged, now,
 		});
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -20,7 +20,7 @@
 } from './ports.js';
 import type {UsedWorkerRecord} from './records.js';
 import {
-	cancellationPrefix, homesKey, jobPrefix, parseJob, parseProgress, parseUsedWorker, progressPrefix, resultPrefix, TerminalState, toTerminalState, usedWorkerPrefix, waveProgressPrefix,
+	cancellationPrefix, jobPrefix, parseJob, parseProgress, parseUsedWorker, progressPrefix, resultPrefix, TerminalState, toTerminalState, usedWorkerPrefix, waveProgressPrefix,
 } from './records.js';
 import type {WorkerSession} from './worker-session.js';
 import {createWorkerSession} from './worker-session.js';
@@ -396,11 +396,11 @@
 	};
 
 	const load = async (): Promise<boolean> => {
-		const [workers, used, jobs, progress, cancellations, waves, homes] = await Promise.all([
+		const [workers, used, jobs, progress, cancellations, waves] = await Promise.all([
 			listAll(store, records.workerPrefix), listAll(store, usedWorkerPrefix), listAll(store, jobPrefix),
-			listAll(store, progressPrefix), listAll(store, cancellationPrefix), listAll(store, waveProgressPrefix), store.read({key: homesKey}),
+			listAll(store, progressPrefix), listAll(store, cancellationPrefix), listAll(store, waveProgressPrefix),
 		]);
-		if (waves.isErr() || homes.isErr() || workers.isErr() || used.isErr() || jobs.isErr() || progress.isErr() || cancellations.isErr()) {
+		if (waves.isErr() || workers.isErr() || used.isErr() || jobs.isErr() || progress.isErr() || cancellations.isErr()) {
 			return false;
 		}
 
@@ -445,7 +445,6 @@
 		}
 
 		maintenance?.restore(waves.value);
-		poolMoves?.restore(homes.value);
 		isLoaded = true;
 		log.loaded({jobs: scheduler.jobs.size, workers: scheduler.workers.size, milliseconds: clock.now() - tookOverAt});
 		return true;
--- a/packages/jobs/job-service/src/pool-moves.ts
+++ b/packages/jobs/job-service/src/pool-moves.ts
@@ -1,12 +1,10 @@
 /** Moves machines between pools as the planner says. */
 import type {PoolMachine, PoolMove, Scheduler, WorkerRow} from '@turmericbay/scheduler';
 import {createPoolPlanner} from '@turmericbay/scheduler';
-import type {StoredEntry, StoreOperation} from '@turmericbay/types';
 import type {MachineList} from './machine-list.js';
 import {quietMilliseconds} from './maintenance.js';
 import type {Clock, MachineService} from './ports.js';
 import {MachineState} from './ports.js';
-import {homesKey} from './records.js';
 
 /** Pools are looked at this often. */
 const planMilliseconds = 150;
@@ -30,16 +28,14 @@
 	readonly epoch: number;
 	readonly tookOverAt: number;
 	readonly mayOrder: () => boolean;
-	readonly commit: (operations: readonly StoreOperation[]) => Promise<void>;
 	/** Machines that a wave is about to take. */
 	readonly isReserved: (machine: string) => boolean;
 	/** The worker's life has been ended by the platform. */
 	readonly retire: (worker: WorkerRow) => void;
 	readonly log: PoolMoveLog;
 }) => {
-	const {scheduler, machines, list, clock, holder, epoch, tookOverAt, mayOrder, commit, isReserved, retire, log} = options;
+	const {scheduler, machines, list, clock, holder, epoch, tookOverAt, mayOrder, isReserved, retire, log} = options;
 	const planner = createPoolPlanner();
-	const homes = new Map<string, string>();
 	const incoming = new Map<string, string>();
 	const movedAt = new Map<string, number>();
 	const retryAt = new Map<string, number>();
@@ -100,27 +96,7 @@
 		}
 	};
 
-	/** The pools of the machines when they are first seen; stored, since a later owner sees them where the moves have left them. */
-	const noteHomes = (known: readonly PoolMachine[]): void => {
-		let isNew = false;
-		for (const {machine, pool} of known) {
-			if (!homes.has(machine)) {
-				homes.set(machine, pool);
-				isNew = true;
-			}
-		}
-
-		if (isNew) {
-			void commit([{type: 'put', key: homesKey, value: JSON.stringify([...homes])}]);
-		}
-	};
-
 	return {
-		restore(entry: StoredEntry | undefined): void {
-			for (const [machine, pool] of entry ? JSON.parse(entry.value) as Array<[string, string]> : []) {
-				homes.set(machine, pool);
-			}
-		},
 		tick(): void {
 			const now = clock.now();
 			if (now < tookOverAt + quietMilliseconds || now - plannedAt < planMilliseconds || !mayOrder()) {
@@ -133,11 +109,10 @@
 			const known: PoolMachine[] = list.records().map(({machine, pool, state, cpuMillis}) => ({
 				machine, pool, cpuMillis, isUp: state === MachineState.Up, worker: list.workerOn(machine),
 			}));
-			noteHomes(known);
 			const standbyPools = new Set([...scheduler.policies().pools.values()].filter(pool => pool.standby).map(pool => pool.name));
-			const demands = new Map([...scheduler.poolDemands()].filter(([pool]) => !standbyPools.has(pool)));
+			const demands = new Map([...scheduler.poolDemands(now)].filter(([pool]) => !standbyPools.has(pool)));
 			for (const move of planner.plan({
-				machines: known, homes, demands, standbyPools, incoming, now,
+				machines: known, demands, standbyPools, incoming, now,
 				isPossible: (machine, pool) => !isReserved(machine) && (retryAt.get(machine) ?? 0) <= now && !impossible.has(`${machine} ${pool}`),
 			})) {
 				void order(move);
--- a/packages/jobs/job-service/src/records.ts
+++ b/packages/jobs/job-service/src/records.ts
@@ -17,9 +17,6 @@
 /** Machines of each wave whose upkeep has begun. */
 export const waveProgressPrefix = `${root}waves/`;
 
-/** Pool to which each machine belongs while demand is usual. */
-export const homesKey = `${root}homes`;
-
 export type OwnerRecord = {
 	readonly instance: string;
 	/** Address of the owner's peer listener. */
--- /dev/null
+++ b/packages/jobs/scheduler/src/demand.ts
@@ -0,0 +1,82 @@
+/** What each pool has to do now, and how fast work arrives. */
+import {estimateChain, isActive, isStepReady} from './jobs.js';
+import type {JobDeclaration, JobRow, QueuePolicy} from './model.js';
+import type {PoolDemand} from './pools.js';
+
+/** Arrivals are averaged over this time at least, so that a single small job does not look like a burst. */
+const leastWindowMilliseconds = 700;
+/** Share of the spare time of a job over which its work may be spread. */
+const windowShare = 0.5;
+/** Arrivals older than this no longer count. */
+const longestWindowMilliseconds = 4000;
+
+type Arrival = {readonly at: number; readonly work: number; readonly window: number};
+
+/** Work of all tasks that end, in thousandths of a core times milliseconds, by the declared estimates. */
+const estimateWork = (declaration: JobDeclaration): number => {
+	let work = 0;
+	for (const step of declaration.steps) {
+		work += step.longRunning || step.fills ? 0 : step.taskCount * step.resources.cpuMillis * step.estimateMilliseconds;
+	}
+
+	return work;
+};
+
+export const createDemand = () => {
+	const arrivals = new Map<string, Arrival[]>();
+
+	const measureJob = (job: JobRow, demand: {serving: number; running: number; waiting: number; waitingWork: number; waitingToServe: number}): void => {
+		for (const steps of job.occurrences.values()) {
+			for (const step of steps) {
+				const {declaration} = step;
+				const need = declaration.fills ? 0 : declaration.resources.cpuMillis;
+				if (declaration.longRunning) {
+					demand.serving += declaration.taskCount * need;
+					demand.waitingToServe += step.waiting;
+				} else if (step.remaining > 0 && isStepReady(step)) {
+					demand.running += (step.remaining - step.waiting) * need;
+					demand.waiting += step.waiting * need;
+					demand.waitingWork += step.waiting * need * declaration.estimateMilliseconds;
+				}
+			}
+		}
+	};
+
+	return {
+		/** A job has arrived just now. */
+		note(declaration: JobDeclaration, policy: QueuePolicy | undefined, now: number): void {
+			const work = estimateWork(declaration);
+			if (policy === undefined || work === 0) {
+				return;
+			}
+
+			const chain = estimateChain(declaration);
+			const spareTime = policy.stretch * chain + policy.objectiveMilliseconds - chain;
+			const list = (arrivals.get(policy.pool) ?? []).filter(arrival => now - arrival.at < longestWindowMilliseconds);
+			list.push({at: now, work, window: Math.min(longestWindowMilliseconds, Math.max(leastWindowMilliseconds, windowShare * spareTime))});
+			arrivals.set(policy.pool, list);
+		},
+		measure(jobs: Iterable<JobRow>, queues: ReadonlyMap<string, QueuePolicy>, now: number): Map<string, PoolDemand> {
+			const demands = new Map<string, {serving: number; running: number; waiting: number; waitingWork: number; arriving: number; waitingToServe: number}>();
+			for (const {pool} of queues.values()) {
+				let arriving = 0;
+				for (const {at, work, window} of arrivals.get(pool) ?? []) {
+					arriving += now - at < window ? work / window : 0;
+				}
+
+				demands.set(pool, {
+					serving: 0, running: 0, waiting: 0, waitingWork: 0, arriving, waitingToServe: 0,
+				});
+			}
+
+			for (const job of jobs) {
+				const demand = demands.get(queues.get(job.declaration.queue)?.pool ?? '');
+				if (demand && isActive(job)) {
+					measureJob(job, demand);
+				}
+			}
+
+			return demands;
+		},
+	};
+};
--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -31,6 +31,8 @@
 	worker.listed && worker.resolved && worker.isRecorded && !worker.report.draining && !worker.closing
 	&& worker.failures === 0 && worker.answeredAt > now - silenceMilliseconds && worker.avoidUntil <= now;
 
+/** Share of a step that serves which one worker takes while others have room. */
+const largestSharePerWorker = 0.34;
 /** Below this speed a worker is used only when no other has room. */
 const slowSpeed = 0.5;
 
@@ -92,10 +94,12 @@
 		const {preferredRack} = task.step.declaration;
 		const nearData = preferredRack !== undefined && rackOf(worker.report) === preferredRack ? 2 : 0;
 		const failedHere = task.failedOn.includes(worker.report.id) ? -4 : 0;
-		// Tasks that serve are spread, so that a machine can be taken away without stopping several of one step.
-		const together = task.step.declaration.longRunning ? -countOn(task.step, worker) : 0;
 		const slow = worker.speed < slowSpeed ? -3 : 0;
-		return nearData + failedHere + together + slow + freeShare(worker);
+		// The loss of one worker must not stop most of what a step serves.
+		const {longRunning, taskCount} = task.step.declaration;
+		const crowded = longRunning && countOn(task.step, worker) >= Math.ceil(taskCount * largestSharePerWorker) ? -1.5 : 0;
+		// The fullest worker that has room is taken, so that others become free for other pools.
+		return nearData + failedHere + crowded + slow - freeShare(worker);
 	};
 
 	const choose = (task: TaskRow, candidates: readonly WorkerRow[]): WorkerRow | undefined => {
--- a/packages/jobs/scheduler/src/pools.ts
+++ b/packages/jobs/scheduler/src/pools.ts
@@ -1,21 +1,23 @@
 /**
  * Moves machines between pools. Demand comes by turns: a pool asks for several
- * times its mean for some seconds, more than it holds, while others are idle.
- * Machines of the standby pool, and visitors that a calm pool no longer needs,
- * join a pool that has more work than room; idle visitors go back home.
+ * times its mean for some seconds, more than it holds, and for next to nothing
+ * in between. A pool holds what its newest arrivals need; machines without work
+ * that it can spare go to pools that need more, or rest in the standby pool.
  */
 import type {WorkerRow} from './model.js';
 
-/** A pool grows once its work exceeds this share of its room, including what is on its way. */
-const growAbove = 0.95;
+/** Room is kept for this many times the work that arrives, since run times differ and machines fail. */
+const headroom = 1.15;
+/** Waiting work is to be done within this time, in milliseconds. */
+const backlogMilliseconds = 1500;
 /** Less missing room than this share of a machine does not call for one. */
-const leastDeficit = 0.3;
-/** A visitor may leave if the pool's highest load of the last seconds stays below this share of the rest. */
-const calmBelow = 0.7;
-/** Span over which the highest load counts; a burst of a queue has gaps shorter than this. */
-const peakMilliseconds = 1500;
-/** A visitor goes home after this time without work. */
-const idleMilliseconds = 1000;
+const leastDeficit = 0.35;
+/** A pool gives a machine away only while the highest need of this span fits without it. */
+const peakMilliseconds = 1200;
+/** A machine must have been without work for this long before it rests; a move and a move back cost as much as resting for over two seconds saves. */
+const idleMilliseconds = 700;
+/** A pool keeps this many machines, so that the loss of one does not stop it. */
+const leastMachines = 2;
 
 export type PoolMachine = {
 	readonly machine: string;
@@ -27,29 +29,46 @@
 
 export type PoolMove = {readonly machine: string; readonly from: string; readonly to: string};
 
+/** Amounts in thousandths of a core. */
 export type PoolDemand = {
-	/** Processor need of tasks that could start now and have no room, in thousandths of a core. */
-	readonly waitingCpuMillis: number;
+	/** Long-running tasks, running or waiting. */
+	readonly serving: number;
+	/** Other tasks that run now. */
+	readonly running: number;
+	/** Tasks that could start now and have no room. */
+	readonly waiting: number;
+	/** The same in thousandths of a core times milliseconds. */
+	readonly waitingWork: number;
+	/** Processors that keep up with the newest arrivals. */
+	readonly arriving: number;
+	/** Long-running tasks that wait. */
+	readonly waitingToServe: number;
+};
+
+/** Room that a pool needs, in thousandths of a core. */
+export const estimateNeed = (demand: PoolDemand): number => {
+	const backlog = Math.min(demand.waiting, demand.waitingWork / backlogMilliseconds);
+	return demand.serving + Math.max(demand.arriving * headroom, demand.running) + backlog;
 };
 
 export type PoolPlanner = ReturnType<typeof createPoolPlanner>;
 
 export const createPoolPlanner = () => {
-	const peaks = new Map<string, Array<{readonly at: number; readonly load: number}>>();
+	const peaks = new Map<string, Array<{readonly at: number; readonly need: number}>>();
 	const idleSince = new Map<string, number>();
 
-	const notePeak = (pool: string, load: number, now: number): number => {
+	const notePeak = (pool: string, need: number, now: number): number => {
 		const list = (peaks.get(pool) ?? []).filter(entry => entry.at > now - peakMilliseconds);
-		list.push({at: now, load});
+		list.push({at: now, need});
 		peaks.set(pool, list);
-		return Math.max(...list.map(entry => entry.load));
+		return Math.max(...list.map(entry => entry.need));
 	};
 
-	const noteIdle = (machine: PoolMachine, now: number): number => {
-		const isIdle = machine.worker !== undefined && machine.worker.runs.size === 0 && machine.worker.resolved;
-		if (!isIdle) {
+	const noteIdle = (machine: PoolMachine, now: number): number | undefined => {
+		const {worker} = machine;
+		if (!machine.isUp || worker === undefined || worker.runs.size > 0 || !worker.resolved || worker.closing) {
 			idleSince.delete(machine.machine);
-			return 0;
+			return undefined;
 		}
 
 		const since = idleSince.get(machine.machine) ?? now;
@@ -60,9 +79,7 @@
 	return {
 		plan(options: {
 			readonly machines: readonly PoolMachine[];
-			/** Pool to which each machine belongs while demand is usual. */
-			readonly homes: ReadonlyMap<string, string>;
-			/** Pools that run work, with what waits for room in each. */
+			/** Pools that run work. */
 			readonly demands: ReadonlyMap<string, PoolDemand>;
 			readonly standbyPools: ReadonlySet<string>;
 			/** Machines on their way, by the pool that they will join. */
@@ -70,7 +87,7 @@
 			readonly isPossible: (machine: string, pool: string) => boolean;
 			readonly now: number;
 		}): PoolMove[] {
-			const {machines, homes, demands, standbyPools, incoming, isPossible, now} = options;
+			const {machines, demands, standbyPools, incoming, isPossible, now} = options;
 			const moves: PoolMove[] = [];
 			const taken = new Set<string>();
 			const add = (machine: PoolMachine, to: string): void => {
@@ -81,28 +98,31 @@
 			const pools = [...demands].map(([pool, demand]) => {
 				const own = machines.filter(machine => machine.pool === pool && !incoming.has(machine.machine));
 				const arriving = machines.filter(machine => incoming.get(machine.machine) === pool);
-				const room = [...own.filter(machine => machine.isUp), ...arriving].reduce((sum, machine) => sum + machine.cpuMillis, 0);
-				const used = own.reduce((sum, machine) => sum + (machine.worker?.used.cpuMillis ?? 0), 0);
-				const load = used + demand.waitingCpuMillis;
-				return {pool, own, room, peak: notePeak(pool, load, now), deficit: load - growAbove * room};
+				const usable = own.filter(machine => machine.isUp && machine.worker?.failures === 0 && !machine.worker.report.draining);
+				const room = [...usable, ...arriving].reduce((sum, machine) => sum + machine.cpuMillis, 0);
+				const need = estimateNeed(demand);
+				// Tasks that serve may lack another worker although there is room on those that have one of them.
+				const deficit = need - room + (demand.waitingToServe > 0 && arriving.length === 0 ? Math.max(0, room - need) + (machines[0]?.cpuMillis ?? 0) : 0);
+				return {pool, own, room, count: usable.length, deficit, peak: notePeak(pool, need, now)};
 			});
 
-			/** Visitors without work that their pool can spare, longest idle first. */
+			/** Machines without work that their pool can spare, longest idle first. */
 			const spare: Array<{readonly machine: PoolMachine; readonly idle: number}> = [];
-			for (const {own, room, peak} of pools) {
+			for (const {own, room, count, deficit, peak} of pools) {
 				let left = room;
-				for (const machine of own) {
-					const idle = noteIdle(machine, now);
-					const isVisitor = homes.get(machine.machine) !== machine.pool;
-					if (isVisitor && machine.isUp && machine.worker?.runs.size === 0 && !machine.worker.closing && peak < calmBelow * (left - machine.cpuMillis)) {
-						left -= machine.cpuMillis;
-						spare.push({machine, idle});
+				let remaining = count;
+				const idle = own.map(machine => ({machine, idle: noteIdle(machine, now)})).filter(entry => entry.idle !== undefined);
+				for (const entry of idle.toSorted((first, second) => second.idle! - first.idle!)) {
+					if (deficit <= 0 && remaining > leastMachines && peak <= left - entry.machine.cpuMillis) {
+						left -= entry.machine.cpuMillis;
+						remaining -= 1;
+						spare.push({machine: entry.machine, idle: entry.idle!});
 					}
 				}
 			}
 
 			const resting = machines.filter(machine => standbyPools.has(machine.pool) && machine.isUp && !incoming.has(machine.machine));
-			const free = [...spare.toSorted((left, right) => right.idle - left.idle).map(({machine}) => machine), ...resting];
+			const free = [...spare.map(({machine}) => machine), ...resting];
 			for (const {pool, deficit} of pools.toSorted((left, right) => right.deficit - left.deficit)) {
 				let missing = deficit;
 				for (const machine of free) {
@@ -117,10 +137,10 @@
 				}
 			}
 
+			const [standby] = standbyPools;
 			for (const {machine, idle} of spare) {
-				const home = homes.get(machine.machine);
-				if (idle > idleMilliseconds && home !== undefined && !taken.has(machine.machine) && isPossible(machine.machine, home)) {
-					add(machine, home);
+				if (standby !== undefined && idle > idleMilliseconds && !taken.has(machine.machine) && isPossible(machine.machine, standby)) {
+					add(machine, standby);
 				}
 			}
 
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -3,7 +3,8 @@
  * systems that run over them each tick. It does no input or output; times and
  * answers are passed in, orders are returned.
  */
-import {createJobTable, isActive, isStepReady} from './jobs.js';
+import {createDemand} from './demand.js';
+import {createJobTable, isActive} from './jobs.js';
 import type {SchedulerEvent} from './lists.js';
 import {createReconciler} from './lists.js';
 import type {
@@ -14,7 +15,6 @@
 import {createPacing} from './pacing.js';
 import type {AdviceOrder, StartOrder} from './placement.js';
 import {createPlacement} from './placement.js';
-import type {PoolDemand} from './pools.js';
 import type {JobProgress} from './progress.js';
 import {createSpeeds} from './speeds.js';
 import {createWorkerTable} from './workers.js';
@@ -61,6 +61,7 @@
 	const placement = createPlacement({workers, policies: () => policies, firstRun: () => (epoch - 1) * runsPerEpoch + 1});
 	const pacing = createPacing();
 	const speeds = createSpeeds();
+	const demand = createDemand();
 
 	const needsStop = (row: RunRow, now: number): boolean => {
 		if (row.stopInFlight || row.phase === RunPhase.Starting) {
@@ -150,33 +151,9 @@
 		return pools;
 	};
 
-	/** Pools that run work, with the need of tasks that could start and have no room. */
-	const poolDemands = (): Map<string, PoolDemand> => {
-		const waiting = new Map<string, number>();
-		for (const {pool} of policies.queues.values()) {
-			waiting.set(pool, 0);
-		}
-
-		for (const job of jobs.jobs.values()) {
-			const pool = policies.queues.get(job.declaration.queue)?.pool;
-			if (pool === undefined || !isActive(job)) {
-				continue;
-			}
-
-			for (const steps of job.occurrences.values()) {
-				for (const step of steps) {
-					if (step.waiting > 0 && !step.declaration.fills && isStepReady(step)) {
-						waiting.set(pool, (waiting.get(pool) ?? 0) + step.waiting * step.declaration.resources.cpuMillis);
-					}
-				}
-			}
-		}
-
-		return new Map([...waiting].map(([pool, waitingCpuMillis]) => [pool, {waitingCpuMillis}]));
-	};
-
 	return {
-		poolDemands,
+		/** What each pool that runs work has to do now. */
+		poolDemands: (now: number) => demand.measure(jobs.jobs.values(), policies.queues, now),
 		policies: () => policies,
 		jobs: jobs.jobs,
 		changedJobs: jobs.changedJobs,
@@ -186,6 +163,10 @@
 			policies = next;
 		},
 		addJob(declaration: JobDeclaration, context: {readonly progress?: JobProgress; readonly restored: boolean; readonly now: number; readonly wallNow: number}): JobRow {
+			if (!context.restored && !jobs.jobs.has(declaration.id)) {
+				demand.note(declaration, policies.queues.get(declaration.queue), context.now);
+			}
+
 			return jobs.add({
 				declaration, policy: policies.queues.get(declaration.queue), progress: context.progress, restored: context.restored, now: context.now, wallNow: context.wallNow,
 			});
