--- a/packages/jobs/job-service/src/worker-session.ts
+++ b/packages/jobs/job-service/src/worker-session.ts
@@ -72,7 +72,8 @@
 
 	const hold = async (): Promise<void> => {
 		const sentAt = clock.now();
-		const until = mayExtend() ? leaseUntil() : undefined;
+		// A worker that does not answer is only asked: its lease has to end before its work starts elsewhere.
+		const until = mayExtend() && worker.failures === 0 ? leaseUntil() : undefined;
 		const acknowledgedEnd = storedEnd;
 		const appliedBefore = worker.appliedEnd;
 		const held = await client.hold({
--- /dev/null
+++ b/packages/jobs/job-service/test/worker-session.test.ts
@@ -0,0 +1,79 @@
+import {createScheduler} from '@turmericbay/scheduler';
+import type {WorkerReport} from '@turmericbay/scheduler';
+import test from 'ava';
+import {err, ok} from 'neverthrow';
+import type {WorkerClient} from '../src/ports.js';
+import {WorkerCallErrorKind} from '../src/ports.js';
+import {createWorkerSession} from '../src/worker-session.js';
+
+type Hold = Parameters<WorkerClient['hold']>[0];
+type HoldResult = Awaited<ReturnType<WorkerClient['hold']>>;
+
+const report: WorkerReport = {
+	id: 'w1', bornAt: 1, address: '10.0.0.1:80', pool: 'pickups', zone: 'north', draining: false,
+	capacity: {cpuMillis: 4000, memoryMegabytes: 1000, accelerators: 0}, labels: [],
+};
+
+const settle = async (): Promise<void> => {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+};
+
+const lost: HoldResult = err({kind: WorkerCallErrorKind.Unknown, message: 'no answer'});
+const answerOf = (clockMilliseconds: number): HoldResult => ok({clockMilliseconds, bornAt: 1, lists: {
+	bornAt: 1, running: [], ended: [], partial: false,
+}});
+
+const createHarness = () => {
+	let now = 1000;
+	const holds: Array<{readonly hold: Hold; readonly resolve: (result: HoldResult) => void}> = [];
+	const unused = async () => err({kind: WorkerCallErrorKind.NotSent, message: 'not used'} as const);
+	const client: WorkerClient = {
+		start: unused,
+		stop: unused,
+		pace: unused,
+		async hold(hold) {
+			return new Promise(resolve => {
+				holds.push({hold, resolve});
+			});
+		},
+		forget: () => undefined,
+	};
+	const scheduler = createScheduler({epoch: 1, emit: () => undefined});
+	const worker = scheduler.reportWorker({
+		report, listed: true, resolved: true, lapsesBy: Number.NEGATIVE_INFINITY, now,
+	});
+	const ignore = (): void => undefined;
+	const session = createWorkerSession({
+		worker, client, scheduler, clock: {now: () => now, wallNow: () => now}, epoch: 1, leaseMilliseconds: 3500, mayExtend: () => true,
+		store: async () => undefined, onFenced: ignore, onChange: ignore, onTrouble: ignore, onAnswer: ignore, onGone: ignore,
+	});
+	return {
+		worker, holds, session,
+		advance(milliseconds: number): void {
+			now += milliseconds;
+		},
+	};
+};
+
+// Guards against work that never starts elsewhere: each unanswered call to a worker that was gone for good put off the end of its lease.
+test('a worker that does not answer is asked without extending its lease', async t => {
+	const {worker, holds, session, advance} = createHarness();
+	holds[0]!.resolve(answerOf(500));
+	await settle();
+	t.not(holds[1]!.hold.until, undefined);
+	const {lapsesBy} = worker;
+	advance(1000);
+	holds[1]!.resolve(lost);
+	await settle();
+	session.wake();
+	await settle();
+	t.is(holds.length, 3);
+	t.is(holds[2]!.hold.until, undefined);
+	t.is(worker.lapsesBy, lapsesBy);
+	holds[2]!.resolve(answerOf(1600));
+	await settle();
+	t.not(holds[3]!.hold.until, undefined);
+	session.end();
+});
