Tell an earlier upkeep from a new one; ignore announcements of ended jobs; forget workers that are gone

By reading: (1) the platform also accepts an upkeep that is already over; a new owner that ordered it again gave up a healthy worker with all its runs; (2) an announcement that reaches a new owner late brought an ended job back; (3) after a rebirth ends of the new life could be acknowledged by the numbers of the old one; (4) records of workers that had left made each new owner wait about ten seconds for them. Change: upkeeps are stored before they are ordered, and an acceptance after an uncertain order leaves the decision to the worker's lists; announcements carry the store's revision; after a silence nothing is acknowledged; records of workers that are gone are deleted.

--- a/packages/jobs/job-service/src/intake.ts
+++ b/packages/jobs/job-service/src/intake.ts
@@ -108,7 +108,7 @@
 				});
 				if (written.isOk()) {
 					if (written.value.type === 'committed') {
-						link.announceJob(declaration);
+						link.announceJob(declaration, written.value.revision);
 					}
 
 					return 'accepted';
--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -23,6 +23,12 @@
 	wave(wave: number, machine: string | undefined, what: string): void;
 };
 
+type WaveProgress = {
+	readonly begun: readonly string[];
+	/** Ordered, with an unknown outcome. */
+	readonly ordered: readonly string[];
+};
+
 export type Maintenance = ReturnType<typeof createMaintenance>;
 
 export const createMaintenance = (options: {
@@ -44,14 +50,17 @@
 	const waves = new Map<number, WaveRow>();
 	const completed = new Set<number>();
 	const retryAt = new Map<string, number>();
-	/** Machines begun in waves before this owner, by wave. */
-	const restored = new Map<number, readonly string[]>();
+	/** Progress of waves before this owner. */
+	const restored = new Map<number, WaveProgress>();
+	/** Machines for which an order may have been carried out already; an acceptance then says nothing about what runs now. */
+	const uncertain = new Set<string>();
 	/** When each machine's upkeep was accepted; an older list says nothing about it. */
 	const acceptedAt = new Map<string, number>();
 
-	const writeStatus = (wave: WaveRow, isCompleted: boolean): void => {
-		void commit([
-			{type: 'put', key: waveProgressPrefix + wave.wave, value: JSON.stringify([...wave.begun])},
+	const writeStatus = async (wave: WaveRow, isCompleted: boolean): Promise<void> => {
+		const progress: WaveProgress = {begun: [...wave.begun], ordered: [...wave.ordered]};
+		await commit([
+			{type: 'put', key: waveProgressPrefix + wave.wave, value: JSON.stringify(progress)},
 			{type: 'put', ...records.encodeWaveStatus({wave: wave.wave, isCompleted})},
 		]);
 	};
@@ -65,12 +74,19 @@
 			log.wave(wave.wave, undefined, 'completed');
 		}
 
-		writeStatus(wave, isCompleted);
+		void writeStatus(wave, isCompleted);
 	};
 
 	const order = async (wave: WaveRow, machine: string): Promise<void> => {
 		wave.ordered.add(machine);
 		const worker = list.workerOn(machine);
+		// Stored first: a later owner has to know that the machine may have had its upkeep.
+		await writeStatus(wave, false);
+		if (!mayOrder()) {
+			wave.ordered.delete(machine);
+			return;
+		}
+
 		list.noteOrder(machine);
 		const outcome = await machines.upkeep({
 			machine, wave: wave.wave, holder, fencingToken: epoch,
@@ -82,8 +98,12 @@
 			case 'accepted': {
 				acceptedAt.set(machine, clock.now());
 				wave.down.add(machine);
-				if (worker) {
+				if (worker && !uncertain.has(machine)) {
 					retire(worker);
+				} else if (worker) {
+					// It may have been the answer for an earlier upkeep: the worker's own lists decide.
+					worker.failures += 1;
+					worker.ending = false;
 				}
 
 				noteBegun(wave, machine);
@@ -100,6 +120,10 @@
 			case 'fenced':
 			case 'unknown':
 			case 'refused': {
+				if (outcome === 'unknown') {
+					uncertain.add(machine);
+				}
+
 				retryAt.set(machine, clock.now() + retryMilliseconds);
 				if (worker && outcome !== 'unknown') {
 					worker.ending = false;
@@ -147,7 +171,11 @@
 		restore(entries: readonly StoredEntry[]): void {
 			for (const entry of entries) {
 				const wave = Number(entry.key.slice(waveProgressPrefix.length));
-				restored.set(wave, JSON.parse(entry.value) as string[]);
+				const progress = JSON.parse(entry.value) as WaveProgress;
+				restored.set(wave, progress);
+				for (const machine of progress.ordered) {
+					uncertain.add(machine);
+				}
 			}
 		},
 		/** Adds a wave that the operator has asked for. */
@@ -160,7 +188,7 @@
 			if (!waves.has(wave.wave)) {
 				const row: WaveRow = {
 					wave: wave.wave, machines: wave.machines, maximumAtOnce: wave.maximumAtOnce, endsAt: clock.now() + wave.withinMilliseconds,
-					begun: new Set(restored.get(wave.wave)), closing: new Map(), ordered: new Set(), down: new Set(),
+					begun: new Set(restored.get(wave.wave)?.begun), closing: new Map(), ordered: new Set(), down: new Set(),
 				};
 				waves.set(wave.wave, row);
 				if (row.machines.every(machine => row.begun.has(machine))) {
@@ -169,7 +197,7 @@
 
 				log.wave(wave.wave, undefined, 'requested');
 				if (!completed.has(row.wave)) {
-					writeStatus(row, false);
+					void writeStatus(row, false);
 				}
 			}
 
--- a/packages/jobs/job-service/src/owner-link.ts
+++ b/packages/jobs/job-service/src/owner-link.ts
@@ -15,8 +15,8 @@
 const pendingAnswer = z.object({pending: z.number()});
 
 export type OwnerLink = {
-	/** Tells the owner of a stored job; the owner also finds it in the store. */
-	announceJob(declaration: JobDeclaration): void;
+	/** Tells the owner of a job that was stored at this revision; the owner also finds it in the store. */
+	announceJob(declaration: JobDeclaration, revision: number): void;
 	announceCancellation(id: string): void;
 	/** Undefined if the owner does not know the job or cannot be asked. */
 	describe(id: string): Promise<JobState | undefined>;
@@ -49,12 +49,12 @@
 	};
 
 	return {
-		announceJob(declaration) {
+		announceJob(declaration, revision) {
 			const owner = localOwner();
 			if (owner) {
-				owner.addJob(declaration);
+				owner.addJob(declaration, revision);
 			} else {
-				void call('POST', '/jobs', JSON.stringify(declaration));
+				void call('POST', `/jobs?revision=${revision}`, JSON.stringify(declaration));
 			}
 		},
 		announceCancellation(id) {
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -141,6 +141,11 @@
 		sessions.delete(id);
 		scheduler.workers.delete(id);
 		workerClient.forget({id, address});
+		// A record that is left would make the next owner wait for this worker.
+		if (usedWorkers.delete(id)) {
+			void commits.commit([{type: 'delete', key: usedWorkerPrefix + id}]);
+		}
+
 		requestTick();
 	};
 
@@ -525,8 +530,14 @@
 			scheduler.setPolicies(next);
 			requestTick();
 		},
-		addJob(declaration: JobDeclaration): void {
-			addJob(declaration, false);
+		/**
+		 * Takes a job that another instance has stored at this revision. What was stored before
+		 * the takeover was read with the other jobs; if it is unknown, it has ended.
+		 */
+		addJob(declaration: JobDeclaration, revision: number): void {
+			if (revision > tenure.commitRevision) {
+				addJob(declaration, false);
+			}
 		},
 		cancel,
 		/** What callers may be told: a final state only once it is stored. */
--- a/packages/jobs/job-service/src/peer-server.ts
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -71,7 +71,7 @@
 					return;
 				}
 
-				owner.addJob(JSON.parse(body) as JobDeclaration);
+				owner.addJob(JSON.parse(body) as JobDeclaration, Number(request.query['revision']));
 				answer(response, okStatus, {});
 			});
 		})
--- a/packages/jobs/job-service/src/pool-moves.ts
+++ b/packages/jobs/job-service/src/pool-moves.ts
@@ -40,6 +40,8 @@
 	const movedAt = new Map<string, number>();
 	const retryAt = new Map<string, number>();
 	const impossible = new Set<string>();
+	/** Machines for which a move may have been carried out already. */
+	const uncertain = new Set<string>();
 	let plannedAt = Number.NEGATIVE_INFINITY;
 
 	const order = async (move: PoolMove): Promise<void> => {
@@ -59,7 +61,7 @@
 		log.move(move, outcome);
 		movedAt.set(machine, clock.now());
 		if (outcome === 'accepted') {
-			if (worker) {
+			if (worker && !uncertain.has(machine)) {
 				retire(worker);
 			}
 
@@ -70,7 +72,9 @@
 			impossible.add(`${machine} ${to}`);
 		}
 
-		if (outcome !== 'unknown') {
+		if (outcome === 'unknown') {
+			uncertain.add(machine);
+		} else {
 			incoming.delete(machine);
 			if (worker) {
 				worker.closing = false;
--- a/packages/jobs/job-service/src/worker-session.ts
+++ b/packages/jobs/job-service/src/worker-session.ts
@@ -74,7 +74,8 @@
 		const sentAt = clock.now();
 		// A worker that does not answer is only asked: its lease has to end before its work starts elsewhere.
 		const until = mayExtend() && worker.failures === 0 ? leaseUntil() : undefined;
-		const acknowledgedEnd = storedEnd;
+		// After a silence another life may answer, whose ends are numbered anew.
+		const acknowledgedEnd = worker.failures === 0 ? storedEnd : 0;
 		const appliedBefore = worker.appliedEnd;
 		const held = await client.hold({
 			worker: {id: worker.report.id, address: worker.report.address},
--- /dev/null
+++ b/packages/jobs/job-service/test/maintenance.test.ts
@@ -0,0 +1,104 @@
+import type {WorkerReport} from '@turmericbay/scheduler';
+import {createScheduler} from '@turmericbay/scheduler';
+import type {StoredEntry, StoreOperation} from '@turmericbay/types';
+import test from 'ava';
+import {createMachineList} from '../src/machine-list.js';
+import {createMaintenance} from '../src/maintenance.js';
+import type {MachineOutcome, MachineService, PlatformRecords} from '../src/ports.js';
+import {MachineState} from '../src/ports.js';
+import {waveProgressPrefix} from '../src/records.js';
+
+const report: WorkerReport = {
+	id: 'w1', bornAt: 1, address: '10.0.0.1:80', pool: 'pickups', zone: 'north', draining: false,
+	capacity: {cpuMillis: 4000, memoryMegabytes: 1000, accelerators: 0}, labels: [],
+};
+
+const settle = async (): Promise<void> => {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+};
+
+const records: Pick<PlatformRecords, 'decodeWave' | 'encodeWaveStatus'> = {
+	decodeWave: () => ({
+		wave: 1, machines: ['m1'], withinMilliseconds: 1000, maximumAtOnce: 1,
+	}),
+	encodeWaveStatus: ({wave, isCompleted}) => ({key: `status/${wave}`, value: String(isCompleted)}),
+};
+
+const createHarness = (outcomes: MachineOutcome[], restored: readonly StoredEntry[] = []) => {
+	let now = 10_000;
+	const trail: string[] = [];
+	const machines: MachineService = {
+		async list() {
+			return [{
+				machine: 'm1', pool: 'pickups', state: MachineState.Up, worker: 'w1', labels: [], cpuMillis: 4000,
+			}];
+		},
+		async move() {
+			return 'refused';
+		},
+		async upkeep() {
+			trail.push('upkeep');
+			return outcomes.shift() ?? 'refused';
+		},
+	};
+	const scheduler = createScheduler({epoch: 2, emit: () => undefined});
+	const worker = scheduler.reportWorker({
+		report, listed: true, resolved: true, lapsesBy: 1_000_000, now,
+	});
+	const clock = {now: () => now, wallNow: () => now};
+	const maintenance = createMaintenance({
+		scheduler, machines, list: createMachineList({machines, scheduler, clock}), records: records as PlatformRecords, clock, holder: 'owner', epoch: 2,
+		tookOverAt: 0, mayOrder: () => true,
+		async commit(operations: readonly StoreOperation[]) {
+			const [progress] = operations;
+			trail.push(progress?.type === 'put' ? progress.value : '');
+		},
+		retire() {
+			trail.push('retired');
+		},
+		log: {wave: () => undefined},
+	});
+	maintenance.restore(restored);
+	maintenance.request({key: 'wave/1', value: '', modifiedRevision: 1});
+	return {
+		trail, worker,
+		async tick(milliseconds: number): Promise<void> {
+			now += milliseconds;
+			maintenance.tick();
+			await settle();
+			await settle();
+		},
+	};
+};
+
+// Guards against an upkeep that a later owner orders again without knowing of the first.
+test('an upkeep is stored before it is ordered', async t => {
+	const {trail, tick} = createHarness(['accepted']);
+	await tick(1000);
+	await tick(3000);
+	t.deepEqual(trail, [
+		'{"begun":[],"ordered":[]}', '{"begun":[],"ordered":["m1"]}', 'upkeep', 'retired', '{"begun":["m1"],"ordered":[]}',
+	]);
+});
+
+// Guards against work that is started twice: the platform also accepts an upkeep that is already over, and the worker of now runs on.
+test('the worker is not given up if the upkeep may have been an earlier one', async t => {
+	const {trail, worker, tick} = createHarness(['accepted'], [{key: `${waveProgressPrefix}1`, value: '{"begun":[],"ordered":["m1"]}', modifiedRevision: 1}]);
+	await tick(1000);
+	await tick(3000);
+	t.true(trail.includes('upkeep'));
+	t.false(trail.includes('retired'));
+	t.is(worker.failures, 1);
+});
+
+test('after an unknown outcome the next acceptance gives up no worker', async t => {
+	const {trail, tick} = createHarness(['unknown', 'accepted']);
+	await tick(1000);
+	await tick(3000);
+	await tick(1000);
+	await tick(1000);
+	t.is(trail.filter(step => step === 'upkeep').length, 2);
+	t.false(trail.includes('retired'));
+});
--- a/packages/jobs/scheduler/src/waves.ts
+++ b/packages/jobs/scheduler/src/waves.ts
@@ -106,7 +106,7 @@
 const chooseReady = (wave: WaveRow, machines: ReadonlyMap<string, WaveMachine>, now: number): string[] => {
 	for (const [machine, closedAt] of wave.closing) {
 		const known = machines.get(machine);
-		if (!known?.isUp) {
+		if (!known?.isUp || wave.ordered.has(machine)) {
 			continue;
 		}
 
