Split the owner into its jobs and its workers; follow the linter

Change: owned-jobs.ts (taking, storing, describing), owned-workers.ts (list, records, sessions); the owner composes them. Linter findings in the new packages are mended.

--- a/packages/common/http-client/src/index.ts
+++ b/packages/common/http-client/src/index.ts
@@ -57,7 +57,7 @@
 	let controller: Dispatcher.DispatchController | undefined;
 	let isSettled = false;
 	let status = 0;
-	const chunks: Buffer[] = [];
+	const chunks: Uint8Array[] = [];
 	const finish = (result: Result<HttpAnswer, HttpFailure>): void => {
 		if (!isSettled) {
 			isSettled = true;
@@ -85,7 +85,7 @@
 			chunks.push(chunk);
 		},
 		onResponseEnd() {
-			finish(ok({status, text: (chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)).toString('utf8')}));
+			finish(ok({status, text: Buffer.concat(chunks).toString('utf8')}));
 		},
 		onResponseError(_, error) {
 			fail(HttpFailureKind.ConnectionLost, error.message);
--- a/packages/jobs/job-service/src/commits.ts
+++ b/packages/jobs/job-service/src/commits.ts
@@ -46,6 +46,7 @@
 				return false;
 			}
 
+			// eslint-disable-next-line no-await-in-loop -- One transaction at a time.
 			const written = await store.transact({
 				conditions: [{key: commitKey, modifiedRevision: revision}],
 				operations: [...operations, {type: 'put', key: commitKey, value: JSON.stringify({epoch, sequence} satisfies CommitRecord)}],
@@ -57,6 +58,7 @@
 
 			if (written.isOk()) {
 				// The key was changed: by an earlier try of this batch, or by another owner.
+				// eslint-disable-next-line no-await-in-loop -- One transaction at a time.
 				const current = await store.read({key: commitKey});
 				if (current.isOk()) {
 					const record = current.value && parseCommit(current.value);
@@ -79,6 +81,7 @@
 				onFailure(written.error.message);
 			}
 
+			// eslint-disable-next-line no-await-in-loop -- One transaction at a time.
 			await wait(delay);
 			delay = Math.min(longestRetryMilliseconds, delay * 2);
 		}
@@ -96,6 +99,7 @@
 				queued.delete(key);
 			}
 
+			// eslint-disable-next-line no-await-in-loop -- One transaction at a time.
 			if (!await writeBatch(batch.map(([, {operation}]) => operation))) {
 				if (!isEnded) {
 					isEnded = true;
--- a/packages/jobs/job-service/src/configuration-source.ts
+++ b/packages/jobs/job-service/src/configuration-source.ts
@@ -62,12 +62,12 @@
 
 	const follow = followPrefix({
 		store, prefix: records.configurationKey,
-		onSnapshot: entries => {
+		onSnapshot(entries) {
 			for (const entry of entries) {
 				adopt(entry);
 			}
 		},
-		onChange: entries => {
+		onChange(entries) {
 			for (const entry of entries) {
 				adopt(entry);
 			}
--- a/packages/jobs/job-service/src/follow.ts
+++ b/packages/jobs/job-service/src/follow.ts
@@ -1,5 +1,7 @@
 /** Keeps a view of all keys with a prefix: a listing, then a watch, and both again whenever the watch breaks. */
-import type {KeyValueStore, StoredEntry, StoreError, WatchHandle} from '@turmericbay/types';
+import type {
+	KeyValueStore, StoredEntry, StoreError, WatchHandle,
+} from '@turmericbay/types';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 
@@ -12,6 +14,7 @@
 	const entries: StoredEntry[] = [];
 	let after: string | undefined;
 	for (;;) {
+		// eslint-disable-next-line no-await-in-loop -- Each page starts after the one before.
 		const page = await store.list({prefix, limit: pageSize, ...(after !== undefined && {after})});
 		if (page.isErr()) {
 			return err(page.error);
--- a/packages/jobs/job-service/src/intake.ts
+++ b/packages/jobs/job-service/src/intake.ts
@@ -6,7 +6,7 @@
 import type {OwnerLink} from './owner-link.js';
 import type {Clock} from './ports.js';
 import {
-	cancellationPrefix, jobPrefix, parseJob, parseResult, resultPrefix, TerminalState,
+	cancellationPrefix, jobPrefix, parseJob, parseResult, resultPrefix, toJobState,
 } from './records.js';
 
 /** Pause between tries of a write whose outcome is unknown. */
@@ -18,26 +18,6 @@
 export type CancelOutcome = 'cancelled' | 'unknown-job' | 'unavailable';
 export type DescribeOutcome = {readonly type: 'known'; readonly state: JobState} | {readonly type: 'unknown-job'} | {readonly type: 'unavailable'};
 
-const toJobState = (state: TerminalState): JobState => {
-	switch (state) {
-		case TerminalState.Completed: {
-			return JobState.Completed;
-		}
-
-		case TerminalState.Failed: {
-			return JobState.Failed;
-		}
-
-		case TerminalState.Cancelled: {
-			return JobState.Cancelled;
-		}
-
-		default: {
-			return state satisfies never;
-		}
-	}
-};
-
 const isTerminal = (state: JobState): boolean => state === JobState.Completed || state === JobState.Failed || state === JobState.Cancelled;
 
 export type Intake = ReturnType<typeof createIntake>;
@@ -102,6 +82,7 @@
 			const key = jobPrefix + declaration.id;
 			let isUncertain = false;
 			for (;;) {
+				// eslint-disable-next-line no-await-in-loop -- Each try follows the one before it.
 				const written = await store.transact({
 					conditions: [{key, modifiedRevision: 0}, {key: resultPrefix + declaration.id, modifiedRevision: 0}],
 					operations: [{type: 'put', key, value: JSON.stringify(declaration)}],
@@ -123,11 +104,13 @@
 					return 'unknown';
 				}
 
+				// eslint-disable-next-line no-await-in-loop -- Each try follows the one before it.
 				await wait(retryMilliseconds);
 			}
 		},
 		async cancel(id: string, deadline: number): Promise<CancelOutcome> {
 			for (;;) {
+				// eslint-disable-next-line no-await-in-loop -- Each try follows the one before it.
 				const stored = await readStored(id);
 				if (stored.type === 'unknown-job') {
 					return 'unknown-job';
@@ -138,6 +121,7 @@
 						return 'cancelled';
 					}
 
+					// eslint-disable-next-line no-await-in-loop -- Each try follows the one before it.
 					const written = await store.transact({
 						conditions: [{key: jobPrefix + id, modifiedRevision: stored.revision}],
 						operations: [{type: 'put', key: cancellationPrefix + id, value: ''}],
@@ -152,6 +136,7 @@
 					return 'unavailable';
 				}
 
+				// eslint-disable-next-line no-await-in-loop -- Each try follows the one before it.
 				await wait(retryMilliseconds);
 			}
 		},
--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -131,10 +131,6 @@
 
 				break;
 			}
-
-			default: {
-				outcome satisfies never;
-			}
 		}
 	};
 
@@ -171,6 +167,7 @@
 		restore(entries: readonly StoredEntry[]): void {
 			for (const entry of entries) {
 				const wave = Number(entry.key.slice(waveProgressPrefix.length));
+				// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Written by this program.
 				const progress = JSON.parse(entry.value) as WaveProgress;
 				restored.set(wave, progress);
 				for (const machine of progress.ordered) {
--- a/packages/jobs/job-service/src/orders.ts
+++ b/packages/jobs/job-service/src/orders.ts
@@ -75,10 +75,6 @@
 					scheduler.noteStart(row, {type: 'rejected', reason: 'invalid'}, now);
 					break;
 				}
-
-				default: {
-					started.error.kind satisfies never;
-				}
 			}
 
 			onStart(order, `${started.error.kind}: ${started.error.message}`);
@@ -155,10 +151,6 @@
 					void ask(order);
 					break;
 				}
-
-				default: {
-					order satisfies never;
-				}
 			}
 		},
 	};
--- /dev/null
+++ b/packages/jobs/job-service/src/owned-jobs.ts
@@ -0,0 +1,160 @@
+/** The jobs of the owner: taken from the store, kept in the scheduler, and written back as they get on. */
+import type {JobDeclaration, JobRow, Scheduler} from '@turmericbay/scheduler';
+import {isActive, JobState, readProgress} from '@turmericbay/scheduler';
+import type {KeyValueStore, StoredEntry, StoreOperation} from '@turmericbay/types';
+import type {Commits} from './commits.js';
+import type {OwnerLog} from './owner-log.js';
+import type {Clock} from './ports.js';
+import type {TerminalState} from './records.js';
+import {
+	cancellationPrefix, jobPrefix, parseJob, parseProgress, progressPrefix, resultPrefix, toJobState, toTerminalState,
+} from './records.js';
+
+/** Results stay readable for this time at least, in seconds; the platform asks for 120. */
+const resultSeconds = 600;
+/** Results written in this time share a lease. */
+const resultLeaseRefreshMilliseconds = 60_000;
+/** Final states are kept at hand for this time; later they are read from the store. */
+const finishedMilliseconds = 150_000;
+
+export type OwnedJobs = ReturnType<typeof createOwnedJobs>;
+
+export const createOwnedJobs = (options: {
+	readonly store: KeyValueStore;
+	readonly commits: Commits;
+	readonly scheduler: Scheduler;
+	readonly clock: Clock;
+	readonly onChange: () => void;
+	readonly log: OwnerLog;
+}) => {
+	const {store, commits, scheduler, clock, onChange, log} = options;
+	/** States that are stored, by job; what callers are told. */
+	const finished = new Map<string, {readonly state: TerminalState; readonly at: number}>();
+	const finishing = new Set<string>();
+	/** Cancellations that were seen before their job. */
+	const cancelledEarly = new Set<string>();
+	let resultLease: string | undefined;
+	let leaseAskedAt = Number.NEGATIVE_INFINITY;
+
+	const refreshResultLease = async (): Promise<void> => {
+		const granted = await store.grantLease({timeToLiveSeconds: resultSeconds});
+		if (granted.isOk()) {
+			resultLease = granted.value.leaseId;
+		} else {
+			log.storeTrouble('result lease', granted.error.message);
+		}
+	};
+
+	const finish = async (job: JobRow, state: TerminalState): Promise<void> => {
+		const {id} = job.declaration;
+		if (finishing.has(id)) {
+			return;
+		}
+
+		finishing.add(id);
+		// The result comes first: between two transactions a job may be known twice, never not at all.
+		await commits.commit([
+			{
+				type: 'put', key: resultPrefix + id, value: state, ...(resultLease !== undefined && {leaseId: resultLease}),
+			},
+			{type: 'delete', key: jobPrefix + id},
+			{type: 'delete', key: progressPrefix + id},
+			{type: 'delete', key: cancellationPrefix + id},
+		]);
+		finished.set(id, {state, at: clock.now()});
+		finishing.delete(id);
+		log.jobFinished(job);
+		onChange();
+	};
+
+	const add = (declaration: JobDeclaration, restored: boolean, progress?: StoredEntry): void => {
+		const {id} = declaration;
+		if (scheduler.jobs.has(id) || finished.has(id)) {
+			return;
+		}
+
+		const stored = progress && parseProgress(progress);
+		scheduler.addJob(declaration, {
+			...(stored && {progress: stored}), restored, now: clock.now(), wallNow: clock.wallNow(),
+		});
+		if (cancelledEarly.delete(id)) {
+			scheduler.cancelJob(id);
+		}
+
+		onChange();
+	};
+
+	return {
+		add,
+		addEntries(entries: readonly StoredEntry[], restored: boolean, progress?: ReadonlyMap<string, StoredEntry>): void {
+			for (const entry of entries) {
+				const declaration = parseJob(entry);
+				if (declaration) {
+					add(declaration, restored, progress?.get(declaration.id));
+				} else {
+					log.unreadable(entry.key);
+				}
+			}
+		},
+		cancel(id: string): void {
+			if (scheduler.jobs.has(id)) {
+				scheduler.cancelJob(id);
+			} else if (!finished.has(id)) {
+				cancelledEarly.add(id);
+			}
+
+			onChange();
+		},
+		/** Queues what has changed for the store; resolves when all of it is stored. */
+		async storeChanges(): Promise<void> {
+			const writes: Array<Promise<void>> = [];
+			const operations: StoreOperation[] = [];
+			for (const job of scheduler.changedJobs) {
+				job.changed = false;
+				const state = toTerminalState(job.state);
+				if (state === undefined) {
+					operations.push({type: 'put', key: progressPrefix + job.declaration.id, value: JSON.stringify(readProgress(job))});
+				} else if (!finished.has(job.declaration.id)) {
+					writes.push(finish(job, state));
+				}
+			}
+
+			scheduler.changedJobs.clear();
+			// Changes that an earlier call has taken may still be on their way.
+			await Promise.all([...writes, commits.commit(operations), commits.flush()]);
+		},
+		tick(now: number): void {
+			if (now - leaseAskedAt > resultLeaseRefreshMilliseconds) {
+				leaseAskedAt = now;
+				void refreshResultLease();
+			}
+
+			for (const [id, {at}] of finished) {
+				const job = scheduler.jobs.get(id);
+				if (job && scheduler.isSettled(job)) {
+					scheduler.removeJob(job);
+				} else if (!job && now - at > finishedMilliseconds) {
+					finished.delete(id);
+				}
+			}
+		},
+		/** What callers may be told: a final state only once it is stored. */
+		describe(id: string): JobState | undefined {
+			const result = finished.get(id);
+			if (result) {
+				return toJobState(result.state);
+			}
+
+			const job = scheduler.jobs.get(id);
+			return job && (isActive(job) ? job.state : JobState.Running);
+		},
+		countPending(queue: string): number {
+			let count = 0;
+			for (const job of scheduler.jobs.values()) {
+				count += job.declaration.queue === queue && isActive(job) && !job.begun ? 1 : 0;
+			}
+
+			return count;
+		},
+	};
+};
--- /dev/null
+++ b/packages/jobs/job-service/src/owned-workers.ts
@@ -0,0 +1,169 @@
+/** The workers of the owner: from the platform's list and from former owners' records, each with a session. */
+import type {Scheduler, WorkerReport, WorkerRow} from '@turmericbay/scheduler';
+import {lapseTime} from '@turmericbay/scheduler';
+import type {StoredEntry} from '@turmericbay/types';
+import type {Commits} from './commits.js';
+import type {OwnerLog} from './owner-log.js';
+import type {Clock, PlatformRecords, WorkerClient} from './ports.js';
+import type {UsedWorkerRecord} from './records.js';
+import {idOf, parseUsedWorker, usedWorkerPrefix} from './records.js';
+import type {WorkerSession} from './worker-session.js';
+
+/**
+ * A former owner extends leases for this long after its last renewal, so that work
+ * outlives an outage of the store; a successor counts on it for workers it cannot reach.
+ */
+export const extensionMilliseconds = 6000;
+
+export type OwnedWorkers = ReturnType<typeof createOwnedWorkers>;
+
+export const createOwnedWorkers = (options: {
+	readonly scheduler: Scheduler;
+	readonly commits: Commits;
+	readonly records: PlatformRecords;
+	readonly client: WorkerClient;
+	readonly clock: Clock;
+	readonly tookOverAt: number;
+	readonly leaseMilliseconds: number;
+	readonly createSession: (worker: WorkerRow) => WorkerSession;
+	readonly onChange: () => void;
+	readonly log: OwnerLog;
+}) => {
+	const {scheduler, commits, records, client, clock, tookOverAt, leaseMilliseconds, createSession, onChange, log} = options;
+	const sessions = new Map<string, WorkerSession>();
+	/** Stored records of workers on which something may run. */
+	const used = new Map<string, string>();
+	const recording = new Set<string>();
+	/** Lives of workers that were ended for a machine's sake; their entries stay in the list for a while. */
+	const retired = new Map<string, number | undefined>();
+	/** Until then a worker that does not answer may run what a former owner has started. */
+	const restoredLapse = lapseTime({now: tookOverAt + extensionMilliseconds, leaseMilliseconds});
+
+	const remove = (worker: WorkerRow): void => {
+		const {id, address} = worker.report;
+		sessions.get(id)?.end();
+		sessions.delete(id);
+		scheduler.workers.delete(id);
+		client.forget({id, address});
+		// A record that is left would make the next owner wait for this worker.
+		if (used.delete(id)) {
+			void commits.commit([{type: 'delete', key: usedWorkerPrefix + id}]);
+		}
+	};
+
+	const openSession = (worker: WorkerRow): void => {
+		if (!sessions.has(worker.report.id)) {
+			sessions.set(worker.report.id, createSession(worker));
+		}
+	};
+
+	const report = (entry: WorkerReport, isRestored: boolean): void => {
+		if (retired.has(entry.id) && retired.get(entry.id) === entry.bornAt) {
+			return;
+		}
+
+		const isKnown = scheduler.workers.has(entry.id);
+		openSession(scheduler.reportWorker({
+			report: entry, listed: true, now: clock.now(), resolved: !isRestored, lapsesBy: isRestored ? restoredLapse : Number.NEGATIVE_INFINITY,
+		}));
+		if (!isKnown) {
+			onChange();
+		}
+	};
+
+	const unlist = (ids: Iterable<string>): void => {
+		for (const id of ids) {
+			const worker = scheduler.workers.get(id);
+			if (worker) {
+				worker.listed = false;
+			}
+		}
+
+		onChange();
+	};
+
+	const encode = (worker: WorkerRow): string => JSON.stringify({
+		id: worker.report.id, address: worker.report.address, pool: worker.report.pool, bornAt: worker.bornAt,
+	} satisfies UsedWorkerRecord);
+
+	/** The next owner has to know where something may run before it is started. */
+	const record = async (worker: WorkerRow): Promise<void> => {
+		const {id} = worker.report;
+		const value = encode(worker);
+		recording.add(id);
+		await commits.commit([{type: 'put', key: usedWorkerPrefix + id, value}]);
+		recording.delete(id);
+		used.set(id, value);
+		onChange();
+	};
+
+	/** The life has ended; nothing of it runs. */
+	const drop = (worker: WorkerRow): void => {
+		scheduler.loseWorker(worker);
+		remove(worker);
+		onChange();
+	};
+
+	return {
+		sessionOf: (worker: WorkerRow): WorkerSession | undefined => sessions.get(worker.report.id),
+		drop,
+		/** The platform has ended the life for its machine's sake. */
+		retire(worker: WorkerRow): void {
+			retired.set(worker.report.id, worker.bornAt);
+			drop(worker);
+		},
+		restore(entries: readonly StoredEntry[]): void {
+			for (const entry of entries) {
+				const restored = parseUsedWorker(entry);
+				if (!restored) {
+					log.unreadable(entry.key);
+					continue;
+				}
+
+				used.set(restored.id, entry.value);
+				openSession(scheduler.reportWorker({
+					report: {
+						...restored, zone: '', draining: true, capacity: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0}, labels: [],
+					},
+					listed: false, resolved: false, now: tookOverAt, lapsesBy: restoredLapse,
+				}));
+			}
+		},
+		/** Takes over entries of the platform's list. */
+		applyEntries(entries: readonly StoredEntry[], isFirst: boolean): void {
+			for (const entry of entries) {
+				const decoded = records.decodeWorker(entry);
+				if (decoded) {
+					report(decoded, isFirst && used.has(decoded.id));
+				} else {
+					unlist([idOf(entry.key)]);
+					log.unreadable(entry.key);
+				}
+			}
+		},
+		unlist,
+		/** The list is whole: workers that it does not name have left it. */
+		unlistOthers(entries: readonly StoredEntry[]): void {
+			const present = new Set(entries.map(entry => idOf(entry.key)));
+			unlist([...scheduler.workers.keys()].filter(id => !present.has(id)));
+		},
+		tick(now: number): void {
+			for (const [id, worker] of scheduler.workers) {
+				worker.isRecorded = used.get(id) === encode(worker);
+				if (worker.listed && worker.bornAt !== undefined && !worker.isRecorded && !recording.has(id)) {
+					void record(worker);
+				}
+
+				// Left the list, and its leases have ended.
+				if (!worker.listed && worker.runs.size === 0 && worker.resolved && now >= worker.lapsesBy) {
+					remove(worker);
+				}
+			}
+		},
+		end(): void {
+			for (const session of sessions.values()) {
+				session.end();
+			}
+		},
+	};
+};
--- a/packages/jobs/job-service/src/ownership.ts
+++ b/packages/jobs/job-service/src/ownership.ts
@@ -70,7 +70,9 @@
 	const taken = await store.transact({
 		conditions: [{key: ownerKey, modifiedRevision: 0}, {key: commitKey, modifiedRevision: commit.value?.modifiedRevision ?? 0}],
 		operations: [
-			{type: 'put', key: ownerKey, value: JSON.stringify(record), leaseId},
+			{
+				type: 'put', key: ownerKey, value: JSON.stringify(record), leaseId,
+			},
 			{type: 'put', key: commitKey, value: JSON.stringify({epoch, sequence: 0} satisfies CommitRecord)},
 		],
 	});
--- a/packages/jobs/job-service/src/peer-server.ts
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -1,4 +1,5 @@
 /** The peer listener: what other instances ask the owner, and metrics. */
+import {Buffer} from 'node:buffer';
 import type {Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import type {JobDeclaration} from '@turmericbay/scheduler';
@@ -19,8 +20,8 @@
 	response.end(text);
 };
 
-const readBody = async (request: AsyncIterable<Buffer>): Promise<string | undefined> => {
-	const chunks: Buffer[] = [];
+const readBody = async (request: AsyncIterable<Uint8Array>): Promise<string | undefined> => {
+	const chunks: Uint8Array[] = [];
 	let size = 0;
 	for await (const chunk of request) {
 		size += chunk.length;
@@ -54,13 +55,13 @@
 	const router = polka()
 		.get('/jobs/:id', (request, response) => {
 			withOwner(response, owner => {
-				const state = owner.describe(String(request.params['id']));
+				const state = owner.describe(String(request.params.id));
 				answer(response, state === undefined ? notFoundStatus : okStatus, {state});
 			});
 		})
 		.get('/queues/:queue/pending', (request, response) => {
 			withOwner(response, owner => {
-				answer(response, okStatus, {pending: owner.countPending(decodeURIComponent(String(request.params['queue'])))});
+				answer(response, okStatus, {pending: owner.countPending(decodeURIComponent(String(request.params.queue)))});
 			});
 		})
 		.post('/jobs', async (request, response) => {
@@ -71,13 +72,14 @@
 					return;
 				}
 
-				owner.addJob(JSON.parse(body) as JobDeclaration, Number(request.query['revision']));
+				// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Sent by another instance of this program.
+				owner.addJob(JSON.parse(body) as JobDeclaration, Number(request.query.revision));
 				answer(response, okStatus, {});
 			});
 		})
 		.post('/cancellations/:id', (request, response) => {
 			withOwner(response, owner => {
-				owner.cancel(String(request.params['id']));
+				owner.cancel(String(request.params.id));
 				answer(response, okStatus, {});
 			});
 		})
--- a/packages/jobs/job-service/src/pool-moves.ts
+++ b/packages/jobs/job-service/src/pool-moves.ts
@@ -1,5 +1,7 @@
 /** Moves machines between pools as the planner says. */
-import type {PoolMachine, PoolMove, Scheduler, WorkerRow} from '@turmericbay/scheduler';
+import type {
+	PoolMachine, PoolMove, Scheduler, WorkerRow,
+} from '@turmericbay/scheduler';
 import {createPoolPlanner} from '@turmericbay/scheduler';
 import type {MachineList} from './machine-list.js';
 import {quietMilliseconds} from './maintenance.js';
--- a/packages/jobs/job-service/src/ports.ts
+++ b/packages/jobs/job-service/src/ports.ts
@@ -1,6 +1,6 @@
 /** What the job service needs from outside; the adapter of a platform implements these. */
 import type {
-	Policies, Ticket, WorkerLists, WorkerReport,
+	Policies, WorkerLists, WorkerReport,
 } from '@turmericbay/scheduler';
 import type {StoredEntry} from '@turmericbay/types';
 import type {Result} from 'neverthrow';
@@ -120,4 +120,4 @@
 	upkeep(options: {readonly machine: string; readonly wave: number; readonly holder: string; readonly fencingToken: number}): Promise<MachineOutcome>;
 };
 
-export type {Ticket};
+export {type Ticket} from '@turmericbay/scheduler';
--- a/packages/jobs/job-service/src/records.ts
+++ b/packages/jobs/job-service/src/records.ts
@@ -54,16 +54,32 @@
 		case JobState.Running: {
 			return undefined;
 		}
+	}
+};
+
+export const toJobState = (state: TerminalState): JobState => {
+	switch (state) {
+		case TerminalState.Completed: {
+			return JobState.Completed;
+		}
+
+		case TerminalState.Failed: {
+			return JobState.Failed;
+		}
 
-		default: {
-			return state satisfies never;
+		case TerminalState.Cancelled: {
+			return JobState.Cancelled;
 		}
 	}
 };
 
+/** The part of a key that names its job or worker. */
+export const idOf = (key: string): string => key.slice(key.lastIndexOf('/') + 1);
+
 /** Values are written by this program only; one that cannot be parsed is reported by the caller. */
 const parse = <Value>(entry: StoredEntry): Value | undefined => {
 	try {
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Written by this program.
 		return JSON.parse(entry.value) as Value;
 	} catch {
 		return undefined;
@@ -76,6 +92,6 @@
 export const parseCommit = (entry: StoredEntry): CommitRecord | undefined => parse<CommitRecord>(entry);
 export const parseUsedWorker = (entry: StoredEntry): UsedWorkerRecord | undefined => parse<UsedWorkerRecord>(entry);
 export const parseResult = (entry: StoredEntry): TerminalState | undefined => {
-	const state = Object.values(TerminalState).find(value => value === entry.value);
-	return state;
+	const states: ReadonlyMap<string, TerminalState> = new Map(Object.values(TerminalState).map(state => [state, state]));
+	return states.get(entry.value);
 };
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -4,8 +4,9 @@
 import {createConfigurationSource} from './configuration-source.js';
 import {followPrefix} from './follow.js';
 import {createIntake} from './intake.js';
-import type {Owner, OwnerLog} from './owner.js';
+import type {Owner} from './owner.js';
 import {createOwner} from './owner.js';
+import type {OwnerLog} from './owner-log.js';
 import {createOwnerLink} from './owner-link.js';
 import {acquireOwnership, createRenewal} from './ownership.js';
 import {createPeerServer} from './peer-server.js';
@@ -44,12 +45,11 @@
 	readonly peerClient: HttpClient;
 	readonly clock: Clock;
 	readonly random: () => number;
-	readonly longestLeaseMilliseconds: number;
 	readonly leaseMilliseconds: number;
 	readonly log: ServiceLog;
 	readonly renderMetrics: () => string;
 }) => {
-	const {instance, host, port, store, records, workerClient, advice, machines, peerClient, clock, random, longestLeaseMilliseconds, leaseMilliseconds, log, renderMetrics} = options;
+	const {instance, host, port, store, records, workerClient, advice, machines, peerClient, clock, random, leaseMilliseconds, log, renderMetrics} = options;
 	const address = `${host}:${port}`;
 	let owner: NonNullable<Owner> | undefined;
 	let seenOwner: OwnerRecord | undefined;
@@ -73,7 +73,8 @@
 
 	const campaign = async (): Promise<void> => {
 		const current = configuration.current();
-		if (isStopping || isCampaigning || owner || (seenOwner && seenOwner.instance !== instance) || !current) {
+		const isTaken = owner !== undefined || (seenOwner !== undefined && seenOwner.instance !== instance);
+		if (isStopping || isCampaigning || isTaken || !current) {
 			return;
 		}
 
@@ -115,7 +116,7 @@
 		const created = await createOwner({
 			store, records, tenure, renewal, workerClient, advice, machines, instance, clock,
 			configuration: () => configuration.current() ?? current,
-			longestLeaseMilliseconds, leaseMilliseconds, onLost, log,
+			leaseMilliseconds, onLost, log,
 		});
 		isCampaigning = false;
 		if (isLost) {
@@ -133,7 +134,7 @@
 			clearTimeout(campaignTimer);
 			campaignTimer = setTimeout(() => {
 				void campaign();
-			}, pause + random() * campaignSpreadMilliseconds);
+			}, pause + (random() * campaignSpreadMilliseconds));
 		}
 	};
 
--- a/packages/jobs/job-service/src/worker-session.ts
+++ b/packages/jobs/job-service/src/worker-session.ts
@@ -111,11 +111,6 @@
 					retryDelay = Math.min(longestRetryMilliseconds, retryDelay * 2);
 					return;
 				}
-
-				default: {
-					held.error.kind satisfies never;
-					return;
-				}
 			}
 		}
 
@@ -150,7 +145,9 @@
 	};
 
 	const run = async (): Promise<void> => {
+		// eslint-disable-next-line no-unmodified-loop-condition -- Set by the method that ends the session.
 		while (!isEnded) {
+			// eslint-disable-next-line no-await-in-loop -- One call at a time.
 			await hold();
 		}
 	};
--- a/packages/jobs/job-service/test/commits.test.ts
+++ b/packages/jobs/job-service/test/commits.test.ts
@@ -27,6 +27,7 @@
 			return ok(undefined);
 		},
 	};
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- The members that commits use.
 	return {store: store as KeyValueStore, transactions};
 };
 
@@ -114,5 +115,5 @@
 	t.deepEqual(transactions[1]!.operations, transactions[0]!.operations);
 	transactions[1]!.answer({type: 'committed', revision: 2});
 	await stored;
-	t.pass();
+	t.is(transactions.length, 2);
 });
--- a/packages/jobs/job-service/test/maintenance.test.ts
+++ b/packages/jobs/job-service/test/maintenance.test.ts
@@ -49,6 +49,7 @@
 	});
 	const clock = {now: () => now, wallNow: () => now};
 	const maintenance = createMaintenance({
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- The members that maintenance uses.
 		scheduler, machines, list: createMachineList({machines, scheduler, clock}), records: records as PlatformRecords, clock, holder: 'owner', epoch: 2,
 		tookOverAt: 0, mayOrder: () => true,
 		async commit(operations: readonly StoreOperation[]) {
--- a/packages/jobs/job-service/test/worker-session.test.ts
+++ b/packages/jobs/job-service/test/worker-session.test.ts
@@ -21,9 +21,11 @@
 };
 
 const lost: HoldResult = err({kind: WorkerCallErrorKind.Unknown, message: 'no answer'});
-const answerOf = (clockMilliseconds: number): HoldResult => ok({clockMilliseconds, bornAt: 1, lists: {
-	bornAt: 1, running: [], ended: [], partial: false,
-}});
+const answerOf = (clockMilliseconds: number): HoldResult => ok({
+	clockMilliseconds, bornAt: 1, lists: {
+		bornAt: 1, running: [], ended: [], partial: false,
+	},
+});
 
 const createHarness = () => {
 	let now = 1000;
--- a/packages/jobs/scheduler/src/demand.ts
+++ b/packages/jobs/scheduler/src/demand.ts
@@ -51,7 +51,7 @@
 			}
 
 			const chain = estimateChain(declaration);
-			const spareTime = policy.stretch * chain + policy.objectiveMilliseconds - chain;
+			const spareTime = (policy.stretch * chain) + policy.objectiveMilliseconds - chain;
 			const list = (arrivals.get(policy.pool) ?? []).filter(arrival => now - arrival.at < longestWindowMilliseconds);
 			list.push({at: now, work, window: Math.min(longestWindowMilliseconds, Math.max(leastWindowMilliseconds, windowShare * spareTime))});
 			arrivals.set(policy.pool, list);
--- a/packages/jobs/scheduler/src/jobs.ts
+++ b/packages/jobs/scheduler/src/jobs.ts
@@ -58,10 +58,8 @@
 	const occurrenceCount = (job: JobRow): number => Math.max(1, job.declaration.repetitions);
 
 	const finishIfComplete = (job: JobRow): void => {
-		if (job.state === JobState.Queued || job.state === JobState.Running) {
-			if (job.finishedOccurrences >= occurrenceCount(job)) {
-				job.state = JobState.Completed;
-			}
+		if ((job.state === JobState.Queued || job.state === JobState.Running) && job.finishedOccurrences >= occurrenceCount(job)) {
+			job.state = JobState.Completed;
 		}
 	};
 
@@ -107,14 +105,14 @@
 		}
 
 		for (const [name, failures] of Object.entries(progress.failures)) {
-			const task = find(name);
+			const task = findTask(name);
 			if (task) {
 				task.failures = failures;
 			}
 		}
 
 		for (const [name, checkpoint] of Object.entries(progress.checkpoints)) {
-			const task = find(name);
+			const task = findTask(name);
 			if (task) {
 				task.checkpoint = checkpoint;
 			}
@@ -124,7 +122,7 @@
 		finishIfComplete(job);
 	};
 
-	const find = (name: string): TaskRow | undefined => {
+	const findTask = (name: string): TaskRow | undefined => {
 		const [id, occurrence, step, index] = name.split('.');
 		return jobs.get(id ?? '')?.occurrences.get(Number(occurrence))?.[Number(step)]?.tasks[Number(index)];
 	};
@@ -134,7 +132,7 @@
 		changedJobs,
 		markChanged,
 		markTaskDone,
-		find,
+		findTask,
 		add(options: {
 			readonly declaration: JobDeclaration;
 			readonly policy: QueuePolicy | undefined;
@@ -151,10 +149,10 @@
 
 			// Clocks of instances differ, so an age is never taken as negative.
 			const age = Math.max(0, wallNow - declaration.submittedAt);
-			const objective = (policy?.stretch ?? 1) * estimateChain(declaration) + (policy?.objectiveMilliseconds ?? 0);
+			const objective = ((policy?.stretch ?? 1) * estimateChain(declaration)) + (policy?.objectiveMilliseconds ?? 0);
 			const job: JobRow = {
 				declaration, occurrences: new Map(), nextOccurrence: 0, finishedOccurrences: 0, state: JobState.Queued, begun: false,
-				restored, changed: false, knownAt: now, dueBy: now - age + objective, lateBy: now - age + lateFactor * objective,
+				restored, changed: false, knownAt: now, dueBy: now - age + objective, lateBy: now - age + (lateFactor * objective),
 			};
 			jobs.set(declaration.id, job);
 			if (progress) {
@@ -173,7 +171,7 @@
 			for (const job of jobs.values()) {
 				const {repetitions, firstDueAt, intervalMilliseconds} = job.declaration;
 				if (job.state === JobState.Queued || job.state === JobState.Running) {
-					while (job.nextOccurrence < repetitions && firstDueAt + job.nextOccurrence * intervalMilliseconds <= wallNow) {
+					while (job.nextOccurrence < repetitions && firstDueAt + (job.nextOccurrence * intervalMilliseconds) <= wallNow) {
 						openOccurrence(job, job.nextOccurrence);
 						job.nextOccurrence += 1;
 						markChanged(job);
--- a/packages/jobs/scheduler/src/lists.ts
+++ b/packages/jobs/scheduler/src/lists.ts
@@ -72,7 +72,7 @@
 
 	const applyEnd = (worker: WorkerRow, entry: EndedEntry): void => {
 		const row = worker.runs.get(formatRunKey(entry.task, entry.run));
-		const task = row?.task ?? jobs.find(entry.task);
+		const task = row?.task ?? jobs.findTask(entry.task);
 		if (row) {
 			drop(row, entry.reason);
 		}
@@ -132,7 +132,7 @@
 	};
 
 	const adopt = (worker: WorkerRow, name: string, run: number, now: number): RunRow | undefined => {
-		const task = jobs.find(name);
+		const task = jobs.findTask(name);
 		if (!task || !isActive(task.step.job) || task.done || task.runs.size > 0) {
 			// A second run of a task is stopped even if it is speculative: only one row is kept for a task that another owner started.
 			unwanted.push({worker, task: name, run});
--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -31,12 +31,14 @@
 	worker.listed && worker.resolved && worker.isRecorded && !worker.report.draining && !worker.closing
 	&& worker.failures === 0 && worker.answeredAt > now - silenceMilliseconds && worker.avoidUntil <= now;
 
+/** Long-running, in time, late, past any use. */
+const ranksPerPriority = 4;
 /** Share of a step that serves which one worker takes while others have room. */
 const largestSharePerWorker = 0.34;
 /** Below this speed a worker is used only when no other has room. */
 const slowSpeed = 0.5;
 
-const freeShare = (worker: WorkerRow): number => 1 - worker.used.cpuMillis / Math.max(1, worker.report.capacity.cpuMillis);
+const freeShare = (worker: WorkerRow): number => 1 - (worker.used.cpuMillis / Math.max(1, worker.report.capacity.cpuMillis));
 
 /** Late jobs come after those that can still be in time, and jobs past any use after these. */
 const lateness = (job: JobRow, now: number): number => {
@@ -67,7 +69,7 @@
 
 		const use = workers.workspaceUse.get(workspace) ?? {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0};
 		const {resources} = task.step.declaration;
-		const holds = (limit: number, used: number, extra: number, need: number): boolean => limit === 0 || used + extra + need * count <= limit;
+		const holds = (limit: number, used: number, extra: number, need: number): boolean => limit === 0 || used + extra + (need * count) <= limit;
 		return holds(maximum.cpuMillis, use.cpuMillis, extraUse.cpuMillis, resources.cpuMillis)
 			&& holds(maximum.memoryMegabytes, use.memoryMegabytes, extraUse.memoryMegabytes, resources.memoryMegabytes)
 			&& holds(maximum.accelerators, use.accelerators, extraUse.accelerators, resources.accelerators);
@@ -243,7 +245,7 @@
 					continue;
 				}
 
-				const rank = queue.priority * 4 + (isLongRunning(job) ? 0 : 1 + lateness(job, now));
+				const rank = (queue.priority * ranksPerPriority) + (isLongRunning(job) ? 0 : 1 + lateness(job, now));
 				const list = byPool.get(queue.pool) ?? [];
 				list.push({job, queue, rank});
 				byPool.set(queue.pool, list);
--- a/packages/jobs/scheduler/src/pools.ts
+++ b/packages/jobs/scheduler/src/pools.ts
@@ -103,7 +103,9 @@
 				const need = estimateNeed(demand);
 				// Tasks that serve may lack another worker although there is room on those that have one of them.
 				const deficit = need - room + (demand.waitingToServe > 0 && arriving.length === 0 ? Math.max(0, room - need) + (machines[0]?.cpuMillis ?? 0) : 0);
-				return {pool, own, room, count: usable.length, deficit, peak: notePeak(pool, need, now)};
+				return {
+					pool, own, room, count: usable.length, deficit, peak: notePeak(pool, need, now),
+				};
 			});
 
 			/** Machines without work that their pool can spare, longest idle first. */
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -58,7 +58,7 @@
 	const reconciler = createReconciler({
 		jobs, workers, policyOf: queue => policies.queues.get(queue), emit,
 	});
-	const placement = createPlacement({workers, policies: () => policies, firstRun: () => (epoch - 1) * runsPerEpoch + 1});
+	const placement = createPlacement({workers, policies: () => policies, firstRun: () => ((epoch - 1) * runsPerEpoch) + 1});
 	const pacing = createPacing();
 	const speeds = createSpeeds();
 	const demand = createDemand();
@@ -86,10 +86,6 @@
 			case RunPhase.Stopping: {
 				return row.stoppedAt === undefined;
 			}
-
-			default: {
-				return row.phase satisfies never;
-			}
 		}
 	};
 
@@ -245,27 +241,48 @@
 				case 'not-sent': {
 					worker.failures += 1;
 					reconciler.drop(row, 'not-run');
+
 					break;
 				}
 
 				case 'rejected': {
 					task.notBefore = now;
-					if (outcome.reason === 'room' || outcome.reason === 'late') {
-						worker.avoidUntil = Math.max(worker.avoidUntil, now + rejectedPauseMilliseconds);
-					} else if (outcome.reason === 'unhealthy') {
-						worker.avoidUntil = Math.max(worker.avoidUntil, now + unhealthyPauseMilliseconds);
-					} else if (outcome.reason === 'ticket') {
-						task.step.tickets.delete(worker.report.id);
-					} else if (outcome.reason === 'invalid') {
-						task.notBefore = now + stopRepeatMilliseconds;
+					switch (outcome.reason) {
+						case 'room':
+						case 'late': {
+							worker.avoidUntil = Math.max(worker.avoidUntil, now + rejectedPauseMilliseconds);
+
+							break;
+						}
+
+						case 'unhealthy': {
+							worker.avoidUntil = Math.max(worker.avoidUntil, now + unhealthyPauseMilliseconds);
+
+							break;
+						}
+
+						case 'ticket': {
+							task.step.tickets.delete(worker.report.id);
+
+							break;
+						}
+
+						case 'invalid': {
+							task.notBefore = now + stopRepeatMilliseconds;
+
+							break;
+						}
+
+						// The task is placed anew with a higher run; another owner is noticed elsewhere.
+						case 'fenced':
+						case 'superseded': {
+							break;
+						}
 					}
 
 					reconciler.drop(row, 'not-run');
-					break;
-				}
 
-				default: {
-					outcome satisfies never;
+					break;
 				}
 			}
 		},
--- a/packages/jobs/scheduler/src/speeds.ts
+++ b/packages/jobs/scheduler/src/speeds.ts
@@ -64,7 +64,7 @@
 				const isJudged = own.length > 0 && all.length >= leastRuns && usual > 0;
 				const newest = isJudged ? Math.min(2, median(own) / usual) : 1;
 				const weight = isJudged ? newestWeight : recoveryWeight;
-				worker.speed = worker.speed * (1 - weight) + newest * weight;
+				worker.speed = (worker.speed * (1 - weight)) + (newest * weight);
 			}
 		},
 		/** Runs that stand still although their worker answers. */
--- a/packages/jobs/scheduler/src/workers.ts
+++ b/packages/jobs/scheduler/src/workers.ts
@@ -10,7 +10,7 @@
 const lapseSlackMilliseconds = 200;
 
 export const lapseTime = (options: {readonly now: number; readonly leaseMilliseconds: number}): number =>
-	options.now + options.leaseMilliseconds / slowestWorkerClock + lapseSlackMilliseconds;
+	options.now + (options.leaseMilliseconds / slowestWorkerClock) + lapseSlackMilliseconds;
 
 /** Room that a task takes; tasks that fill use no processor time of their own. */
 export const roomOf = (task: TaskRow): Resources => {
--- a/packages/jobs/scheduler/test/placement.test.ts
+++ b/packages/jobs/scheduler/test/placement.test.ts
@@ -199,16 +199,19 @@
 });
 
 test('a queue with advice starts only with a ticket', t => {
-	const scheduler = createTestScheduler(createPolicies({queues: new Map([[queue, {
-		...createPolicies().queues.get(queue)!, advice: {decideMilliseconds: 10, perWorkerMilliseconds: 1},
-	}]])}));
+	const scheduler = createTestScheduler(createPolicies({
+		queues: new Map([[queue, {
+			...createPolicies().queues.get(queue)!, advice: {decideMilliseconds: 10, perWorkerMilliseconds: 1},
+		}]]),
+	}));
 	addWorker(scheduler, createReport('w1'));
 	addWorker(scheduler, createReport('w2'));
 	add(scheduler, 'j', [createStep()]);
 	const [order] = scheduler.plan({now: 1, wallNow: 0, mayStart: true});
-	t.is(order?.type, 'advise');
-	if (order?.type === 'advise') {
-		scheduler.noteAdvice(order, new Map([['w2', {value: 'ticket', expiresAt: 3000, bornAt: 1}]]));
-		t.deepEqual(startAll(scheduler, 2), [['j.0.0.0', 'w2']]);
+	if (order?.type !== 'advise') {
+		throw new Error('no call for advice');
 	}
+
+	scheduler.noteAdvice(order, new Map([['w2', {value: 'ticket', expiresAt: 3000, bornAt: 1}]]));
+	t.deepEqual(startAll(scheduler, 2), [['j.0.0.0', 'w2']]);
 });
--- a/packages/jobs/scheduler/test/waves.test.ts
+++ b/packages/jobs/scheduler/test/waves.test.ts
@@ -12,7 +12,9 @@
 const serve = (tasks: number, maximumAway: number, maximumPerWorker: number) => {
 	const scheduler = createTestScheduler();
 	const workers = ['w1', 'w2', 'w3'].map(id => addWorker(scheduler, createReport(id)));
-	scheduler.addJob(createJob('service', [createStep({taskCount: tasks, longRunning: true, maximumAway, maximumPerWorker})]), {restored: false, now: 0, wallNow: 0});
+	scheduler.addJob(createJob('service', [createStep({
+		taskCount: tasks, longRunning: true, maximumAway, maximumPerWorker,
+	})]), {restored: false, now: 0, wallNow: 0});
 	startAll(scheduler, 1);
 	for (const worker of workers) {
 		answer(scheduler, worker, 2);
@@ -35,7 +37,9 @@
 	const {scheduler, workers} = serve(6, 1, 2);
 	const worker = workers[0]!;
 	t.is(worker.runs.size, 2);
-	const machines = new Map<string, WaveMachine>([['m1', {machine: 'm1', pool: worker.report.pool, isUp: true, worker}]]);
+	const machines = new Map<string, WaveMachine>([['m1', {
+		machine: 'm1', pool: worker.report.pool, isUp: true, worker,
+	}]]);
 	const wave = createWave(['m1']);
 	const plan = planWave({
 		wave, machines, workers: scheduler.workers.values(), backlogged: new Set(), now: 10,
