--- a/packages/jobs/job-service/src/owned-workers.ts
+++ b/packages/jobs/job-service/src/owned-workers.ts
@@ -4,16 +4,20 @@
 import type {StoredEntry} from '@turmericbay/types';
 import type {Commits} from './commits.js';
 import type {OwnerLog} from './owner-log.js';
+import {ownerLeaseMilliseconds} from './ownership.js';
 import type {Clock, PlatformRecords, WorkerClient} from './ports.js';
 import type {UsedWorkerRecord} from './records.js';
 import {idOf, parseUsedWorker, usedWorkerPrefix} from './records.js';
 import type {WorkerSession} from './worker-session.js';
 
 /**
- * A former owner extends leases for this long after its last renewal, so that work
- * outlives an outage of the store; a successor counts on it for workers it cannot reach.
+ * The owner extends leases for this long after its last renewal, so that running work outlives an
+ * outage of the store. A successor counts on it for workers that it cannot reach: it takes over a
+ * lease of the owner's key later at the earliest.
  */
-export const extensionMilliseconds = 6000;
+export const extensionMilliseconds = 4000;
+/** After it has given the ownership up, the owner extends leases for this long, until its successor does; no longer than a successor expects. */
+export const handoverExtensionMilliseconds = extensionMilliseconds - ownerLeaseMilliseconds - 300;
 
 export type OwnedWorkers = ReturnType<typeof createOwnedWorkers>;
 
@@ -37,7 +41,7 @@
 	/** Lives of workers that were ended for a machine's sake; their entries stay in the list for a while. */
 	const retired = new Map<string, number | undefined>();
 	/** Until then a worker that does not answer may run what a former owner has started. */
-	const restoredLapse = lapseTime({now: tookOverAt + extensionMilliseconds, leaseMilliseconds});
+	const restoredLapse = lapseTime({now: tookOverAt + extensionMilliseconds - ownerLeaseMilliseconds, leaseMilliseconds});
 
 	const remove = (worker: WorkerRow): void => {
 		const {id, address} = worker.report;
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -11,7 +11,7 @@
 import {createOrders} from './orders.js';
 import {createOwnedJobs} from './owned-jobs.js';
 import type {OwnedWorkers} from './owned-workers.js';
-import {createOwnedWorkers, extensionMilliseconds} from './owned-workers.js';
+import {createOwnedWorkers, extensionMilliseconds, handoverExtensionMilliseconds} from './owned-workers.js';
 import type {OwnerLog} from './owner-log.js';
 import type {Renewal, Tenure} from './ownership.js';
 import {createPoolMoves} from './pool-moves.js';
@@ -56,6 +56,8 @@
 	const tookOverAt = clock.now();
 	let isEnded = false;
 	let isLoaded = false;
+	/** Steady time until which a successor may need this owner to extend leases. */
+	let handOverUntil = Number.POSITIVE_INFINITY;
 	const follows: WatchHandle[] = [];
 
 	const scheduler = createScheduler({
@@ -87,7 +89,7 @@
 	});
 
 	const mayStart = (): boolean => !isEnded && isLoaded && renewal.isConfirmed();
-	const mayExtend = (): boolean => !isEnded && clock.now() < renewal.confirmedAt() + extensionMilliseconds;
+	const mayExtend = (): boolean => clock.now() < Math.min(renewal.confirmedAt() + extensionMilliseconds, handOverUntil);
 	const onFenced = (): void => {
 		lose('a worker knows a newer owner');
 	};
@@ -238,16 +240,24 @@
 		});
 	};
 
-	const end = (): void => {
+	/** Starts nothing more. At a handover the leases of workers are extended until the successor does so. */
+	const end = (isHandover = false): void => {
 		isEnded = true;
 		clearInterval(timer);
 		clearTimeout(gather);
 		renewal.end();
 		commits.end();
-		workers.end();
 		for (const handle of follows) {
 			handle.stop();
 		}
+
+		if (isHandover) {
+			handOverUntil = clock.now() + handoverExtensionMilliseconds;
+			setTimeout(workers.end, handoverExtensionMilliseconds);
+		} else {
+			handOverUntil = Number.NEGATIVE_INFINITY;
+			workers.end();
+		}
 	};
 
 	const timer = setInterval(tick, tickMilliseconds);
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -56,7 +56,7 @@
 	let isCampaigning = false;
 	let isStopping = false;
 	let campaignTimer: NodeJS.Timeout | undefined;
-	let abandon: ((reason: string) => void) | undefined;
+	let abandon: (() => void) | undefined;
 
 	const configuration = createConfigurationSource({
 		store, records, clock,
@@ -91,14 +91,14 @@
 		const {tenure} = acquired;
 		log.ownershipGained(tenure.epoch);
 		let isLost = false;
-		const onLost = (reason: string): void => {
+		const giveUp = (reason: string, isHandover: boolean): void => {
 			if (isLost) {
 				return;
 			}
 
 			isLost = true;
 			log.ownershipLost(tenure.epoch, reason);
-			owner?.end();
+			owner?.end(isHandover);
 			owner = undefined;
 			renewal.end();
 			void store.revokeLease({leaseId: tenure.leaseId});
@@ -106,13 +106,19 @@
 			campaignSoon(campaignRetryMilliseconds);
 		};
 
+		const onLost = (reason: string): void => {
+			giveUp(reason, false);
+		};
+
 		const renewal = createRenewal({
 			store, clock, tenure, confirmedAt: acquired.confirmedAt, onLost,
 			onChange() {
 				// The scheduler runs each tick and looks at the renewal itself.
 			},
 		});
-		abandon = onLost;
+		abandon = () => {
+			giveUp('this instance is stopping', true);
+		};
 		const created = await createOwner({
 			store, records, tenure, renewal, workerClient, advice, machines, instance, clock,
 			configuration: () => configuration.current() ?? current,
@@ -188,7 +194,7 @@
 		handOver(): void {
 			isStopping = true;
 			clearTimeout(campaignTimer);
-			abandon?.('this instance is stopping');
+			abandon?.();
 		},
 		close(): void {
 			configuration.stop();
--- a/packages/jobs/job-service/src/worker-session.ts
+++ b/packages/jobs/job-service/src/worker-session.ts
@@ -91,6 +91,7 @@
 		if (held.isErr()) {
 			switch (held.error.kind) {
 				case WorkerCallErrorKind.Fenced: {
+					isEnded = true;
 					onFenced();
 					return;
 				}
--- a/packages/jobs/job-service/test/worker-session.test.ts
+++ b/packages/jobs/job-service/test/worker-session.test.ts
@@ -79,3 +79,11 @@
 	t.not(holds[3]!.hold.until, undefined);
 	session.end();
 });
+
+// Guards against a loop of calls to a worker that already listens to a newer owner.
+test('a session ends when a newer owner has called the worker', async t => {
+	const {holds} = createHarness();
+	holds[0]!.resolve(err({kind: WorkerCallErrorKind.Fenced, message: 'lower token'}));
+	await settle();
+	t.is(holds.length, 1);
+});
