--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -119,6 +119,7 @@
 		abandon = () => {
 			giveUp('this instance is stopping', true);
 		};
+
 		const created = await createOwner({
 			store, records, tenure, renewal, workerClient, advice, machines, instance, clock,
 			configuration: () => configuration.current() ?? current,
