--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -12,10 +12,10 @@
 import {waveProgressPrefix} from './records.js';
 
 /**
- * A new owner leaves machines alone for this time, so that a call of the former owner that is on its
- * way comes first. Longer pauses kept pools short of machines through a burst.
+ * A new owner leaves machines alone for this time: two holders must not take turns on one machine
+ * within the platform's 3 s, and a call of the former owner may still be on its way.
  */
-export const quietMilliseconds = 1500;
+export const quietMilliseconds = 3500;
 /** A machine that was busy is tried again after this time. */
 const retryMilliseconds = 500;
 
--- a/packages/jobs/job-service/test/maintenance.test.ts
+++ b/packages/jobs/job-service/test/maintenance.test.ts
@@ -26,7 +26,7 @@
 	encodeWaveStatus: ({wave, isCompleted}) => ({key: `status/${wave}`, value: String(isCompleted)}),
 };
 
-const createHarness = (outcomes: MachineOutcome[], restored: readonly StoredEntry[] = []) => {
+const createHarness = (outcomes: MachineOutcome[], restored: readonly StoredEntry[] = [], tookOverAt = 0) => {
 	let now = 10_000;
 	const trail: string[] = [];
 	const machines: MachineService = {
@@ -51,7 +51,7 @@
 	const maintenance = createMaintenance({
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- The members that maintenance uses.
 		scheduler, machines, list: createMachineList({machines, scheduler, clock}), records: records as PlatformRecords, clock, holder: 'owner', epoch: 2,
-		tookOverAt: 0, mayOrder: () => true,
+		tookOverAt, mayOrder: () => true,
 		async commit(operations: readonly StoreOperation[]) {
 			const [progress] = operations;
 			trail.push(progress?.type === 'put' ? progress.value : '');
@@ -103,3 +103,14 @@
 	t.is(trail.filter(step => step === 'upkeep').length, 2);
 	t.false(trail.includes('retired'));
 });
+
+// Guards against two holders that order the same machine within three seconds, which happened with a pause of 1.5 s.
+test('a new owner orders nothing in its first three seconds', async t => {
+	const {trail, tick} = createHarness(['accepted'], [], 10_000);
+	await tick(1000);
+	await tick(2000);
+	t.false(trail.includes('upkeep'));
+	await tick(1000);
+	await tick(3000);
+	t.true(trail.includes('upkeep'));
+});
