Free machines at once that no former owner has ordered lately

Change: each order is stored before it is sent; a new owner waits only for machines with an order of the last eight seconds by the wall clock.

--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -5,17 +5,13 @@
 import {planWave} from '@turmericbay/scheduler';
 import type {StoredEntry, StoreOperation} from '@turmericbay/types';
 import type {MachineList} from './machine-list.js';
+import type {MachineOrders} from './machine-orders.js';
 import type {
 	Clock, MachineService, PlatformRecords,
 } from './ports.js';
 import {MachineState} from './ports.js';
 import {waveProgressPrefix} from './records.js';
 
-/**
- * A new owner leaves machines alone for this time: two holders must not take turns on one machine
- * within the platform's 3 s, and a call of the former owner may still be on its way.
- */
-export const quietMilliseconds = 3500;
 /** A machine that was busy is tried again after this time. */
 const retryMilliseconds = 500;
 
@@ -39,14 +35,14 @@
 	readonly clock: Clock;
 	readonly holder: string;
 	readonly epoch: number;
-	readonly tookOverAt: number;
+	readonly orders: MachineOrders;
 	readonly mayOrder: () => boolean;
 	readonly commit: (operations: readonly StoreOperation[]) => Promise<void>;
 	/** The worker's life has been ended by the platform. */
 	readonly retire: (worker: WorkerRow) => void;
 	readonly log: MaintenanceLog;
 }) => {
-	const {scheduler, machines, list, records, clock, holder, epoch, tookOverAt, mayOrder, commit, retire, log} = options;
+	const {scheduler, machines, list, records, clock, holder, epoch, orders, mayOrder, commit, retire, log} = options;
 	const waves = new Map<number, WaveRow>();
 	const completed = new Set<number>();
 	const retryAt = new Map<string, number>();
@@ -81,8 +77,8 @@
 		wave.ordered.add(machine);
 		const worker = list.workerOn(machine);
 		// Stored first: a later owner has to know that the machine may have had its upkeep.
-		await writeStatus(wave, false);
-		if (!mayOrder()) {
+		const [isReady] = await Promise.all([orders.prepare(machine), writeStatus(wave, false)]);
+		if (!isReady) {
 			wave.ordered.delete(machine);
 			return;
 		}
@@ -153,7 +149,7 @@
 			}
 		}
 
-		const usable = new Map([...known].filter(([machine]) => (retryAt.get(machine) ?? 0) <= now));
+		const usable = new Map([...known].filter(([machine]) => (retryAt.get(machine) ?? 0) <= now && orders.isFree(machine)));
 		const backlogged = new Set([...scheduler.poolDemands(now)].filter(([, demand]) => demand.waiting > 0).map(([pool]) => pool));
 		const plan = planWave({
 			wave, machines: usable, workers: scheduler.workers.values(), backlogged, now,
@@ -205,7 +201,7 @@
 		tick(): void {
 			const open = [...waves.values()].filter(wave => !completed.has(wave.wave) || wave.down.size > 0);
 			const now = clock.now();
-			if (open.length === 0 || now < tookOverAt + quietMilliseconds || !mayOrder()) {
+			if (open.length === 0 || !mayOrder()) {
 				return;
 			}
 
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -7,6 +7,7 @@
 import {createCommits} from './commits.js';
 import {followPrefix, listAll} from './follow.js';
 import {createMachineList} from './machine-list.js';
+import {createMachineOrders} from './machine-orders.js';
 import {createMaintenance} from './maintenance.js';
 import {createOrders} from './orders.js';
 import {createOwnedJobs} from './owned-jobs.js';
@@ -19,7 +20,7 @@
 	AdviceClient, Clock, Configuration, MachineService, PlatformRecords, WorkerClient,
 } from './ports.js';
 import {
-	cancellationPrefix, idOf, jobPrefix, progressPrefix, usedWorkerPrefix, waveProgressPrefix,
+	cancellationPrefix, idOf, jobPrefix, machineOrderPrefix, progressPrefix, usedWorkerPrefix, waveProgressPrefix,
 } from './records.js';
 import {createWorkerSession} from './worker-session.js';
 
@@ -126,18 +127,21 @@
 	});
 
 	const createMachineDuties = (service: MachineService) => {
+		const commit = async (operations: readonly StoreOperation[]): Promise<void> => commits.commit(operations);
+		const machineOrders = createMachineOrders({
+			clock, tookOverAt, mayOrder: mayStart, commit,
+		});
 		const shared = {
 			scheduler, machines: service, list: createMachineList({machines: service, scheduler, clock}),
-			clock, holder: instance, epoch: tenure.epoch, tookOverAt, mayOrder: mayStart, retire: workers.retire, log,
+			clock, holder: instance, epoch: tenure.epoch, orders: machineOrders, mayOrder: mayStart, retire: workers.retire, log,
 		};
 		const maintenance = createMaintenance({
-			...shared, records,
-			commit: async (operations: readonly StoreOperation[]) => commits.commit(operations),
+			...shared, records, commit,
 		});
-		return {maintenance, poolMoves: createPoolMoves({...shared, isReserved: maintenance.isReserved})};
+		return {machineOrders, maintenance, poolMoves: createPoolMoves({...shared, isReserved: maintenance.isReserved})};
 	};
 
-	const {maintenance, poolMoves} = machines ? createMachineDuties(machines) : {};
+	const {machineOrders, maintenance, poolMoves} = machines ? createMachineDuties(machines) : {};
 
 	const tick = (): void => {
 		if (isEnded || !isLoaded) {
@@ -161,15 +165,16 @@
 	};
 
 	const load = async (): Promise<boolean> => {
-		const [list, used, stored, progress, cancellations, waves] = await Promise.all([
+		const [list, used, stored, progress, cancellations, waves, ordered] = await Promise.all([
 			listAll(store, records.workerPrefix),
 			listAll(store, usedWorkerPrefix),
 			listAll(store, jobPrefix),
 			listAll(store, progressPrefix),
 			listAll(store, cancellationPrefix),
 			listAll(store, waveProgressPrefix),
+			listAll(store, machineOrderPrefix),
 		]);
-		if (list.isErr() || used.isErr() || stored.isErr() || progress.isErr() || cancellations.isErr() || waves.isErr()) {
+		if (list.isErr() || used.isErr() || stored.isErr() || progress.isErr() || cancellations.isErr() || waves.isErr() || ordered.isErr()) {
 			return false;
 		}
 
@@ -181,6 +186,7 @@
 			jobs.cancel(idOf(entry.key));
 		}
 
+		machineOrders?.restore(ordered.value);
 		maintenance?.restore(waves.value);
 		isLoaded = true;
 		log.loaded({jobs: scheduler.jobs.size, workers: scheduler.workers.size, milliseconds: clock.now() - tookOverAt});
--- a/packages/jobs/job-service/src/pool-moves.ts
+++ b/packages/jobs/job-service/src/pool-moves.ts
@@ -4,7 +4,7 @@
 } from '@turmericbay/scheduler';
 import {createPoolPlanner} from '@turmericbay/scheduler';
 import type {MachineList} from './machine-list.js';
-import {quietMilliseconds} from './maintenance.js';
+import type {MachineOrders} from './machine-orders.js';
 import type {Clock, MachineService} from './ports.js';
 import {MachineState} from './ports.js';
 
@@ -28,7 +28,7 @@
 	readonly clock: Clock;
 	readonly holder: string;
 	readonly epoch: number;
-	readonly tookOverAt: number;
+	readonly orders: MachineOrders;
 	readonly mayOrder: () => boolean;
 	/** Machines that a wave is about to take. */
 	readonly isReserved: (machine: string) => boolean;
@@ -36,7 +36,7 @@
 	readonly retire: (worker: WorkerRow) => void;
 	readonly log: PoolMoveLog;
 }) => {
-	const {scheduler, machines, list, clock, holder, epoch, tookOverAt, mayOrder, isReserved, retire, log} = options;
+	const {scheduler, machines, list, clock, holder, epoch, orders, mayOrder, isReserved, retire, log} = options;
 	const planner = createPoolPlanner();
 	const incoming = new Map<string, string>();
 	const movedAt = new Map<string, number>();
@@ -55,6 +55,11 @@
 
 		incoming.set(machine, to);
 		movedAt.set(machine, Number.POSITIVE_INFINITY);
+		if (!await orders.prepare(machine)) {
+			incoming.delete(machine);
+			return;
+		}
+
 		list.noteOrder(machine);
 		const outcome = await machines.move({
 			machine, pool: to, holder, fencingToken: epoch,
@@ -105,7 +110,7 @@
 	return {
 		tick(): void {
 			const now = clock.now();
-			if (now < tookOverAt + quietMilliseconds || now - plannedAt < planMilliseconds || !mayOrder()) {
+			if (now - plannedAt < planMilliseconds || !mayOrder()) {
 				return;
 			}
 
@@ -119,7 +124,7 @@
 			const demands = new Map([...scheduler.poolDemands(now)].filter(([pool]) => !standbyPools.has(pool)));
 			for (const move of planner.plan({
 				machines: known, demands, standbyPools, incoming, now,
-				isPossible: (machine, pool) => !isReserved(machine) && (retryAt.get(machine) ?? 0) <= now && !impossible.has(`${machine} ${pool}`),
+				isPossible: (machine, pool) => !isReserved(machine) && orders.isFree(machine) && (retryAt.get(machine) ?? 0) <= now && !impossible.has(`${machine} ${pool}`),
 			})) {
 				void order(move);
 			}
