--- a/packages/jobs/scheduler/src/jobs.ts
+++ b/packages/jobs/scheduler/src/jobs.ts
@@ -19,7 +19,7 @@
 			name: formatTaskName({
 				job: job.declaration.id, occurrence, step: index, index: task,
 			}),
-			step, index: task, done: false, runs: new Map(), lastRun: 0, failures: 0, failedOn: [], checkpoint: '', notBefore: 0,
+			step, index: task, done: false, runs: new Map(), lastRun: 0, failedRuns: [], failedOn: [], checkpoint: '', notBefore: 0,
 		});
 	}
 
@@ -107,7 +107,7 @@
 		for (const [name, failures] of Object.entries(progress.failures)) {
 			const task = findTask(name);
 			if (task) {
-				task.failures = failures;
+				task.failedRuns.push(...failures);
 			}
 		}
 
--- a/packages/jobs/scheduler/src/lists.ts
+++ b/packages/jobs/scheduler/src/lists.ts
@@ -49,17 +49,21 @@
 		}
 	};
 
-	const countFailure = (task: TaskRow, worker: WorkerRow): void => {
+	const countFailure = (task: TaskRow, run: number, worker: WorkerRow): void => {
+		if (task.failedRuns.includes(run)) {
+			return;
+		}
+
 		task.failedOn.push(worker.report.id);
 		if (task.step.declaration.longRunning) {
 			return;
 		}
 
 		const limit = policyOf(task.step.job.declaration.queue)?.maximumAttempts ?? Number.POSITIVE_INFINITY;
-		task.failures += 1;
+		task.failedRuns.push(run);
 		jobs.markChanged(task.step.job);
-		if (task.failures >= limit) {
-			failJob(task, task.failures);
+		if (task.failedRuns.length >= limit) {
+			failJob(task, task.failedRuns.length);
 		}
 	};
 
@@ -102,7 +106,7 @@
 
 			case EndReason.Failed: {
 				worker.recentFailures += 1;
-				countFailure(task, worker);
+				countFailure(task, entry.run, worker);
 				break;
 			}
 
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -153,7 +153,8 @@
 	done: boolean;
 	readonly runs: Map<number, RunRow>;
 	lastRun: number;
-	failures: number;
+	/** Numbers of the runs that failed; a new owner may see an end that a former one has counted. */
+	readonly failedRuns: number[];
 	readonly failedOn: string[];
 	checkpoint: string;
 	/** No start before this time, after a rejected start. */
--- a/packages/jobs/scheduler/src/progress.ts
+++ b/packages/jobs/scheduler/src/progress.ts
@@ -12,13 +12,13 @@
 	readonly nextOccurrence: number;
 	readonly finishedOccurrences: number;
 	readonly openOccurrences: readonly OccurrenceProgress[];
-	/** Failed runs by task name. */
-	readonly failures: Readonly<Record<string, number>>;
+	/** Numbers of failed runs by task name. */
+	readonly failures: Readonly<Record<string, readonly number[]>>;
 	readonly checkpoints: Readonly<Record<string, string>>;
 };
 
 export const readProgress = (job: JobRow): JobProgress => {
-	const failures: Record<string, number> = {};
+	const failures: Record<string, readonly number[]> = {};
 	const checkpoints: Record<string, string> = {};
 	const openOccurrences: OccurrenceProgress[] = [];
 	for (const [occurrence, steps] of job.occurrences) {
@@ -31,8 +31,8 @@
 					continue;
 				}
 
-				if (task.failures > 0) {
-					failures[task.name] = task.failures;
+				if (task.failedRuns.length > 0) {
+					failures[task.name] = task.failedRuns;
 				}
 
 				if (task.checkpoint !== '') {
--- a/packages/jobs/scheduler/test/placement.test.ts
+++ b/packages/jobs/scheduler/test/placement.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {EndReason, JobState} from '../src/index.js';
+import {EndReason, JobState, readProgress} from '../src/index.js';
 import type {Scheduler, WorkerRow} from '../src/index.js';
 import {
 	addWorker, answer, createJob, createPolicies, createReport, createStep, createTestScheduler, queue, startAll,
@@ -71,6 +71,27 @@
 	t.deepEqual(startAll(scheduler, 21), []);
 });
 
+// Guards against a job that is shown as failed too early: an end that was stored and not yet acknowledged was counted again by the next owner.
+test('an end that a former owner has counted is not counted again', t => {
+	const first = createTestScheduler();
+	const worker = addWorker(first, createReport('w1'));
+	add(first, 'j', [createStep()]);
+	startAll(first, 1);
+	end(first, worker, {
+		task: 'j.0.0.0', run: 1, reason: EndReason.Failed, now: 10,
+	});
+	const second = createTestScheduler(createPolicies(), 2);
+	const same = addWorker(second, createReport('w1'));
+	second.addJob(createJob('j', [createStep()]), {
+		progress: readProgress(first.jobs.get('j')!), restored: true, now: 20, wallNow: 0,
+	});
+	end(second, same, {
+		task: 'j.0.0.0', run: 1, reason: EndReason.Failed, now: 30,
+	});
+	t.is(second.jobs.get('j')!.state, JobState.Queued);
+	t.deepEqual(startAll(second, 31).map(([task]) => task), ['j.0.0.0']);
+});
+
 // Guards against a second run while the first start may still be carried out.
 test('an unanswered start is stopped before the task is started again', t => {
 	const scheduler = createTestScheduler();
