--- a/packages/jobs/job-service/src/commits.ts
+++ b/packages/jobs/job-service/src/commits.ts
@@ -160,9 +160,6 @@
 		},
 		/** Resolves once everything that was passed to `commit` before is stored. */
 		flush,
-		/** Store revision of the newest write of this owner. */
-		revision: () => revision,
-		queued: () => queued.size,
 		end(): void {
 			isEnded = true;
 		},
--- a/packages/jobs/job-service/src/owned-workers.ts
+++ b/packages/jobs/job-service/src/owned-workers.ts
@@ -68,7 +68,7 @@
 
 		const isKnown = scheduler.workers.has(entry.id);
 		openSession(scheduler.reportWorker({
-			report: entry, listed: true, now: clock.now(), resolved: !isRestored, lapsesBy: isRestored ? restoredLapse : Number.NEGATIVE_INFINITY,
+			report: entry, listed: true, resolved: !isRestored, lapsesBy: isRestored ? restoredLapse : Number.NEGATIVE_INFINITY,
 		}));
 		if (!isKnown) {
 			onChange();
@@ -129,7 +129,7 @@
 					report: {
 						...restored, zone: '', draining: true, capacity: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0}, labels: [],
 					},
-					listed: false, resolved: false, now: tookOverAt, lapsesBy: restoredLapse,
+					listed: false, resolved: false, lapsesBy: restoredLapse,
 				}));
 			}
 		},
--- a/packages/jobs/job-service/src/ownership.ts
+++ b/packages/jobs/job-service/src/ownership.ts
@@ -98,9 +98,8 @@
 	readonly tenure: Tenure;
 	readonly confirmedAt: number;
 	readonly onLost: (reason: string) => void;
-	readonly onChange: () => void;
 }) => {
-	const {store, clock, tenure, onLost, onChange} = options;
+	const {store, clock, tenure, onLost} = options;
 	let {confirmedAt} = options;
 	let lastLook = {steady: clock.now(), wall: clock.wallNow()};
 	let isEnded = false;
@@ -126,7 +125,6 @@
 		// The answer may have waited out a pause of this process.
 		if (clock.now() - sentAt < ownerLeaseMilliseconds && !looksPaused()) {
 			confirmedAt = Math.max(confirmedAt, sentAt);
-			onChange();
 		}
 	};
 
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -112,9 +112,6 @@
 
 		const renewal = createRenewal({
 			store, clock, tenure, confirmedAt: acquired.confirmedAt, onLost,
-			onChange() {
-				// The scheduler runs each tick and looks at the renewal itself.
-			},
 		});
 		abandon = () => {
 			giveUp('this instance is stopping', true);
--- a/packages/jobs/job-service/src/worker-session.ts
+++ b/packages/jobs/job-service/src/worker-session.ts
@@ -1,7 +1,7 @@
 /** The conversation of the owner with one worker: takes it over, extends its lease, reads its lists and acknowledges ends once they are stored. */
 import type {Scheduler, WorkerRow} from '@turmericbay/scheduler';
 import {lapseTime} from '@turmericbay/scheduler';
-import type {Clock, WorkerClient} from './ports.js';
+import type {Clock, WorkerCallError, WorkerClient} from './ports.js';
 import {WorkerCallErrorKind} from './ports.js';
 
 /** Longest wait of a worker for an end before it answers with its lists; also how old the measured figures may be. */
@@ -70,6 +70,32 @@
 		return Math.round(reading.clockMilliseconds + (now - reading.at) + leaseMilliseconds);
 	};
 
+	const handleFailure = async (failure: WorkerCallError): Promise<void> => {
+		switch (failure.kind) {
+			case WorkerCallErrorKind.Fenced: {
+				isEnded = true;
+				onFenced();
+				return;
+			}
+
+			case WorkerCallErrorKind.Gone: {
+				onGone(worker);
+				return;
+			}
+
+			case WorkerCallErrorKind.NotSent:
+			case WorkerCallErrorKind.Unknown:
+			case WorkerCallErrorKind.Unhealthy:
+			case WorkerCallErrorKind.Invalid: {
+				worker.failures += 1;
+				onTrouble(worker, failure.message);
+				onChange();
+				await pause(retryDelay);
+				retryDelay = Math.min(longestRetryMilliseconds, retryDelay * 2);
+			}
+		}
+	};
+
 	const hold = async (): Promise<void> => {
 		const sentAt = clock.now();
 		// A worker that does not answer is only asked: its lease has to end before its work starts elsewhere.
@@ -89,30 +115,8 @@
 		}
 
 		if (held.isErr()) {
-			switch (held.error.kind) {
-				case WorkerCallErrorKind.Fenced: {
-					isEnded = true;
-					onFenced();
-					return;
-				}
-
-				case WorkerCallErrorKind.Gone: {
-					onGone(worker);
-					return;
-				}
-
-				case WorkerCallErrorKind.NotSent:
-				case WorkerCallErrorKind.Unknown:
-				case WorkerCallErrorKind.Unhealthy:
-				case WorkerCallErrorKind.Invalid: {
-					worker.failures += 1;
-					onTrouble(worker, held.error.message);
-					onChange();
-					await pause(retryDelay);
-					retryDelay = Math.min(longestRetryMilliseconds, retryDelay * 2);
-					return;
-				}
-			}
+			await handleFailure(held.error);
+			return;
 		}
 
 		const {clockMilliseconds, lists, bornAt} = held.value;
--- a/packages/jobs/job-service/test/maintenance.test.ts
+++ b/packages/jobs/job-service/test/maintenance.test.ts
@@ -46,7 +46,7 @@
 	};
 	const scheduler = createScheduler({epoch: 2, emit: () => undefined});
 	const worker = scheduler.reportWorker({
-		report, listed: true, resolved: true, lapsesBy: 1_000_000, now,
+		report, listed: true, resolved: true, lapsesBy: 1_000_000,
 	});
 	const clock = {now: () => now, wallNow: () => now};
 	const commit = async (operations: readonly StoreOperation[]): Promise<void> => {
--- a/packages/jobs/job-service/test/worker-session.test.ts
+++ b/packages/jobs/job-service/test/worker-session.test.ts
@@ -44,7 +44,7 @@
 	};
 	const scheduler = createScheduler({epoch: 1, emit: () => undefined});
 	const worker = scheduler.reportWorker({
-		report, listed: true, resolved: true, lapsesBy: Number.NEGATIVE_INFINITY, now,
+		report, listed: true, resolved: true, lapsesBy: Number.NEGATIVE_INFINITY,
 	});
 	const ignore = (): void => undefined;
 	const session = createWorkerSession({
--- a/packages/jobs/scheduler/src/jobs.ts
+++ b/packages/jobs/scheduler/src/jobs.ts
@@ -152,7 +152,7 @@
 			const objective = ((policy?.stretch ?? 1) * estimateChain(declaration)) + (policy?.objectiveMilliseconds ?? 0);
 			const job: JobRow = {
 				declaration, occurrences: new Map(), nextOccurrence: 0, finishedOccurrences: 0, state: JobState.Queued, begun: false,
-				restored, changed: false, knownAt: now, dueBy: now - age + objective, lateBy: now - age + (lateFactor * objective),
+				restored, changed: false, dueBy: now - age + objective, lateBy: now - age + (lateFactor * objective),
 			};
 			jobs.set(declaration.id, job);
 			if (progress) {
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -140,8 +140,6 @@
 	paceInFlight: boolean;
 	/** Stopped here to be started elsewhere. */
 	isEvacuating: boolean;
-	/** When the target was first exceeded without a break; undefined while it is met. */
-	overTargetSince: number | undefined;
 	/** When the percentage last grew. */
 	progressedAt: number;
 };
@@ -192,8 +190,6 @@
 	readonly restored: boolean;
 	/** Changed since the progress was last written. */
 	changed: boolean;
-	/** Steady clock. */
-	readonly knownAt: number;
 	/** Steady clock, end of the objective. */
 	dueBy: number;
 	/** End of the time in which a late result still counts. */
--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -60,7 +60,7 @@
 }) => {
 	const {workers, policies, firstRun} = options;
 
-	const withinMaximum = (task: TaskRow, count: number, extraUse: Resources): boolean => {
+	const withinMaximum = (task: TaskRow, count: number): boolean => {
 		const {workspace} = task.step.job.declaration;
 		const maximum = workspace === undefined ? undefined : policies().workspaces.get(workspace)?.maximum;
 		if (!maximum || workspace === undefined) {
@@ -69,10 +69,10 @@
 
 		const use = workers.workspaceUse.get(workspace) ?? {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0};
 		const {resources} = task.step.declaration;
-		const holds = (limit: number, used: number, extra: number, need: number): boolean => limit === 0 || used + extra + (need * count) <= limit;
-		return holds(maximum.cpuMillis, use.cpuMillis, extraUse.cpuMillis, resources.cpuMillis)
-			&& holds(maximum.memoryMegabytes, use.memoryMegabytes, extraUse.memoryMegabytes, resources.memoryMegabytes)
-			&& holds(maximum.accelerators, use.accelerators, extraUse.accelerators, resources.accelerators);
+		const holds = (limit: number, used: number, need: number): boolean => limit === 0 || used + (need * count) <= limit;
+		return holds(maximum.cpuMillis, use.cpuMillis, resources.cpuMillis)
+			&& holds(maximum.memoryMegabytes, use.memoryMegabytes, resources.memoryMegabytes)
+			&& holds(maximum.accelerators, use.accelerators, resources.accelerators);
 	};
 
 	const countOn = (step: StepRow, worker: WorkerRow): number => {
@@ -145,7 +145,7 @@
 		const orders: StartOrder[] = [];
 		for (const task of step.tasks) {
 			const [row] = task.runs.values();
-			if (task.done || task.runs.size !== 1 || !row || !needsCopy(row, now) || !withinMaximum(task, 1, {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0})) {
+			if (task.done || task.runs.size !== 1 || !row || !needsCopy(row, now) || !withinMaximum(task, 1)) {
 				continue;
 			}
 
@@ -160,7 +160,7 @@
 
 	/** Members of a gang start together or not at all. */
 	const placeGang = (step: StepRow, candidates: readonly WorkerRow[], now: number): StartOrder[] => {
-		if (step.tasks.some(task => task.runs.size > 0 || task.notBefore > now) || !withinMaximum(step.tasks[0]!, step.tasks.length, {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0})) {
+		if (step.tasks.some(task => task.runs.size > 0 || task.notBefore > now) || !withinMaximum(step.tasks[0]!, step.tasks.length)) {
 			return [];
 		}
 
@@ -208,7 +208,7 @@
 					continue;
 				}
 
-				if (!withinMaximum(task, 1, {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0})) {
+				if (!withinMaximum(task, 1)) {
 					break;
 				}
 
@@ -235,6 +235,22 @@
 		return orders;
 	};
 
+	const placeJob = (options: {readonly job: JobRow; readonly queue: QueuePolicy; readonly usable: readonly WorkerRow[]; readonly now: number}): Array<StartOrder | AdviceOrder> => {
+		const {job, queue, usable, now} = options;
+		const orders: Array<StartOrder | AdviceOrder> = [];
+		for (const step of [...job.occurrences.values()].flat()) {
+			if (step.waiting > 0 && isStepReady(step)) {
+				orders.push(...placeStep(step, queue, usable, now));
+			}
+
+			if (step.declaration.speculative && step.remaining > 0 && !queue.advice) {
+				orders.push(...placeCopies(step, usable, now));
+			}
+		}
+
+		return orders;
+	};
+
 	return {
 		/** Orders for all tasks that may start now; each start is already entered in the tables. */
 		place(jobs: Iterable<JobRow>, isBlocked: (job: JobRow, pool: string) => boolean, now: number): Array<StartOrder | AdviceOrder> {
@@ -259,17 +275,9 @@
 				}
 
 				for (const {job, queue} of list.toSorted((left, right) => left.rank - right.rank || left.job.dueBy - right.job.dueBy)) {
-					for (const steps of job.occurrences.values()) {
-						for (const step of steps) {
-							if (step.waiting > 0 && isStepReady(step)) {
-								orders.push(...placeStep(step, queue, usable, now));
-							}
-
-							if (step.declaration.speculative && step.remaining > 0 && !queue.advice) {
-								orders.push(...placeCopies(step, usable, now));
-							}
-						}
-					}
+					orders.push(...placeJob({
+						job, queue, usable, now,
+					}));
 				}
 			}
 
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -154,7 +154,6 @@
 		jobs: jobs.jobs,
 		changedJobs: jobs.changedJobs,
 		workers: workers.workers,
-		workspaceUse: workers.workspaceUse,
 		setPolicies(next: Policies): void {
 			policies = next;
 		},
@@ -189,7 +188,7 @@
 		removeJob(job: JobRow): void {
 			jobs.remove(job);
 		},
-		reportWorker(change: {readonly report: WorkerReport; readonly listed: boolean; readonly resolved: boolean; readonly lapsesBy: number; readonly now: number}): WorkerRow {
+		reportWorker(change: {readonly report: WorkerReport; readonly listed: boolean; readonly resolved: boolean; readonly lapsesBy: number}): WorkerRow {
 			const worker = workers.report(change);
 			if (change.listed && change.report.bornAt !== undefined && worker.bornAt !== undefined && change.report.bornAt !== worker.bornAt) {
 				reconciler.rebirth(worker, change.report.bornAt);
--- a/packages/jobs/scheduler/src/workers.ts
+++ b/packages/jobs/scheduler/src/workers.ts
@@ -48,8 +48,7 @@
 			const {task, worker, run, phase, now} = options;
 			const row: RunRow = {
 				task, worker, run, phase, startedAt: now, confirmedAt: phase === RunPhase.Starting ? undefined : now, doubtedAt: undefined, stopSentAt: undefined,
-				stoppedAt: undefined, stopInFlight: false, percent: 0, measured: 0, pacePercent: 100, paceInFlight: false, isEvacuating: false,
-				overTargetSince: undefined, progressedAt: now,
+				stoppedAt: undefined, stopInFlight: false, percent: 0, measured: 0, pacePercent: 100, paceInFlight: false, isEvacuating: false, progressedAt: now,
 			};
 			if (task.runs.size === 0 && !task.done) {
 				task.step.waiting -= 1;
@@ -77,7 +76,7 @@
 			}
 		},
 		/** Adds a worker or takes over its newest report. */
-		report(options: {readonly report: WorkerReport; readonly listed: boolean; readonly resolved: boolean; readonly lapsesBy: number; readonly now: number}): WorkerRow {
+		report(options: {readonly report: WorkerReport; readonly listed: boolean; readonly resolved: boolean; readonly lapsesBy: number}): WorkerRow {
 			const {report, listed, resolved, lapsesBy} = options;
 			const known = workers.get(report.id);
 			if (known) {
--- a/packages/jobs/scheduler/test/placement.test.ts
+++ b/packages/jobs/scheduler/test/placement.test.ts
@@ -122,7 +122,7 @@
 	const scheduler = createTestScheduler(createPolicies(), 2);
 	addWorker(scheduler, createReport('w1'));
 	scheduler.reportWorker({
-		report: createReport('silent'), listed: true, resolved: false, lapsesBy: 5000, now: 0,
+		report: createReport('silent'), listed: true, resolved: false, lapsesBy: 5000,
 	});
 	scheduler.addJob(createJob('old', [createStep()]), {restored: true, now: 0, wallNow: 0});
 	add(scheduler, 'new', [createStep()]);
--- a/packages/jobs/scheduler/test/support/builders.ts
+++ b/packages/jobs/scheduler/test/support/builders.ts
@@ -43,7 +43,7 @@
 /** Adds a worker that has answered and may be used. */
 export const addWorker = (scheduler: Scheduler, report: WorkerReport, now = 0): WorkerRow => {
 	const worker = scheduler.reportWorker({
-		report, listed: true, resolved: true, lapsesBy: Number.NEGATIVE_INFINITY, now,
+		report, listed: true, resolved: true, lapsesBy: Number.NEGATIVE_INFINITY,
 	});
 	worker.isRecorded = true;
 	worker.lapsesBy = leaseEnd;
