Model workers and whole sites in virtual time; ignore reports of a worker's earlier life

Cause: the core was tested by tables of single cases; no test ran a whole service through lost, late and doubled answers and changes of the owner. Peers are reached through a port, the memory store reports deletions and the start of a watch.

--- a/packages/external/fakes/src/memory-platform.ts
+++ b/packages/external/fakes/src/memory-platform.ts
@@ -76,7 +76,7 @@
 	};
 
 const createWatch = (options: {readonly engine: KeyValueEngine; readonly faults: FaultSwitches; readonly zone: AvailabilityZone}): KeyValueStore['watch'] =>
-	({prefix, onChange, onEnd}) => {
+	({prefix, onChange, onDelete, onStart, onEnd}) => {
 		const {engine, faults, zone} = options;
 		const inspect = () => faults.inspect({zone, service: PlatformService.KeyValue});
 		let isOpen = true;
@@ -84,9 +84,18 @@
 			range: prefixRange(prefix),
 			listener(events) {
 				const entries = events.filter(({type}) => type === 'put').map(({entry}) => toStoredEntry(entry));
-				if (entries.length > 0 && inspect() === 'pass') {
+				const deleted = events.filter(({type}) => type === 'delete').map(({entry}) => fromBytes(entry.key));
+				if (inspect() !== 'pass') {
+					return;
+				}
+
+				if (entries.length > 0) {
 					onChange(entries);
 				}
+
+				if (deleted.length > 0) {
+					onDelete?.(deleted);
+				}
 			},
 		});
 		const stop = (): void => {
@@ -103,7 +112,12 @@
 		};
 
 		faults.subscribe(check);
-		queueMicrotask(check);
+		queueMicrotask(() => {
+			check();
+			if (isOpen) {
+				onStart?.();
+			}
+		});
 		return {stop};
 	};
 
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -1,5 +1,4 @@
 /** The job service of one instance: takes ownership when it is free, and serves callers whether or not it owns. */
-import type {HttpClient} from '@turmericbay/http-client';
 import type {KeyValueStore} from '@turmericbay/types';
 import {createConfigurationSource} from './configuration-source.js';
 import {followPrefix} from './follow.js';
@@ -7,9 +6,8 @@
 import type {Owner} from './owner.js';
 import {createOwner} from './owner.js';
 import type {OwnerLog} from './owner-log.js';
-import {createOwnerLink} from './owner-link.js';
 import {acquireOwnership, createRenewal} from './ownership.js';
-import {createPeerServer} from './peer-server.js';
+import type {PeerTransport} from './peers.js';
 import type {
 	AdviceClient, Clock, Configuration, MachineService, PlatformRecords, WorkerClient,
 } from './ports.js';
@@ -34,23 +32,19 @@
 
 export const createJobService = (options: {
 	readonly instance: string;
-	/** Of the peer listener. */
-	readonly host: string;
-	readonly port: number;
+	readonly peers: PeerTransport;
 	readonly store: KeyValueStore;
 	readonly records: PlatformRecords;
 	readonly workerClient: WorkerClient;
 	readonly advice: AdviceClient | undefined;
 	readonly machines: MachineService | undefined;
-	readonly peerClient: HttpClient;
 	readonly clock: Clock;
 	readonly random: () => number;
 	readonly leaseMilliseconds: number;
 	readonly log: ServiceLog;
-	readonly renderMetrics: () => string;
 }) => {
-	const {instance, host, port, store, records, workerClient, advice, machines, peerClient, clock, random, leaseMilliseconds, log, renderMetrics} = options;
-	const address = `${host}:${port}`;
+	const {instance, peers, store, records, workerClient, advice, machines, clock, random, leaseMilliseconds, log} = options;
+	const {address} = peers;
 	let owner: NonNullable<Owner> | undefined;
 	let seenOwner: OwnerRecord | undefined;
 	let isCampaigning = false;
@@ -170,15 +164,12 @@
 		},
 	});
 
-	const link = createOwnerLink({
-		client: peerClient,
+	const link = peers.createLink({
 		localOwner: () => owner,
 		remoteOwner: () => seenOwner?.instance === instance ? undefined : seenOwner,
 		onTrouble: log.peerTrouble,
 	});
-	const server = createPeerServer({
-		host, port, localOwner: () => owner, renderMetrics,
-	});
+	peers.serve(() => owner);
 
 	return {
 		intake: createIntake({
@@ -197,8 +188,7 @@
 		close(): void {
 			configuration.stop();
 			ownerFollow.stop();
-			server.close();
-			peerClient.close();
+			peers.close();
 		},
 	};
 };
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -43,6 +43,10 @@
 		| {readonly type: 'not-sent'}
 		| {readonly type: 'unknown'};
 
+/** A list entry or an answer may arrive after the worker has started again; it says nothing about the life of now. */
+const isEarlierLife = (bornAt: number | undefined, worker: WorkerRow): boolean =>
+	bornAt !== undefined && worker.bornAt !== undefined && bornAt < worker.bornAt;
+
 export type Scheduler = ReturnType<typeof createScheduler>;
 
 export const createScheduler = (options: {
@@ -189,6 +193,11 @@
 			jobs.remove(job);
 		},
 		reportWorker(change: {readonly report: WorkerReport; readonly listed: boolean; readonly resolved: boolean; readonly lapsesBy: number}): WorkerRow {
+			const known = workers.workers.get(change.report.id);
+			if (known && isEarlierLife(change.report.bornAt, known)) {
+				return known;
+			}
+
 			const worker = workers.report(change);
 			if (change.listed && change.report.bornAt !== undefined && worker.bornAt !== undefined && change.report.bornAt !== worker.bornAt) {
 				reconciler.rebirth(worker, change.report.bornAt);
@@ -206,6 +215,10 @@
 			worker.lapsesBy = Number.NEGATIVE_INFINITY;
 		},
 		applyLists(change: {readonly worker: WorkerRow; readonly lists: WorkerLists; readonly sentAt: number; readonly now: number}): void {
+			if (isEarlierLife(change.lists.bornAt, change.worker)) {
+				return;
+			}
+
 			change.worker.answeredAt = Math.max(change.worker.answeredAt, change.sentAt);
 			change.worker.failures = 0;
 			reconciler.apply(change);
--- a/packages/jobs/scheduler/test/placement.test.ts
+++ b/packages/jobs/scheduler/test/placement.test.ts
@@ -236,3 +236,26 @@
 	scheduler.noteAdvice(order, new Map([['w2', {value: 'ticket', expiresAt: 3000, bornAt: 1}]]));
 	t.deepEqual(startAll(scheduler, 2), [['j.0.0.0', 'w2']]);
 });
+
+test('a report of an earlier life does not end the runs of the life of now', t => {
+	const scheduler = createTestScheduler();
+	const report = createReport('w1', {bornAt: 1000});
+	const worker = addWorker(scheduler, report);
+	scheduler.applyLists({
+		worker, sentAt: 5, now: 5, lists: {
+			bornAt: 2000, ended: [], running: [], partial: false,
+		},
+	});
+	add(scheduler, 'j', [createStep()]);
+	t.is(startAll(scheduler, 10).length, 1);
+	scheduler.reportWorker({
+		report, listed: true, resolved: true, lapsesBy: 0,
+	});
+	scheduler.applyLists({
+		worker, sentAt: 20, now: 20, lists: {
+			bornAt: 1000, ended: [], running: [], partial: false,
+		},
+	});
+	t.is(worker.bornAt, 2000);
+	t.is(worker.runs.size, 1);
+});
--- /dev/null
+++ b/packages/jobs/worker-model/src/gangs.ts
@@ -0,0 +1,40 @@
+/** Members of gangs over all workers: they work from the moment when all of one run are present, and end together. */
+import {EndReason} from '@turmericbay/scheduler';
+
+export type GangMember = {
+	/** All members are present. */
+	begin(now: number): void;
+	end(reason: EndReason, now: number): void;
+};
+
+export type Gangs = ReturnType<typeof createGangs>;
+
+export const createGangs = () => {
+	const groups = new Map<string, Map<string, GangMember>>();
+	return {
+		join(options: {readonly group: string; readonly size: number; readonly task: string; readonly member: GangMember; readonly now: number}): void {
+			const {group, size, task, member, now} = options;
+			const members = groups.get(group) ?? new Map<string, GangMember>();
+			groups.set(group, members);
+			members.set(task, member);
+			if (members.size === size) {
+				for (const present of members.values()) {
+					present.begin(now);
+				}
+			}
+		},
+		/** A member has ended; the others end with it. */
+		leave(options: {readonly group: string; readonly task: string; readonly reason: EndReason; readonly now: number}): void {
+			const {group, task, reason, now} = options;
+			const members = groups.get(group);
+			if (!members?.delete(task)) {
+				return;
+			}
+
+			groups.delete(group);
+			for (const member of members.values()) {
+				member.end(reason === EndReason.Done ? EndReason.Done : EndReason.Broken, now);
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/jobs/worker-model/src/index.ts
@@ -0,0 +1,3 @@
+export * from './gangs.js';
+export * from './machines.js';
+export * from './worker.js';
--- /dev/null
+++ b/packages/jobs/worker-model/test/worker.test.ts
@@ -0,0 +1,82 @@
+/** The model answers as the protocol page says; a wrong model would hide faults of the service. */
+import {EndReason} from '@turmericbay/scheduler';
+import test from 'ava';
+import type {TaskWork, WorkerEvent} from '../src/index.js';
+import {createGangs, createWorkerModel} from '../src/index.js';
+
+const work: TaskWork = {
+	resources: {cpuMillis: 1000, memoryMegabytes: 100, accelerators: 0}, milliseconds: 500, outcome: EndReason.Done,
+	longRunning: false, fills: false, checkpointing: false, gangSize: undefined,
+};
+
+const createModel = (overrides: Partial<TaskWork> = {}, gangs = createGangs()) => {
+	const events: WorkerEvent[] = [];
+	const model = createWorkerModel({
+		bornAt: 7, capacity: {cpuMillis: 2000, memoryMegabytes: 1000, accelerators: 0}, enforcesCapacity: true, startedAt: 0, clockRate: 1,
+		stopMilliseconds: 200, gangTimeoutMilliseconds: 3000, checkpointMilliseconds: 100, restoreMilliseconds: 50, longestLeaseMilliseconds: 10_000,
+		gangs, workOf: () => ({...work, ...overrides}), observe(event) {
+			events.push(event);
+		},
+	});
+	return {model, events};
+};
+
+const start = (task: string, run: number, overrides: {until?: number; fencingToken?: number; checkpoint?: string} = {}) => ({
+	task, run, until: 5000, fencingToken: 1, checkpoint: '', ...overrides,
+});
+
+test('a start is refused by a higher fence, after a stop of its run, past its lease and without room', t => {
+	const {model} = createModel();
+	t.is(model.start(start('j.0.0.0', 1, {fencingToken: 2}), 0), 'started');
+	t.is(model.start(start('j.0.0.1', 1), 0), 'fenced');
+	t.true(model.stop({task: 'j.0.0.2', run: 3, fencingToken: 2}, 0));
+	t.is(model.start(start('j.0.0.2', 3, {fencingToken: 2}), 0), 'superseded');
+	t.is(model.start(start('j.0.0.3', 1, {fencingToken: 2, until: 10}), 20), 'late');
+	t.is(model.start(start('j.0.0.4', 1, {fencingToken: 2}), 20), 'started');
+	t.is(model.start(start('j.0.0.5', 1, {fencingToken: 2}), 20), 'room');
+});
+
+test('ends are listed until they are acknowledged', t => {
+	const {model, events} = createModel();
+	model.start(start('j.0.0.0', 1), 0);
+	t.is(model.nextEventAt(), 500);
+	const hold = (acknowledgedEnd: number, now: number) => model.hold({fencingToken: 1, acknowledgedEnd, until: undefined}, now)!;
+	t.deepEqual(hold(0, 600).ended.map(({sequence, reason}) => [sequence, reason]), [[1, EndReason.Done]]);
+	t.is(hold(0, 700).ended.length, 1);
+	t.is(hold(1, 800).ended.length, 0);
+	t.deepEqual(events.map(({type}) => type), ['started', 'ended', 'acknowledged']);
+});
+
+test('everything ends when the lease lapses, and a longer lease than allowed is shortened', t => {
+	const {model, events} = createModel({milliseconds: 60_000});
+	model.start(start('j.0.0.0', 1, {until: 90_000}), 0);
+	t.is(model.nextEventAt(), 10_000);
+	model.advance(10_001);
+	t.is(model.runningCount(), 0);
+	t.deepEqual(events.map(({type}) => type), ['started', 'ended', 'lapsed']);
+});
+
+test('a stop takes its time and keeps the checkpoint of the work done', t => {
+	const {model} = createModel({milliseconds: 1000, checkpointing: true});
+	model.start(start('j.0.0.0', 1), 0);
+	model.stop({task: 'j.0.0.0', run: 1, fencingToken: 1}, 300);
+	const {ended} = model.hold({fencingToken: 1, acknowledgedEnd: 0, until: undefined}, 500)!;
+	t.deepEqual(ended.map(({reason, checkpoint}) => [reason, checkpoint]), [[EndReason.Stopped, 'j-500']]);
+	model.start(start('j.0.0.0', 2, {checkpoint: 'j-500'}), 600);
+	t.is(model.nextEventAt(), 600 + 1000 - 500 + 50);
+});
+
+test('a gang works once all members are present, and one end ends all', t => {
+	const gangs = createGangs();
+	const first = createModel({gangSize: 2}, gangs);
+	const second = createModel({gangSize: 2}, gangs);
+	first.model.start(start('j.0.0.0', 1), 0);
+	t.is(first.model.nextEventAt(), 3000);
+	second.model.start(start('j.0.0.1', 1), 100);
+	t.is(first.model.nextEventAt(), 600);
+	second.model.stop({task: 'j.0.0.1', run: 1, fencingToken: 1}, 150);
+	second.model.advance(400);
+	t.deepEqual(first.events.at(-1), {
+		type: 'ended', task: 'j.0.0.0', run: 1, reason: EndReason.Broken,
+	});
+});
