Refuse new jobs at once while the store does not answer

Ruled out: refusals of a store that answers 503 (told at once already). A job that was not sent is refused, one that may have been stored is answered as unknown.

--- a/packages/jobs/job-service/src/intake.ts
+++ b/packages/jobs/job-service/src/intake.ts
@@ -8,6 +8,7 @@
 import {
 	cancellationPrefix, jobPrefix, parseJob, parseResult, resultPrefix, toJobState,
 } from './records.js';
+import type {StoreHealth} from './store-health.js';
 
 /** Pause between tries of a write whose outcome is unknown. */
 const retryMilliseconds = 80;
@@ -24,11 +25,12 @@
 
 export const createIntake = (options: {
 	readonly store: KeyValueStore;
+	readonly health: StoreHealth;
 	readonly link: OwnerLink;
 	readonly clock: Clock;
 	readonly onUnreadable: (key: string) => void;
 }) => {
-	const {store, link, clock, onUnreadable} = options;
+	const {store, health, link, clock, onUnreadable} = options;
 	/** Final states never change. */
 	const results = new Map<string, JobState>();
 
@@ -49,6 +51,10 @@
 
 	/** The job is read before its result, since the result is written before the job is removed. */
 	const readStored = async (id: string): Promise<DescribeOutcome & {readonly revision?: number}> => {
+		if (health.downFor() !== undefined) {
+			return {type: 'unavailable'};
+		}
+
 		const job = await store.read({key: jobPrefix + id});
 		if (job.isErr()) {
 			return {type: 'unavailable'};
@@ -77,11 +83,18 @@
 	};
 
 	return {
-		/** Stores a job. After an unknown outcome the same write is tried until the store has told. */
+		/**
+		 * Stores a job. After an unknown outcome the same write is tried until the store has told, or is
+		 * known to be down: the caller may reach it through another instance.
+		 */
 		async submit(declaration: JobDeclaration, deadline: number): Promise<SubmitOutcome> {
 			const key = jobPrefix + declaration.id;
 			let isUncertain = false;
 			for (;;) {
+				if (health.downFor() !== undefined) {
+					return isUncertain ? 'unknown' : 'not-stored';
+				}
+
 				// eslint-disable-next-line no-await-in-loop -- Each try follows the one before it.
 				const written = await store.transact({
 					conditions: [{key, modifiedRevision: 0}, {key: resultPrefix + declaration.id, modifiedRevision: 0}],
@@ -132,7 +145,7 @@
 					}
 				}
 
-				if (clock.now() + retryMilliseconds >= deadline) {
+				if (health.downFor() !== undefined || clock.now() + retryMilliseconds >= deadline) {
 					return 'unavailable';
 				}
 
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -13,6 +13,7 @@
 } from './ports.js';
 import type {OwnerRecord} from './records.js';
 import {ownerKey, parseOwner} from './records.js';
+import {observeStore} from './store-health.js';
 
 /** Instances that see the ownership become free try within this time, so that not all of them write at once. */
 const campaignSpreadMilliseconds = 120;
@@ -43,8 +44,9 @@
 	readonly leaseMilliseconds: number;
 	readonly log: ServiceLog;
 }) => {
-	const {instance, peers, store, records, workerClient, advice, machines, clock, random, leaseMilliseconds, log} = options;
+	const {instance, peers, records, workerClient, advice, machines, clock, random, leaseMilliseconds, log} = options;
 	const {address} = peers;
+	const {store, health} = observeStore(options);
 	let owner: NonNullable<Owner> | undefined;
 	let seenOwner: OwnerRecord | undefined;
 	let isCampaigning = false;
@@ -173,7 +175,7 @@
 
 	return {
 		intake: createIntake({
-			store, link, clock, onUnreadable: log.configurationUnreadable,
+			store, health, link, clock, onUnreadable: log.configurationUnreadable,
 		}),
 		configuration: (): Configuration | undefined => configuration.current(),
 		/** Milliseconds since the configuration was certainly the newest. */
