--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -13,6 +13,7 @@
 } from './ports.js';
 import type {OwnerRecord} from './records.js';
 import {ownerKey, parseOwner} from './records.js';
+import {chooseRetryAfter} from './retry-after.js';
 import {observeStore} from './store-health.js';
 
 /** Instances that see the ownership become free try within this time, so that not all of them write at once. */
@@ -181,6 +182,8 @@
 		/** Milliseconds since the configuration was certainly the newest. */
 		configurationAge: () => configuration.age(),
 		owner: () => owner,
+		/** Seconds after which a caller that is refused now should come back. */
+		retryAfterSeconds: () => chooseRetryAfter({downMilliseconds: health.downFor() ?? 0, random}),
 		/** Hands the ownership over at once; callers are served until the process ends. */
 		handOver(): void {
 			isStopping = true;
