Store where each run may be before it is started; only these tasks wait after a change of the owner

Change: the record of a worker names its runs and is stored before a start is sent; a new owner enters these as runs that may be at work, which also counts them against maxima and room. A run that the worker does not list under the new token is given up at once. The pause for whole pools and the record of idle workers are gone. The test of the pool's pause is replaced by three that are stricter: named tasks wait, others do not, maxima count.

--- a/packages/jobs/job-service/src/orders.ts
+++ b/packages/jobs/job-service/src/orders.ts
@@ -1,8 +1,8 @@
 /** Carries out the scheduler's orders on workers and reports their outcomes back. */
 import type {
-	AdviceOrder, Order, PaceOrder, Scheduler, StartOrder, StopOrder, Ticket, WorkerRow,
+	AdviceOrder, Order, PaceOrder, RunRow, Scheduler, StartOrder, StopOrder, Ticket, WorkerRow,
 } from '@turmericbay/scheduler';
-import {RunPhase} from '@turmericbay/scheduler';
+import {formatRunKey, isActive, RunPhase} from '@turmericbay/scheduler';
 import type {AdviceClient, Clock, WorkerClient} from './ports.js';
 import {WorkerCallErrorKind} from './ports.js';
 import type {WorkerSession} from './worker-session.js';
@@ -17,17 +17,28 @@
 	readonly clock: Clock;
 	readonly epoch: number;
 	readonly sessionOf: (worker: WorkerRow) => WorkerSession | undefined;
+	/** Resolves once the store names the run. */
+	readonly recordRun: (row: RunRow) => Promise<void>;
 	/** Checked directly before each start. */
 	readonly mayStart: () => boolean;
 	readonly onFenced: () => void;
 	readonly onChange: () => void;
 	readonly onStart: (order: StartOrder, outcome: string) => void;
 }) => {
-	const {scheduler, client, advice, clock, epoch, sessionOf, mayStart, onFenced, onChange, onStart} = options;
+	const {scheduler, client, advice, clock, epoch, sessionOf, recordRun, mayStart, onFenced, onChange, onStart} = options;
 	const targetOf = (worker: WorkerRow) => ({id: worker.report.id, address: worker.report.address});
 
 	const start = async (order: StartOrder): Promise<void> => {
 		const {row, ticket} = order;
+		await recordRun(row);
+		const {worker, task} = row;
+		const isWanted = worker.runs.get(formatRunKey(task.name, row.run)) === row && isActive(task.step.job) && !task.done && !worker.closing;
+		if (!isWanted) {
+			scheduler.noteStart(row, {type: 'withdrawn'}, clock.now());
+			onChange();
+			return;
+		}
+
 		const until = sessionOf(row.worker)?.leaseUntil();
 		if (until === undefined || !mayStart()) {
 			scheduler.noteStart(row, {type: 'rejected', reason: 'late'}, clock.now());
--- a/packages/jobs/job-service/src/owned-workers.ts
+++ b/packages/jobs/job-service/src/owned-workers.ts
@@ -1,6 +1,8 @@
 /** The workers of the owner: from the platform's list and from former owners' records, each with a session. */
-import type {Scheduler, WorkerReport, WorkerRow} from '@turmericbay/scheduler';
-import {lapseTime} from '@turmericbay/scheduler';
+import type {
+	RunRow, Scheduler, WorkerReport, WorkerRow,
+} from '@turmericbay/scheduler';
+import {formatRunKey, lapseTime} from '@turmericbay/scheduler';
 import type {StoredEntry} from '@turmericbay/types';
 import type {Commits} from './commits.js';
 import type {OwnerLog} from './owner-log.js';
@@ -35,9 +37,10 @@
 }) => {
 	const {scheduler, commits, records, client, clock, tookOverAt, leaseMilliseconds, createSession, onChange, log} = options;
 	const sessions = new Map<string, WorkerSession>();
-	/** Stored records of workers on which something may run. */
-	const used = new Map<string, string>();
-	const recording = new Set<string>();
+	/** Stored records of workers on which something may run; undefined runs were stored by a former owner. */
+	const used = new Map<string, {readonly number: number; readonly runs: ReadonlySet<string>}>();
+	let recordCount = 0;
+	let restoredRecords: UsedWorkerRecord[] = [];
 	/** Lives of workers that were ended for a machine's sake; their entries stay in the list for a while. */
 	const retired = new Map<string, number | undefined>();
 	/** Until then a worker that does not answer may run what a former owner has started. */
@@ -88,19 +91,9 @@
 
 	const encode = (worker: WorkerRow): string => JSON.stringify({
 		id: worker.report.id, address: worker.report.address, pool: worker.report.pool, bornAt: worker.bornAt,
+		runs: [...worker.runs.values()].map(({task, run}): [string, number] => [task.name, run]),
 	} satisfies UsedWorkerRecord);
 
-	/** The next owner has to know where something may run before it is started. */
-	const record = async (worker: WorkerRow): Promise<void> => {
-		const {id} = worker.report;
-		const value = encode(worker);
-		recording.add(id);
-		await commits.commit([{type: 'put', key: usedWorkerPrefix + id, value}]);
-		recording.delete(id);
-		used.set(id, value);
-		onChange();
-	};
-
 	/** The life has ended; nothing of it runs. */
 	const drop = (worker: WorkerRow): void => {
 		scheduler.loseWorker(worker);
@@ -109,6 +102,24 @@
 	};
 
 	return {
+		/** Resolves once the store names the run: the next owner has to know where it may be at work before it is started. */
+		async recordRun(row: RunRow): Promise<void> {
+			const {worker} = row;
+			const {id} = worker.report;
+			const key = formatRunKey(row.task.name, row.run);
+			if (used.get(id)?.runs.has(key)) {
+				return;
+			}
+
+			recordCount += 1;
+			const number = recordCount;
+			const runs = new Set(worker.runs.keys());
+			await commits.commit([{type: 'put', key: usedWorkerPrefix + id, value: encode(worker)}]);
+			// Of two records under way the newer one is stored last.
+			if ((used.get(id)?.number ?? 0) < number) {
+				used.set(id, {number, runs});
+			}
+		},
 		sessionOf: (worker: WorkerRow): WorkerSession | undefined => sessions.get(worker.report.id),
 		drop,
 		/** The platform has ended the life for its machine's sake. */
@@ -124,7 +135,8 @@
 					continue;
 				}
 
-				used.set(restored.id, entry.value);
+				used.set(restored.id, {number: 0, runs: new Set()});
+				restoredRecords.push(restored);
 				openSession(scheduler.reportWorker({
 					report: {
 						...restored, zone: '', draining: true, capacity: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0}, labels: [],
@@ -133,6 +145,21 @@
 				}));
 			}
 		},
+		/** Enters what former owners may have started, once the jobs are known. */
+		restoreRuns(now: number): void {
+			for (const {id, bornAt, runs} of restoredRecords) {
+				const worker = scheduler.workers.get(id);
+				if (worker && worker.bornAt === bornAt) {
+					for (const [task, run] of runs) {
+						scheduler.restoreRun({
+							worker, task, run, now,
+						});
+					}
+				}
+			}
+
+			restoredRecords = [];
+		},
 		/** Takes over entries of the platform's list. */
 		applyEntries(entries: readonly StoredEntry[], isFirst: boolean): void {
 			for (const entry of entries) {
@@ -152,12 +179,7 @@
 			unlist([...scheduler.workers.keys()].filter(id => !present.has(id)));
 		},
 		tick(now: number): void {
-			for (const [id, worker] of scheduler.workers) {
-				worker.isRecorded = used.get(id) === encode(worker);
-				if (worker.listed && worker.bornAt !== undefined && !worker.isRecorded && !recording.has(id)) {
-					void record(worker);
-				}
-
+			for (const worker of scheduler.workers.values()) {
 				// Left the list, and its leases have ended.
 				if (!worker.listed && worker.runs.size === 0 && worker.resolved && now >= worker.lapsesBy) {
 					remove(worker);
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -122,6 +122,7 @@
 	const orders = createOrders({
 		scheduler, client: workerClient, advice, clock, epoch: tenure.epoch, mayStart, onFenced,
 		sessionOf: worker => workers.sessionOf(worker),
+		recordRun: workers.recordRun,
 		onChange: requestTick,
 		onStart: log.start,
 	});
@@ -182,6 +183,7 @@
 		workers.restore(used.value);
 		workers.applyEntries(list.value, true);
 		jobs.addEntries(stored.value, true, new Map(progress.value.map(entry => [idOf(entry.key), entry])));
+		workers.restoreRuns(clock.now());
 		for (const entry of cancellations.value) {
 			jobs.cancel(idOf(entry.key));
 		}
--- a/packages/jobs/job-service/src/records.ts
+++ b/packages/jobs/job-service/src/records.ts
@@ -31,7 +31,8 @@
 
 export type CommitRecord = {readonly epoch: number; readonly sequence: number};
 
-export type UsedWorkerRecord = {readonly id: string; readonly address: string; readonly pool: string; readonly bornAt: number | undefined};
+/** Holds all runs that may be at work on the worker, and may hold some that have ended. */
+export type UsedWorkerRecord = {readonly id: string; readonly address: string; readonly pool: string; readonly bornAt: number | undefined; readonly runs: ReadonlyArray<readonly [task: string, run: number]>};
 
 export enum TerminalState {
 	Completed = 'completed',
--- /dev/null
+++ b/packages/jobs/job-service/test/orders.test.ts
@@ -0,0 +1,96 @@
+/** A start that is sent before the store names it would be unknown to the next owner, which could start the task twice. */
+import type {RunRow, StartOrder} from '@turmericbay/scheduler';
+import {createScheduler} from '@turmericbay/scheduler';
+import test from 'ava';
+import {err, ok} from 'neverthrow';
+import {createOrders} from '../src/orders.js';
+import {WorkerCallErrorKind} from '../src/ports.js';
+
+const settle = async (): Promise<void> => {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+};
+
+const createCase = () => {
+	const scheduler = createScheduler({epoch: 1, emit: () => undefined});
+	scheduler.setPolicies({
+		queues: new Map([['quotes', {
+			name: 'quotes', pool: 'pickups', priority: 0, maximumAttempts: 2, stretch: 2, objectiveMilliseconds: 600, advice: undefined,
+		}]]),
+		pools: new Map(), workspaces: new Map(),
+	});
+	const worker = scheduler.reportWorker({
+		report: {
+			id: 'w1', bornAt: 1, address: '10.0.0.1:80', pool: 'pickups', zone: 'north', draining: false, labels: [],
+			capacity: {cpuMillis: 4000, memoryMegabytes: 1000, accelerators: 0},
+		}, listed: true, resolved: true, lapsesBy: 1_000_000,
+	});
+	scheduler.applyLists({
+		worker, sentAt: 0, now: 0, lists: {
+			bornAt: 1, running: [], ended: [], partial: false,
+		},
+	});
+	scheduler.addJob({
+		id: 'job', queue: 'quotes', workspace: undefined, payload: '', repetitions: 0, firstDueAt: 0, intervalMilliseconds: 0, submittedAt: 0,
+		steps: [{
+			taskCount: 1, resources: {cpuMillis: 1000, memoryMegabytes: 100, accelerators: 0}, estimateMilliseconds: 500, after: [], checkpointing: false,
+			gang: false, sameRack: false, requiredLabel: undefined, preferredRack: undefined, maximumPerWorker: 0, speculative: false, longRunning: false,
+			image: '', targetMilliseconds: 0, fills: false, maximumAway: undefined,
+		}],
+	}, {restored: false, now: 0, wallNow: 0});
+	const started: string[] = [];
+	const records: Array<{readonly row: RunRow; readonly stored: () => void}> = [];
+	const unused = async () => err({kind: WorkerCallErrorKind.NotSent, message: 'not used'} as const);
+	const orders = createOrders({
+		scheduler, advice: undefined, clock: {now: () => 10, wallNow: () => 10}, epoch: 1, mayStart: () => true,
+		client: {
+			stop: unused, pace: unused, hold: unused, forget: () => undefined,
+			async start({task}) {
+				started.push(task);
+				return ok({clockMilliseconds: 10, bornAt: 1, rejection: undefined});
+			},
+		},
+		sessionOf: () => ({leaseUntil: () => 1000, wake: () => undefined, end: () => undefined}),
+		async recordRun(row) {
+			await new Promise<void>(resolve => {
+				records.push({row, stored: resolve});
+			});
+		},
+		onFenced: () => undefined, onChange: () => undefined, onStart: () => undefined,
+	});
+	const [order] = scheduler.plan({now: 1, wallNow: 1, mayStart: true}).filter((candidate): candidate is StartOrder => candidate.type === 'start');
+	orders.carryOut(order!);
+	return {
+		scheduler, worker, started, records,
+	};
+};
+
+test('a start is sent only after the store names the run', async t => {
+	const {started, records} = createCase();
+	await settle();
+	t.deepEqual(started, []);
+	records[0]!.stored();
+	await settle();
+	t.deepEqual(started, ['job.0.0.0']);
+});
+
+test('a start is not sent if the job was cancelled meanwhile, and leaves its room', async t => {
+	const {scheduler, worker, started, records} = createCase();
+	await settle();
+	scheduler.cancelJob('job');
+	records[0]!.stored();
+	await settle();
+	t.deepEqual(started, []);
+	t.is(worker.runs.size, 0);
+});
+
+test('a start is not sent to a worker that is about to end for its machine', async t => {
+	const {worker, started, records} = createCase();
+	await settle();
+	worker.closing = true;
+	records[0]!.stored();
+	await settle();
+	t.deepEqual(started, []);
+	t.is(worker.runs.size, 0);
+});
--- a/packages/jobs/scheduler/src/jobs.ts
+++ b/packages/jobs/scheduler/src/jobs.ts
@@ -137,11 +137,10 @@
 			readonly declaration: JobDeclaration;
 			readonly policy: QueuePolicy | undefined;
 			readonly progress: JobProgress | undefined;
-			readonly restored: boolean;
 			readonly now: number;
 			readonly wallNow: number;
 		}): JobRow {
-			const {declaration, policy, progress, restored, now, wallNow} = options;
+			const {declaration, policy, progress, now, wallNow} = options;
 			const known = jobs.get(declaration.id);
 			if (known) {
 				return known;
@@ -152,7 +151,7 @@
 			const objective = ((policy?.stretch ?? 1) * estimateChain(declaration)) + (policy?.objectiveMilliseconds ?? 0);
 			const job: JobRow = {
 				declaration, occurrences: new Map(), nextOccurrence: 0, finishedOccurrences: 0, state: JobState.Queued, begun: false,
-				restored, changed: false, dueBy: now - age + objective, lateBy: now - age + (lateFactor * objective),
+				changed: false, dueBy: now - age + objective, lateBy: now - age + (lateFactor * objective),
 			};
 			jobs.set(declaration.id, job);
 			if (progress) {
--- a/packages/jobs/scheduler/src/lists.ts
+++ b/packages/jobs/scheduler/src/lists.ts
@@ -25,10 +25,12 @@
 export const createReconciler = (options: {
 	readonly jobs: JobTable;
 	readonly workers: WorkerTable;
+	/** Lower runs were started by former owners. */
+	readonly firstRun: number;
 	readonly policyOf: (queue: string) => QueuePolicy | undefined;
 	readonly emit: (event: SchedulerEvent) => void;
 }) => {
-	const {jobs, workers, policyOf, emit} = options;
+	const {jobs, workers, firstRun, policyOf, emit} = options;
 	const unwanted: UnwantedRun[] = [];
 
 	const drop = (row: RunRow, reason: EndReason | 'lost' | 'not-run'): void => {
@@ -216,7 +218,8 @@
 				const isStoppedBefore = row.stoppedAt !== undefined && row.stoppedAt < sentAt;
 				if ((row.phase === RunPhase.Running || row.phase === RunPhase.Stopping) && (isConfirmedBefore || isStoppedBefore)) {
 					drop(row, 'lost');
-				} else if (row.phase === RunPhase.Unconfirmed && isStoppedBefore) {
+				} else if (row.phase === RunPhase.Unconfirmed && (isStoppedBefore || row.run < firstRun)) {
+					// A worker that knows the newer fencing token refuses late orders of former owners.
 					drop(row, 'not-run');
 				}
 			}
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -100,7 +100,7 @@
 export enum RunPhase {
 	/** The start was sent and has no answer yet. */
 	Starting = 'starting',
-	/** The start got no answer; it may have been or may still be carried out. */
+	/** The start got no answer, or was stored by a former owner; it may have been or may still be carried out. */
 	Unconfirmed = 'unconfirmed',
 	Running = 'running',
 	/** A stop was ordered; the run still counts against room and limits. */
@@ -186,8 +186,6 @@
 	finishedOccurrences: number;
 	state: JobState;
 	begun: boolean;
-	/** Loaded from the store when this instance became the owner: former owners may have started its tasks. */
-	readonly restored: boolean;
 	/** Changed since the progress was last written. */
 	changed: boolean;
 	/** Steady clock, end of the objective. */
@@ -225,8 +223,6 @@
 	appliedEnd: number;
 	/** Not used for new work before this time. */
 	avoidUntil: number;
-	/** The store names this life of the worker, so that the next owner asks it what runs. */
-	isRecorded: boolean;
 	/** Closed for new work by a wave or a move. */
 	closing: boolean;
 	/** An order that ends this life is on its way. */
--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -28,7 +28,7 @@
 };
 
 const isUsable = (worker: WorkerRow, now: number): boolean =>
-	worker.listed && worker.resolved && worker.isRecorded && !worker.report.draining && !worker.closing
+	worker.listed && worker.resolved && !worker.report.draining && !worker.closing
 	&& worker.failures === 0 && worker.answeredAt > now - silenceMilliseconds && worker.avoidUntil <= now;
 
 /** Long-running, in time, late, past any use. */
@@ -253,11 +253,11 @@
 
 	return {
 		/** Orders for all tasks that may start now; each start is already entered in the tables. */
-		place(jobs: Iterable<JobRow>, isBlocked: (job: JobRow, pool: string) => boolean, now: number): Array<StartOrder | AdviceOrder> {
+		place(jobs: Iterable<JobRow>, now: number): Array<StartOrder | AdviceOrder> {
 			const byPool = new Map<string, Array<{readonly job: JobRow; readonly queue: QueuePolicy; readonly rank: number}>>();
 			for (const job of jobs) {
 				const queue = policies().queues.get(job.declaration.queue);
-				if (!queue || !isActive(job) || isBlocked(job, queue.pool)) {
+				if (!queue || !isActive(job)) {
 					continue;
 				}
 
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -41,6 +41,8 @@
 	= | {readonly type: 'started'}
 		| {readonly type: 'rejected'; readonly reason: 'fenced' | 'superseded' | 'late' | 'room' | 'ticket' | 'unhealthy' | 'invalid'}
 		| {readonly type: 'not-sent'}
+		/** Not sent, since the task or its worker is no longer wanted. */
+		| {readonly type: 'withdrawn'}
 		| {readonly type: 'unknown'};
 
 /** A list entry or an answer may arrive after the worker has started again; it says nothing about the life of now. */
@@ -59,10 +61,11 @@
 	let countsHalvedAt = Number.NEGATIVE_INFINITY;
 	const jobs = createJobTable();
 	const workers = createWorkerTable();
+	const firstRun = ((epoch - 1) * runsPerEpoch) + 1;
 	const reconciler = createReconciler({
-		jobs, workers, policyOf: queue => policies.queues.get(queue), emit,
+		jobs, workers, firstRun, policyOf: queue => policies.queues.get(queue), emit,
 	});
-	const placement = createPlacement({workers, policies: () => policies, firstRun: () => ((epoch - 1) * runsPerEpoch) + 1});
+	const placement = createPlacement({workers, policies: () => policies, firstRun: () => firstRun});
 	const pacing = createPacing();
 	const speeds = createSpeeds();
 	const demand = createDemand();
@@ -140,17 +143,6 @@
 		countsHalvedAt = isHalving ? now : countsHalvedAt;
 	};
 
-	const unresolvedPools = (): Set<string> => {
-		const pools = new Set<string>();
-		for (const worker of workers.workers.values()) {
-			if (!worker.resolved) {
-				pools.add(worker.report.pool);
-			}
-		}
-
-		return pools;
-	};
-
 	return {
 		/** What each pool that runs work has to do now. */
 		poolDemands: (now: number) => demand.measure(jobs.jobs.values(), policies.queues, now),
@@ -167,9 +159,19 @@
 			}
 
 			return jobs.add({
-				declaration, policy: policies.queues.get(declaration.queue), progress: context.progress, restored: context.restored, now: context.now, wallNow: context.wallNow,
+				declaration, policy: policies.queues.get(declaration.queue), progress: context.progress, now: context.now, wallNow: context.wallNow,
 			});
 		},
+		/** A former owner may have started this run; until its worker has told, or its lease has ended, it counts as running. */
+		restoreRun(change: {readonly worker: WorkerRow; readonly task: string; readonly run: number; readonly now: number}): void {
+			const {worker, run, now} = change;
+			const task = jobs.findTask(change.task);
+			if (task && !task.done && !worker.resolved) {
+				workers.addRun({
+					task, worker, run, phase: RunPhase.Unconfirmed, now,
+				});
+			}
+		},
 		cancelJob(id: string): void {
 			const job = jobs.jobs.get(id);
 			if (job && isActive(job)) {
@@ -187,7 +189,7 @@
 				}
 			}
 
-			return !job.restored || unresolvedPools().size === 0;
+			return true;
 		},
 		removeJob(job: JobRow): void {
 			jobs.remove(job);
@@ -250,6 +252,12 @@
 					break;
 				}
 
+				case 'withdrawn': {
+					reconciler.drop(row, 'not-run');
+
+					break;
+				}
+
 				case 'not-sent': {
 					worker.failures += 1;
 					reconciler.drop(row, 'not-run');
@@ -333,11 +341,7 @@
 			judgeWorkers(now);
 			const orders: Order[] = planStops(now);
 			if (mayStart) {
-				const pools = unresolvedPools();
-				orders.push(
-					...placement.place(jobs.jobs.values(), (job, pool) => job.restored && pools.has(pool), now),
-					...pacing.pace(workers.workers.values(), now),
-				);
+				orders.push(...placement.place(jobs.jobs.values(), now), ...pacing.pace(workers.workers.values(), now));
 			}
 
 			return orders;
--- a/packages/jobs/scheduler/src/workers.ts
+++ b/packages/jobs/scheduler/src/workers.ts
@@ -47,7 +47,7 @@
 		addRun(options: {readonly task: TaskRow; readonly worker: WorkerRow; readonly run: number; readonly phase: RunPhase; readonly now: number}): RunRow {
 			const {task, worker, run, phase, now} = options;
 			const row: RunRow = {
-				task, worker, run, phase, startedAt: now, confirmedAt: phase === RunPhase.Starting ? undefined : now, doubtedAt: undefined, stopSentAt: undefined,
+				task, worker, run, phase, startedAt: now, confirmedAt: phase === RunPhase.Running ? now : undefined, doubtedAt: phase === RunPhase.Unconfirmed ? now : undefined, stopSentAt: undefined,
 				stoppedAt: undefined, stopInFlight: false, percent: 0, measured: 0, pacePercent: 100, paceInFlight: false, isEvacuating: false, progressedAt: now,
 			};
 			if (task.runs.size === 0 && !task.done) {
@@ -87,7 +87,7 @@
 
 			const row: WorkerRow = {
 				report, listed, bornAt: report.bornAt, resolved, lapsesBy, answeredAt: Number.NEGATIVE_INFINITY, failures: 0,
-				appliedEnd: 0, avoidUntil: 0, isRecorded: false, closing: false, ending: false, runs: new Map(), used: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0},
+				appliedEnd: 0, avoidUntil: 0, closing: false, ending: false, runs: new Map(), used: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0},
 				recentFailures: 0, recentSuccesses: 0, speed: 1,
 			};
 			workers.set(report.id, row);
--- a/packages/jobs/scheduler/test/placement.test.ts
+++ b/packages/jobs/scheduler/test/placement.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {EndReason, JobState, readProgress} from '../src/index.js';
-import type {Scheduler, WorkerRow} from '../src/index.js';
+import type {Policies, Scheduler, WorkerRow} from '../src/index.js';
 import {
 	addWorker, answer, createJob, createPolicies, createReport, createStep, createTestScheduler, queue, startAll,
 } from './support/builders.js';
@@ -118,20 +118,49 @@
 });
 
 // Guards against a new owner that starts what a worker out of its reach may still run.
-test('jobs of former owners wait for workers that have not answered, new jobs do not', t => {
-	const scheduler = createTestScheduler(createPolicies(), 2);
+const createSuccessor = (workspaces: Policies['workspaces'] = new Map()) => {
+	const scheduler = createTestScheduler(createPolicies({workspaces}), 2);
 	addWorker(scheduler, createReport('w1'));
-	scheduler.reportWorker({
+	const silent = scheduler.reportWorker({
 		report: createReport('silent'), listed: true, resolved: false, lapsesBy: 5000,
 	});
-	scheduler.addJob(createJob('old', [createStep()]), {restored: true, now: 0, wallNow: 0});
+	scheduler.addJob(createJob('old', [createStep({taskCount: 2})], {workspace: 'team'}), {restored: true, now: 0, wallNow: 0});
+	scheduler.restoreRun({
+		worker: silent, task: 'old.0.0.0', run: 3, now: 0,
+	});
+	return {scheduler, silent};
+};
+
+// Pattern: the owner ends while some workers are dark; only the tasks that may be at work there wait for the end of their lease.
+test('a task that the store names on a silent worker waits for the end of its lease, the other tasks do not', t => {
+	const {scheduler} = createSuccessor();
 	add(scheduler, 'new', [createStep()]);
-	t.deepEqual(startAll(scheduler, 1).map(([task]) => task), ['new.0.0.0']);
-	answer(scheduler, scheduler.workers.get('w1')!, 4999);
+	t.deepEqual(startAll(scheduler, 1).map(([task]) => task).toSorted(), ['new.0.0.0', 'old.0.0.1']);
+	answer(scheduler, scheduler.workers.get('w1')!, 4998);
+	t.deepEqual(startAll(scheduler, 4999), []);
 	t.deepEqual(startAll(scheduler, 5000).map(([task]) => task), ['old.0.0.0']);
 	t.true([...scheduler.jobs.get('old')!.occurrences.get(0)![0]!.tasks[0]!.runs.keys()].every(run => run > 1000));
 });
 
+test('a run that may be at work on a silent worker counts against the maximum of its workspace', t => {
+	const maximum = {cpuMillis: 1500, memoryMegabytes: 0, accelerators: 0};
+	const {scheduler} = createSuccessor(new Map([['team', {name: 'team', weight: 1, maximum}]]));
+	t.deepEqual(startAll(scheduler, 1), []);
+});
+
+test('a run of a former owner goes on if its worker lists it, and is given up if it does not', t => {
+	for (const isListed of [true, false]) {
+		const {scheduler, silent} = createSuccessor();
+		answer(scheduler, silent, 10, isListed
+			? [{
+				task: 'old.0.0.0', run: 3, checkpoint: '', percent: 10, measured: 0,
+			}]
+			: []);
+		const orders = scheduler.plan({now: 11, wallNow: 0, mayStart: true});
+		t.deepEqual(orders.map(order => order.type === 'start' ? order.row.task.name : order.type), isListed ? ['old.0.0.1'] : ['old.0.0.0', 'old.0.0.1']);
+	}
+});
+
 test('a run that another owner has started is adopted, one that nobody wants is stopped', t => {
 	const scheduler = createTestScheduler(createPolicies(), 2);
 	const worker = addWorker(scheduler, createReport('w1'));
--- a/packages/jobs/scheduler/test/support/builders.ts
+++ b/packages/jobs/scheduler/test/support/builders.ts
@@ -45,7 +45,6 @@
 	const worker = scheduler.reportWorker({
 		report, listed: true, resolved: true, lapsesBy: Number.NEGATIVE_INFINITY,
 	});
-	worker.isRecorded = true;
 	worker.lapsesBy = leaseEnd;
 	answer(scheduler, worker, now);
 	return worker;
--- a/packages/jobs/worker-model/src/machines.ts
+++ b/packages/jobs/worker-model/src/machines.ts
@@ -18,6 +18,8 @@
 	/** Steady time at which a new worker joins. */
 	backAt: number;
 	readonly upkeeps: Set<number>;
+	/** The wave for whose upkeep it is down. */
+	downFor: number | undefined;
 };
 
 export type MachineAnswer = 'accepted' | 'busy' | 'foreign' | 'invalid';
@@ -49,7 +51,7 @@
 		waves,
 		add(row: {readonly machine: string; readonly pool: string; readonly zone: string; readonly rack: string}, now: number): MachineRow {
 			const added: MachineRow = {
-				...row, state: ModelMachineState.Up, worker: undefined, backAt: now, upkeeps: new Set(),
+				...row, state: ModelMachineState.Up, worker: undefined, backAt: now, upkeeps: new Set(), downFor: undefined,
 			};
 			machines.set(row.machine, added);
 			added.worker = startWorker(added, now);
@@ -92,6 +94,7 @@
 			}
 
 			row.upkeeps.add(call.wave);
+			row.downFor = call.wave;
 			takeDown(row, ModelMachineState.Upkeep, upkeepMilliseconds, now);
 			return 'accepted';
 		},
@@ -100,6 +103,7 @@
 			for (const row of machines.values()) {
 				if (row.state !== ModelMachineState.Up && row.state !== ModelMachineState.Down && row.backAt <= now) {
 					row.state = ModelMachineState.Up;
+					row.downFor = undefined;
 					row.worker = startWorker(row, now);
 				}
 			}
--- a/packages/tools/experiment/src/site-clients.ts
+++ b/packages/tools/experiment/src/site-clients.ts
@@ -7,7 +7,6 @@
 import type {
 	MachineAnswer, MachineModel, StartAnswer, WorkerModel,
 } from '@turmericbay/worker-model';
-import {ModelMachineState} from '@turmericbay/worker-model';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {Network} from './network.js';
@@ -155,7 +154,7 @@
 		async upkeep({machine, wave, ...duty}) {
 			return order(machine, duty, () => {
 				const answer = machines.upkeep({machine, wave}, time.now());
-				oracle.noteUpkeep([...machines.machines.values()].filter(row => row.upkeeps.has(wave) && row.state === ModelMachineState.Upkeep).length, wave, time.now());
+				oracle.noteUpkeep([...machines.machines.values()].filter(row => row.downFor === wave).length, wave, time.now());
 				return answer;
 			});
 		},
