Tell the age of machine orders by store revisions; an instance that takes its own place orders at once

Change: each confirmation of the configuration also names the store's revision, so the age of an order's record is known on the own steady clock; the record names the holder, and the former life of this instance is no other holder. An order follows its record within 0.4 s or is recorded anew.

--- a/packages/jobs/job-service/src/configuration-source.ts
+++ b/packages/jobs/job-service/src/configuration-source.ts
@@ -6,17 +6,22 @@
 /** The store is asked this often whether the configuration is still the newest; a watch brings changes sooner. */
 const confirmIntervalMilliseconds = 800;
 
+/** The key of the configuration sorts before others that begin with it. */
+const configurationEntries = 1;
+
 export type ConfigurationSource = ReturnType<typeof createConfigurationSource>;
 
 export const createConfigurationSource = (options: {
 	readonly store: KeyValueStore;
 	readonly records: PlatformRecords;
 	readonly clock: Clock;
+	/** An answer that came now named the store's revision. */
+	readonly onRevision: (revision: number) => void;
 	readonly onChange: (configuration: Configuration) => void;
 	readonly onUnreadable: (key: string) => void;
 	readonly onTrouble: (message: string) => void;
 }) => {
-	const {store, records, clock, onChange, onUnreadable, onTrouble} = options;
+	const {store, records, clock, onRevision, onChange, onUnreadable, onTrouble} = options;
 	let current: Configuration | undefined;
 	let adoptedRevision = 0;
 	let confirmed: {readonly steady: number; readonly wall: number} | undefined;
@@ -51,11 +56,17 @@
 		isReading = true;
 		// Counted from the sending: a newer version may have been accepted while the answer was on its way.
 		const sent = {steady: clock.now(), wall: clock.wallNow()};
-		const read = await store.read({key: records.configurationKey});
+		// A listing also names the revision of the store.
+		const listed = await store.list({prefix: records.configurationKey, limit: configurationEntries});
 		isReading = false;
-		if (read.isErr()) {
-			onTrouble(read.error.message);
-		} else if (read.value && adopt(read.value)) {
+		if (listed.isErr()) {
+			onTrouble(listed.error.message);
+			return;
+		}
+
+		onRevision(listed.value.revision);
+		const entry = listed.value.entries.find(({key}) => key === records.configurationKey);
+		if (entry && adopt(entry)) {
 			confirmed = sent;
 		}
 	};
--- a/packages/jobs/job-service/src/machine-orders.ts
+++ b/packages/jobs/job-service/src/machine-orders.ts
@@ -1,7 +1,7 @@
 /**
  * Which machines this owner may order now. Two holders must not take turns on one machine, and
  * an order of a former owner may still be on its way, so each order is stored before it is sent;
- * machines that no former owner has ordered lately are free at once.
+ * machines that no other holder has ordered lately are free at once.
  */
 import type {StoredEntry, StoreOperation} from '@turmericbay/types';
 import type {Clock} from './ports.js';
@@ -9,36 +9,41 @@
 
 /** Longer than the platform's 3 s in which two holders must not take turns. */
 const quietMilliseconds = 3500;
-/** Wall clocks of two instances may differ by this. */
-const clockDifferenceMilliseconds = 4500;
+/** An order follows its record within this time, or is recorded anew: other holders take the record's age for the order's. */
+const longestStoreMilliseconds = 400;
 
 export type MachineOrders = ReturnType<typeof createMachineOrders>;
 
 export const createMachineOrders = (options: {
 	readonly clock: Clock;
+	readonly holder: string;
 	readonly tookOverAt: number;
+	/** Steady time by which the store had reached the revision; undefined if it was not seen before the takeover. */
+	readonly reachedBy: (revision: number) => number | undefined;
 	readonly mayOrder: () => boolean;
 	readonly commit: (operations: readonly StoreOperation[]) => Promise<void>;
 }) => {
-	const {clock, tookOverAt, mayOrder, commit} = options;
-	/** Machines that a former owner may have ordered lately. */
-	const recent = new Set<string>();
+	const {clock, holder, tookOverAt, reachedBy, mayOrder, commit} = options;
+	/** Steady time from which a machine is free, for those that another holder has ordered. */
+	const freeAt = new Map<string, number>();
 
 	return {
+		/** Entries of this holder are those of its former life, which orders nothing more. */
 		restore(entries: readonly StoredEntry[]): void {
-			for (const entry of entries) {
-				if (Math.abs(clock.wallNow() - Number(entry.value)) < quietMilliseconds + clockDifferenceMilliseconds) {
-					recent.add(idOf(entry.key));
+			for (const {key, value, modifiedRevision} of entries) {
+				if (value !== holder) {
+					freeAt.set(idOf(key), (reachedBy(modifiedRevision) ?? tookOverAt) + quietMilliseconds);
 				}
 			}
 		},
 		/** False while machines may be down that a former owner has ordered; their number is not known. */
 		isSettled: (): boolean => clock.now() > tookOverAt + quietMilliseconds,
-		isFree: (machine: string): boolean => clock.now() > tookOverAt + quietMilliseconds || !recent.has(machine),
+		isFree: (machine: string): boolean => clock.now() > (freeAt.get(machine) ?? Number.NEGATIVE_INFINITY),
 		/** True if the order may be sent now; it is stored by then. */
 		async prepare(machine: string): Promise<boolean> {
-			await commit([{type: 'put', key: machineOrderPrefix + machine, value: String(clock.wallNow())}]);
-			return mayOrder();
+			const began = clock.now();
+			await commit([{type: 'put', key: machineOrderPrefix + machine, value: holder}]);
+			return mayOrder() && clock.now() - began < longestStoreMilliseconds;
 		},
 	};
 };
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -47,13 +47,15 @@
 	readonly clock: Clock;
 	readonly configuration: () => Configuration;
 	readonly leaseMilliseconds: number;
+	/** See `RevisionTimes`. */
+	readonly reachedBy: (revision: number) => number | undefined;
 	readonly onLost: (reason: string) => void;
 	readonly log: OwnerLog;
 };
 
 /** Undefined if the lease ended while the stored jobs were read. */
 export const createOwner = async (options: OwnerOptions) => {
-	const {store, records, tenure, renewal, workerClient, advice, machines, instance, clock, configuration, leaseMilliseconds, onLost, log} = options;
+	const {store, records, tenure, renewal, workerClient, advice, machines, instance, clock, configuration, leaseMilliseconds, reachedBy, onLost, log} = options;
 	const tookOverAt = clock.now();
 	let isEnded = false;
 	let isLoaded = false;
@@ -130,7 +132,7 @@
 	const createMachineDuties = (service: MachineService) => {
 		const commit = async (operations: readonly StoreOperation[]): Promise<void> => commits.commit(operations);
 		const machineOrders = createMachineOrders({
-			clock, tookOverAt, mayOrder: mayStart, commit,
+			clock, holder: instance, tookOverAt, reachedBy, mayOrder: mayStart, commit,
 		});
 		const shared = {
 			scheduler, machines: service, list: createMachineList({machines: service, scheduler, clock}),
--- a/packages/jobs/job-service/src/pool-moves.ts
+++ b/packages/jobs/job-service/src/pool-moves.ts
@@ -57,6 +57,11 @@
 		movedAt.set(machine, Number.POSITIVE_INFINITY);
 		if (!await orders.prepare(machine)) {
 			incoming.delete(machine);
+			movedAt.delete(machine);
+			if (worker) {
+				worker.closing = false;
+			}
+
 			return;
 		}
 
--- a/packages/jobs/job-service/src/records.ts
+++ b/packages/jobs/job-service/src/records.ts
@@ -17,7 +17,7 @@
 /** Machines of each wave whose upkeep has begun. */
 export const waveProgressPrefix = `${root}waves/`;
 
-/** Wall clock of the newest order for each machine. */
+/** Holder of the newest order for each machine. */
 export const machineOrderPrefix = `${root}machine-orders/`;
 
 export type OwnerRecord = {
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -13,6 +13,7 @@
 } from './ports.js';
 import type {OwnerRecord} from './records.js';
 import {ownerKey, parseOwner} from './records.js';
+import {createRevisionTimes} from './revision-times.js';
 import {chooseRetryAfter} from './retry-after.js';
 import {observeStore} from './store-health.js';
 
@@ -55,8 +56,12 @@
 	let campaignTimer: NodeJS.Timeout | undefined;
 	let abandon: (() => void) | undefined;
 
+	const revisions = createRevisionTimes();
 	const configuration = createConfigurationSource({
 		store, records, clock,
+		onRevision(revision) {
+			revisions.note(revision, clock.now());
+		},
 		onChange(next) {
 			log.configurationInForce(next.version);
 			owner?.setConfiguration(next);
@@ -117,7 +122,7 @@
 		const created = await createOwner({
 			store, records, tenure, renewal, workerClient, advice, machines, instance, clock,
 			configuration: () => configuration.current() ?? current,
-			leaseMilliseconds, onLost, log,
+			leaseMilliseconds, reachedBy: revisions.reachedBy, onLost, log,
 		});
 		isCampaigning = false;
 		if (isLost) {
--- a/packages/jobs/job-service/test/maintenance.test.ts
+++ b/packages/jobs/job-service/test/maintenance.test.ts
@@ -57,7 +57,7 @@
 	};
 
 	const orders = createMachineOrders({
-		clock, tookOverAt, mayOrder: () => true, commit,
+		clock, holder: 'owner', reachedBy: () => undefined, tookOverAt, mayOrder: () => true, commit,
 	});
 	const maintenance = createMaintenance({
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- The members that maintenance uses.
