Let larger instances become the owner first

Ruled out: the store (writes far below its rate), waiting for workers. Change: the pause before a try to become the owner is inverse to the share of a core, so that instances of different sizes do not mix.

--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -1,5 +1,6 @@
 /** The job service of one instance: takes ownership when it is free, and serves callers whether or not it owns. */
 import type {KeyValueStore} from '@turmericbay/types';
+import {chooseCampaignPause} from './campaign.js';
 import {createConfigurationSource} from './configuration-source.js';
 import {followPrefix} from './follow.js';
 import {createIntake} from './intake.js';
@@ -17,8 +18,6 @@
 import {chooseRetryAfter} from './retry-after.js';
 import {observeStore} from './store-health.js';
 
-/** Instances that see the ownership become free try within this time, so that not all of them write at once. */
-const campaignSpreadMilliseconds = 120;
 /** Pause after a try that the store did not answer. */
 const campaignRetryMilliseconds = 300;
 
@@ -43,10 +42,12 @@
 	readonly machines: MachineService | undefined;
 	readonly clock: Clock;
 	readonly random: () => number;
+	/** Cores that this process may use. */
+	readonly cores: number;
 	readonly leaseMilliseconds: number;
 	readonly log: ServiceLog;
 }) => {
-	const {instance, peers, records, workerClient, advice, machines, clock, random, leaseMilliseconds, log} = options;
+	const {instance, peers, records, workerClient, advice, machines, clock, random, cores, leaseMilliseconds, log} = options;
 	const {address} = peers;
 	const {store, health} = observeStore(options);
 	let owner: NonNullable<Owner> | undefined;
@@ -140,7 +141,7 @@
 			clearTimeout(campaignTimer);
 			campaignTimer = setTimeout(() => {
 				void campaign();
-			}, pause + (random() * campaignSpreadMilliseconds));
+			}, pause + chooseCampaignPause({cores, random}));
 		}
 	};
 
--- a/packages/tools/experiment/src/site.ts
+++ b/packages/tools/experiment/src/site.ts
@@ -301,7 +301,7 @@
 					network, time, machines, oracle,
 				}),
 				clock: {now: time.now, wallNow: () => wallStart + time.now() + process.wallOffset},
-				random, leaseMilliseconds: options.leaseMilliseconds, log: options.log(name),
+				random, cores: 1, leaseMilliseconds: options.leaseMilliseconds, log: options.log(name),
 			});
 			instances.set(name, {process, service, local: {owner: service.owner}});
 		});
