Try a job whose write may have been carried out until the store has told

Ruled out: deadlines (none of these tries had reached it). Change: only jobs that were not sent are refused early; the test of the early unknown is replaced by one that the job is tried until the store tells.

--- a/packages/jobs/job-service/src/intake.ts
+++ b/packages/jobs/job-service/src/intake.ts
@@ -84,15 +84,15 @@
 
 	return {
 		/**
-		 * Stores a job. After an unknown outcome the same write is tried until the store has told, or is
-		 * known to be down: the caller may reach it through another instance.
+		 * Stores a job. After an unknown outcome the same write is tried until the store has told: callers
+		 * cannot send such a request again. A job that was not sent is refused while the store is down.
 		 */
 		async submit(declaration: JobDeclaration, deadline: number): Promise<SubmitOutcome> {
 			const key = jobPrefix + declaration.id;
 			let isUncertain = false;
 			for (;;) {
-				if (health.downFor() !== undefined) {
-					return isUncertain ? 'unknown' : 'not-stored';
+				if (!isUncertain && health.downFor() !== undefined) {
+					return 'not-stored';
 				}
 
 				// eslint-disable-next-line no-await-in-loop -- Each try follows the one before it.
--- a/packages/jobs/job-service/test/intake.test.ts
+++ b/packages/jobs/job-service/test/intake.test.ts
@@ -52,10 +52,15 @@
 	t.is(site.calls(), 1);
 });
 
-test('a job whose write may have been carried out is answered as unknown once the store is down', async t => {
-	const site = createCase(async () => err(silent));
-	t.is(await site.intake.submit(declaration, Number.POSITIVE_INFINITY), 'unknown');
-	t.is(site.calls(), 3);
+// Guards against callers that lose a request which they cannot send again, although the store is back before their deadline.
+test('a job whose write may have been carried out is tried until the store has told', async t => {
+	let left = 5;
+	const site = createCase(async () => {
+		left -= 1;
+		return left > 0 ? err(silent) : ok({type: 'committed' as const, revision: 7});
+	});
+	t.is(await site.intake.submit(declaration, Number.POSITIVE_INFINITY), 'accepted');
+	t.is(site.calls(), 5);
 });
 
 test('a single lost answer is asked for again', async t => {
