--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -18,6 +18,7 @@
 	SettingsInvalid = 1005,
 	ListenFailed = 1006,
 	ShutdownBoundExceeded = 1007,
+	LogLinesDropped = 1008,
 	DocumentInForce = 2001,
 	DocumentRefused = 2002,
 	DocumentOlderIgnored = 2003,
@@ -110,6 +111,11 @@
 		message: 'Requests were still running when the shutdown bound was reached',
 		action: 'Raise the shutdown bound above the longest run time of the queues.',
 	},
+	[LogEvent.LogLinesDropped]: {
+		level: LogLevel.Warning,
+		message: 'More was logged in the last second than the budget allows; the counts say what is missing',
+		action: 'Read the metrics for these events; follow a job by its other lines.',
+	},
 	[LogEvent.DocumentInForce]: {
 		level: LogLevel.Information,
 		message: 'A version of the document is in force',
--- a/packages/common/telemetry/src/logger.ts
+++ b/packages/common/telemetry/src/logger.ts
@@ -12,6 +12,16 @@
 	log(event: LogEvent, fields?: LogFields): void;
 };
 
+/** The event of the line that is being written; roarr hands on the text alone. */
+let currentEvent: LogEvent | undefined;
+
+/** Directs all log lines of the process to a bounded output. */
+export const setLogOutput = (output: {write(line: string, event: LogEvent | undefined): void}): void => {
+	ROARR.write = line => {
+		output.write(line, currentEvent);
+	};
+};
+
 /** Directs all log lines of the process to one function, one line per call. */
 export const setLogWriter = (write: (line: string) => void): void => {
 	ROARR.write = write;
@@ -23,6 +33,7 @@
 		log(event, fields = {}) {
 			const {level, message} = logEvents[event];
 			if (level >= options.minimumLevel) {
+				currentEvent = event;
 				child({
 					...fields, event, name: LogEvent[event], logLevel: level,
 				}, message);
