Count a run as at work on the machine that a wave would take, whatever the newest list shows

Ruled out: moves (only machines without runs), evacuations (they count the waiting tasks). Change: a run on the machine counts as at work unless it is being stopped.

--- a/packages/jobs/scheduler/src/waves.ts
+++ b/packages/jobs/scheduler/src/waves.ts
@@ -42,16 +42,19 @@
 	readonly down: Set<string>;
 };
 
-/** Tasks of a step that do not serve right now, other than those on the worker. */
+/**
+ * Tasks of a step that do not serve right now, and those on the worker. A run there counts even if
+ * the newest list does not show it at work yet: it may be by the time the order arrives.
+ */
 const countAway = (step: StepRow, worker: WorkerRow): {away: number; here: number} => {
 	let away = 0;
 	let here = 0;
 	for (const task of step.tasks) {
-		const atWork = [...task.runs.values()].find(row => row.phase === RunPhase.Running && row.percent === 100 && !row.isEvacuating && !row.worker.ending);
-		if (atWork === undefined) {
-			away += 1;
-		} else if (atWork.worker === worker) {
+		const rows = [...task.runs.values()].filter(row => row.phase !== RunPhase.Stopping && !row.isEvacuating && !row.worker.ending);
+		if (rows.some(row => row.worker === worker)) {
 			here += 1;
+		} else if (!rows.some(row => row.phase === RunPhase.Running && row.percent === 100)) {
+			away += 1;
 		}
 	}
 
--- a/packages/jobs/scheduler/test/waves.test.ts
+++ b/packages/jobs/scheduler/test/waves.test.ts
@@ -74,3 +74,17 @@
 	t.is(plan.ready.length, 1);
 	t.deepEqual(plan.evacuate, []);
 });
+
+// Pattern: a wide step that serves is being placed while a wave runs (AVAIL on the grown sites, f4e005c8): a run that the
+// newest list showed at its start was at work when the upkeep arrived.
+test('a run that the newest list does not show at work yet is not taken away while others of its step wait', t => {
+	const scheduler = createTestScheduler();
+	const worker = addWorker(scheduler, createReport('w1'));
+	scheduler.addJob(createJob('j', [createStep({taskCount: 8, longRunning: true, maximumAway: 2})]), {restored: false, now: 0, wallNow: 0});
+	startAll(scheduler, 1);
+	answer(scheduler, worker, 2, [...worker.runs.values()].slice(0, 1).map(row => ({
+		task: row.task.name, run: row.run, checkpoint: '', percent: 0, measured: 0,
+	})));
+	t.true(worker.runs.size > 0);
+	t.false(mayTakeAway(worker));
+});
