--- a/packages/common/telemetry/test/bounded-output.test.ts
+++ b/packages/common/telemetry/test/bounded-output.test.ts
@@ -7,7 +7,7 @@
 	const written: string[] = [];
 	const reads: Array<() => void> = [];
 	const timers: Array<() => void> = [];
-	const drops: Array<Record<string, number>> = [];
+	const drops: Array<ReadonlyArray<readonly [string, number]>> = [];
 	const output = createBoundedOutput({
 		now: () => now,
 		writeBatch(text, done) {
@@ -18,7 +18,7 @@
 			timers.push(callback);
 		},
 		onDropped(counts) {
-			drops.push(Object.fromEntries(counts));
+			drops.push([...counts]);
 		},
 	});
 	return {
@@ -55,7 +55,7 @@
 	pass(1000);
 	t.true(written[0]!.endsWith('warning\n'));
 	t.is(written[0]!.split('\n').length - 1, 1201);
-	t.deepEqual(drops, [{RunStarted: 800}]);
+	t.deepEqual(drops, [[['RunStarted', 800]]]);
 	output.write('next', LogEvent.RunStarted);
 	pass(100);
 	t.is(written[1], 'next\n');
--- a/packages/jobs/job-service/test/orders.test.ts
+++ b/packages/jobs/job-service/test/orders.test.ts
@@ -59,7 +59,7 @@
 		},
 		onFenced: () => undefined, onChange: () => undefined, onStart: () => undefined,
 	});
-	const [order] = scheduler.plan({now: 1, wallNow: 1, mayStart: true}).filter((candidate): candidate is StartOrder => candidate.type === 'start');
+	const order = scheduler.plan({now: 1, wallNow: 1, mayStart: true}).find((candidate): candidate is StartOrder => candidate.type === 'start');
 	orders.carryOut(order!);
 	return {
 		scheduler, worker, started, records,
