Record the starts of a tick in one segment

Change: one key for all starts that are decided together, removed once its runs have ended; long runs move to a newer segment.

--- a/packages/jobs/job-service/src/owned-workers.ts
+++ b/packages/jobs/job-service/src/owned-workers.ts
@@ -2,14 +2,13 @@
 import type {
 	RunRow, Scheduler, WorkerReport, WorkerRow,
 } from '@turmericbay/scheduler';
-import {formatRunKey, lapseTime} from '@turmericbay/scheduler';
+import {lapseTime} from '@turmericbay/scheduler';
 import type {StoredEntry} from '@turmericbay/types';
-import type {Commits} from './commits.js';
 import type {OwnerLog} from './owner-log.js';
 import {ownerLeaseMilliseconds} from './ownership.js';
 import type {Clock, PlatformRecords, WorkerClient} from './ports.js';
-import type {UsedWorkerRecord} from './records.js';
-import {idOf, parseUsedWorker, usedWorkerPrefix} from './records.js';
+import {idOf} from './records.js';
+import type {RunRecords} from './run-records.js';
 import type {WorkerSession} from './worker-session.js';
 
 /**
@@ -25,7 +24,7 @@
 
 export const createOwnedWorkers = (options: {
 	readonly scheduler: Scheduler;
-	readonly commits: Commits;
+	readonly runRecords: RunRecords;
 	readonly records: PlatformRecords;
 	readonly client: WorkerClient;
 	readonly clock: Clock;
@@ -35,12 +34,11 @@
 	readonly onChange: () => void;
 	readonly log: OwnerLog;
 }) => {
-	const {scheduler, commits, records, client, clock, tookOverAt, leaseMilliseconds, createSession, onChange, log} = options;
+	const {scheduler, runRecords, records, client, clock, tookOverAt, leaseMilliseconds, createSession, onChange, log} = options;
 	const sessions = new Map<string, WorkerSession>();
-	/** Stored records of workers on which something may run; undefined runs were stored by a former owner. */
-	const used = new Map<string, {readonly number: number; readonly runs: ReadonlySet<string>}>();
-	let recordCount = 0;
-	let restoredRecords: UsedWorkerRecord[] = [];
+	/** Workers on which something of a former owner may run. */
+	const formerlyUsed = new Set<string>();
+	let formerSegments: ReturnType<RunRecords['restore']> = [];
 	/** Lives of workers that were ended for a machine's sake; their entries stay in the list for a while. */
 	const retired = new Map<string, number | undefined>();
 	/** Until then a worker that does not answer may run what a former owner has started. */
@@ -52,10 +50,6 @@
 		sessions.delete(id);
 		scheduler.workers.delete(id);
 		client.forget({id, address});
-		// A record that is left would make the next owner wait for this worker.
-		if (used.delete(id)) {
-			void commits.commit([{type: 'delete', key: usedWorkerPrefix + id}]);
-		}
 	};
 
 	const openSession = (worker: WorkerRow): void => {
@@ -89,11 +83,6 @@
 		onChange();
 	};
 
-	const encode = (worker: WorkerRow): string => JSON.stringify({
-		id: worker.report.id, address: worker.report.address, pool: worker.report.pool, bornAt: worker.bornAt,
-		runs: [...worker.runs.values()].map(({task, run}): [string, number] => [task.name, run]),
-	} satisfies UsedWorkerRecord);
-
 	/** The life has ended; nothing of it runs. */
 	const drop = (worker: WorkerRow): void => {
 		scheduler.loseWorker(worker);
@@ -102,24 +91,6 @@
 	};
 
 	return {
-		/** Resolves once the store names the run: the next owner has to know where it may be at work before it is started. */
-		async recordRun(row: RunRow): Promise<void> {
-			const {worker} = row;
-			const {id} = worker.report;
-			const key = formatRunKey(row.task.name, row.run);
-			if (used.get(id)?.runs.has(key)) {
-				return;
-			}
-
-			recordCount += 1;
-			const number = recordCount;
-			const runs = new Set(worker.runs.keys());
-			await commits.commit([{type: 'put', key: usedWorkerPrefix + id, value: encode(worker)}]);
-			// Of two records under way the newer one is stored last.
-			if ((used.get(id)?.number ?? 0) < number) {
-				used.set(id, {number, runs});
-			}
-		},
 		sessionOf: (worker: WorkerRow): WorkerSession | undefined => sessions.get(worker.report.id),
 		drop,
 		/** The platform has ended the life for its machine's sake. */
@@ -127,45 +98,48 @@
 			retired.set(worker.report.id, worker.bornAt);
 			drop(worker);
 		},
+		/** Workers that former owners' records name, before the platform's list is taken over. */
 		restore(entries: readonly StoredEntry[]): void {
-			for (const entry of entries) {
-				const restored = parseUsedWorker(entry);
-				if (!restored) {
-					log.unreadable(entry.key);
-					continue;
+			formerSegments = runRecords.restore(entries);
+			for (const {worker: {id, address, pool, bornAt}} of formerSegments.flatMap(({segment}) => segment)) {
+				formerlyUsed.add(id);
+				if (!scheduler.workers.has(id)) {
+					openSession(scheduler.reportWorker({
+						report: {
+							id, address, pool, bornAt, zone: '', draining: true, capacity: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0}, labels: [],
+						},
+						listed: false, resolved: false, lapsesBy: restoredLapse,
+					}));
 				}
-
-				used.set(restored.id, {number: 0, runs: new Set()});
-				restoredRecords.push(restored);
-				openSession(scheduler.reportWorker({
-					report: {
-						...restored, zone: '', draining: true, capacity: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0}, labels: [],
-					},
-					listed: false, resolved: false, lapsesBy: restoredLapse,
-				}));
 			}
 		},
 		/** Enters what former owners may have started, once the jobs are known. */
 		restoreRuns(now: number): void {
-			for (const {id, bornAt, runs} of restoredRecords) {
-				const worker = scheduler.workers.get(id);
-				if (worker && worker.bornAt === bornAt) {
-					for (const [task, run] of runs) {
-						scheduler.restoreRun({
+			for (const {key, segment} of formerSegments) {
+				const rows: RunRow[] = [];
+				for (const {worker: {id, bornAt}, runs} of segment) {
+					const worker = scheduler.workers.get(id);
+					for (const [task, run] of worker?.bornAt === bornAt ? runs : []) {
+						const row = worker && scheduler.restoreRun({
 							worker, task, run, now,
 						});
+						if (row) {
+							rows.push(row);
+						}
 					}
 				}
+
+				runRecords.adopt(key, rows);
 			}
 
-			restoredRecords = [];
+			formerSegments = [];
 		},
 		/** Takes over entries of the platform's list. */
 		applyEntries(entries: readonly StoredEntry[], isFirst: boolean): void {
 			for (const entry of entries) {
 				const decoded = records.decodeWorker(entry);
 				if (decoded) {
-					report(decoded, isFirst && used.has(decoded.id));
+					report(decoded, isFirst && formerlyUsed.has(decoded.id));
 				} else {
 					unlist([idOf(entry.key)]);
 					log.unreadable(entry.key);
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -20,8 +20,9 @@
 	AdviceClient, Clock, Configuration, MachineService, PlatformRecords, WorkerClient,
 } from './ports.js';
 import {
-	cancellationPrefix, idOf, jobPrefix, machineOrderPrefix, progressPrefix, usedWorkerPrefix, waveProgressPrefix,
+	cancellationPrefix, idOf, jobPrefix, machineOrderPrefix, progressPrefix, runPrefix, waveProgressPrefix,
 } from './records.js';
+import {createRunRecords} from './run-records.js';
 import {createWorkerSession} from './worker-session.js';
 
 /** Longest time between two runs of the scheduler. */
@@ -108,8 +109,11 @@
 	const jobs = createOwnedJobs({
 		store, commits, scheduler, clock, onChange: requestTick, log,
 	});
+	const runRecords = createRunRecords({
+		commits, epoch: tenure.epoch, now: clock.now, onUnreadable: log.unreadable,
+	});
 	const workers: OwnedWorkers = createOwnedWorkers({
-		scheduler, commits, records, client: workerClient, clock, tookOverAt, leaseMilliseconds, onChange: requestTick, log,
+		scheduler, runRecords, records, client: workerClient, clock, tookOverAt, leaseMilliseconds, onChange: requestTick, log,
 		createSession: worker => createWorkerSession({
 			worker, client: workerClient, scheduler, clock, epoch: tenure.epoch, leaseMilliseconds, mayExtend, onFenced,
 			store: jobs.storeChanges,
@@ -124,7 +128,7 @@
 	const orders = createOrders({
 		scheduler, client: workerClient, advice, clock, epoch: tenure.epoch, mayStart, onFenced,
 		sessionOf: worker => workers.sessionOf(worker),
-		recordRun: workers.recordRun,
+		recordRun: runRecords.record,
 		onChange: requestTick,
 		onStart: log.start,
 	});
@@ -154,6 +158,7 @@
 		const now = clock.now();
 		renewal.tick();
 		workers.tick(now);
+		runRecords.tick();
 		for (const order of scheduler.plan({now, wallNow: clock.wallNow(), mayStart: mayStart()})) {
 			orders.carryOut(order);
 		}
@@ -170,7 +175,7 @@
 	const load = async (): Promise<boolean> => {
 		const [list, used, stored, progress, cancellations, waves, ordered] = await Promise.all([
 			listAll(store, records.workerPrefix),
-			listAll(store, usedWorkerPrefix),
+			listAll(store, runPrefix),
 			listAll(store, jobPrefix),
 			listAll(store, progressPrefix),
 			listAll(store, cancellationPrefix),
--- a/packages/jobs/job-service/src/records.ts
+++ b/packages/jobs/job-service/src/records.ts
@@ -11,8 +11,8 @@
 export const cancellationPrefix = `${root}cancellations/`;
 export const progressPrefix = `${root}progress/`;
 export const resultPrefix = `${root}results/`;
-/** Workers on which an owner may have started something. */
-export const usedWorkerPrefix = `${root}workers/`;
+/** Segments of runs that may be at work. */
+export const runPrefix = `${root}runs/`;
 
 /** Machines of each wave whose upkeep has begun. */
 export const waveProgressPrefix = `${root}waves/`;
@@ -31,8 +31,10 @@
 
 export type CommitRecord = {readonly epoch: number; readonly sequence: number};
 
-/** Holds all runs that may be at work on the worker, and may hold some that have ended. */
-export type UsedWorkerRecord = {readonly id: string; readonly address: string; readonly pool: string; readonly bornAt: number | undefined; readonly runs: ReadonlyArray<readonly [task: string, run: number]>};
+export type RecordedWorker = {readonly id: string; readonly address: string; readonly pool: string; readonly bornAt: number | undefined};
+
+/** Runs that were about to be started together, by worker; some of them may have ended. */
+export type RunSegment = ReadonlyArray<{readonly worker: RecordedWorker; readonly runs: ReadonlyArray<readonly [task: string, run: number]>}>;
 
 export enum TerminalState {
 	Completed = 'completed',
@@ -94,7 +96,7 @@
 export const parseProgress = (entry: StoredEntry): JobProgress | undefined => parse<JobProgress>(entry);
 export const parseOwner = (entry: StoredEntry): OwnerRecord | undefined => parse<OwnerRecord>(entry);
 export const parseCommit = (entry: StoredEntry): CommitRecord | undefined => parse<CommitRecord>(entry);
-export const parseUsedWorker = (entry: StoredEntry): UsedWorkerRecord | undefined => parse<UsedWorkerRecord>(entry);
+export const parseRunSegment = (entry: StoredEntry): RunSegment | undefined => parse<RunSegment>(entry);
 export const parseResult = (entry: StoredEntry): TerminalState | undefined => {
 	const states: ReadonlyMap<string, TerminalState> = new Map(Object.values(TerminalState).map(state => [state, state]));
 	return states.get(entry.value);
--- /dev/null
+++ b/packages/jobs/job-service/src/run-records.ts
@@ -0,0 +1,128 @@
+/**
+ * Which run may be at work on which worker, stored before its start is sent, so that the next
+ * owner knows what to ask for. All starts that are decided together share a segment: the number
+ * of writes does not grow with the number of workers.
+ */
+import type {RunRow} from '@turmericbay/scheduler';
+import {formatRunKey} from '@turmericbay/scheduler';
+import type {StoredEntry} from '@turmericbay/types';
+import type {Commits} from './commits.js';
+import type {RecordedWorker, RunSegment} from './records.js';
+import {parseRunSegment, runPrefix} from './records.js';
+
+/** Segments are looked through this often. */
+const sweepMilliseconds = 500;
+/** What still runs after this time is recorded anew with the next starts, so that a long run does not keep its segment. */
+const keptMilliseconds = 4000;
+
+type Segment = {readonly key: string; readonly storedAt: number; rows: readonly RunRow[]};
+
+const isLive = (row: RunRow): boolean => row.worker.runs.get(formatRunKey(row.task.name, row.run)) === row;
+
+const encode = (rows: readonly RunRow[]): string => {
+	const byWorker = new Map<string, {readonly worker: RecordedWorker; readonly runs: Array<[string, number]>}>();
+	for (const {worker, task, run} of rows) {
+		const {id, address, pool} = worker.report;
+		const entry = byWorker.get(id) ?? {
+			worker: {
+				id, address, pool, bornAt: worker.bornAt,
+			}, runs: [],
+		};
+		entry.runs.push([task.name, run]);
+		byWorker.set(id, entry);
+	}
+
+	return JSON.stringify([...byWorker.values()] satisfies RunSegment);
+};
+
+export type RunRecords = ReturnType<typeof createRunRecords>;
+
+export const createRunRecords = (options: {
+	readonly commits: Commits;
+	readonly epoch: number;
+	readonly now: () => number;
+	readonly onUnreadable: (key: string) => void;
+}) => {
+	const {commits, epoch, now, onUnreadable} = options;
+	let segments: Segment[] = [];
+	let pending: {readonly rows: RunRow[]; readonly stored: Promise<void>} | undefined;
+	let count = 0;
+	let sweptAt = Number.NEGATIVE_INFINITY;
+
+	const store = async (rows: readonly RunRow[], replaced: readonly Segment[]): Promise<void> => {
+		count += 1;
+		const key = `${runPrefix}${epoch}-${count}`;
+		segments.push({key, storedAt: now(), rows});
+		await commits.commit([
+			{type: 'put', key, value: encode(rows)},
+			...replaced.map(segment => ({type: 'delete' as const, key: segment.key})),
+		]);
+	};
+
+	return {
+		/** Resolves once the store names the run. */
+		async record(row: RunRow): Promise<void> {
+			if (!pending) {
+				const rows: RunRow[] = [];
+				// The starts of one tick are entered one after the other, before any promise goes on.
+				pending = {
+					rows, stored: Promise.resolve().then(async () => {
+						pending = undefined;
+						await store(rows, []);
+					}),
+				};
+			}
+
+			pending.rows.push(row);
+			await pending.stored;
+		},
+		/** Workers and runs of former owners. */
+		restore(entries: readonly StoredEntry[]): Array<{readonly key: string; readonly segment: RunSegment}> {
+			const restored: Array<{readonly key: string; readonly segment: RunSegment}> = [];
+			for (const entry of entries) {
+				const segment = parseRunSegment(entry);
+				if (segment) {
+					restored.push({key: entry.key, segment});
+				} else {
+					onUnreadable(entry.key);
+				}
+			}
+
+			return restored;
+		},
+		/** Takes over a segment of a former owner with those of its runs that may still be at work. */
+		adopt(key: string, rows: readonly RunRow[]): void {
+			segments.push({key, storedAt: now(), rows});
+		},
+		/** Removes segments of which nothing runs any more, and records long runs anew. */
+		tick(): void {
+			if (now() - sweptAt < sweepMilliseconds) {
+				return;
+			}
+
+			sweptAt = now();
+			const ended: Segment[] = [];
+			const old: Segment[] = [];
+			for (const segment of segments) {
+				segment.rows = segment.rows.filter(row => isLive(row));
+				if (segment.rows.length === 0) {
+					ended.push(segment);
+				} else if (now() - segment.storedAt > keptMilliseconds) {
+					old.push(segment);
+				}
+			}
+
+			segments = segments.filter(segment => !ended.includes(segment));
+			if (ended.length > 0) {
+				void commits.commit(ended.map(({key}) => ({type: 'delete', key})));
+			}
+
+			// A single old segment is as small as it gets.
+			if (old.length > 1) {
+				segments = segments.filter(segment => !old.includes(segment));
+				void store(old.flatMap(({rows}) => rows), old);
+			}
+		},
+		segmentCount: () => segments.length,
+	};
+};
--- /dev/null
+++ b/packages/jobs/job-service/test/run-records.test.ts
@@ -0,0 +1,139 @@
+/** A start that the next owner does not know of may run twice; a record that is never removed makes takeovers slower and slower. */
+import type {JobDeclaration, RunRow, Scheduler} from '@turmericbay/scheduler';
+import {createScheduler, EndReason} from '@turmericbay/scheduler';
+import type {StoreOperation} from '@turmericbay/types';
+import test from 'ava';
+import {createRunRecords} from '../src/run-records.js';
+
+const settle = async (): Promise<void> => {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+};
+
+const createDeclaration = (id: string, taskCount: number): JobDeclaration => ({
+	id, queue: 'quotes', workspace: undefined, payload: '', repetitions: 0, firstDueAt: 0, intervalMilliseconds: 0, submittedAt: 0,
+	steps: [{
+		taskCount, resources: {cpuMillis: 100, memoryMegabytes: 1, accelerators: 0}, estimateMilliseconds: 500, after: [], checkpointing: false,
+		gang: false, sameRack: false, requiredLabel: undefined, preferredRack: undefined, maximumPerWorker: 0, speculative: false, longRunning: false,
+		image: '', targetMilliseconds: 0, fills: false, maximumAway: undefined,
+	}],
+});
+
+const createCase = () => {
+	let now = 0;
+	const store = new Map<string, string>();
+	const transactions: StoreOperation[][] = [];
+	const scheduler: Scheduler = createScheduler({epoch: 2, emit: () => undefined});
+	scheduler.setPolicies({
+		queues: new Map([['quotes', {
+			name: 'quotes', pool: 'pickups', priority: 0, maximumAttempts: 2, stretch: 2, objectiveMilliseconds: 600, advice: undefined,
+		}]]),
+		pools: new Map(), workspaces: new Map(),
+	});
+	const worker = scheduler.reportWorker({
+		report: {
+			id: 'w1', bornAt: 1, address: '10.0.0.1:80', pool: 'pickups', zone: 'north', draining: false, labels: [],
+			capacity: {cpuMillis: 4000, memoryMegabytes: 1000, accelerators: 0},
+		}, listed: true, resolved: true, lapsesBy: 1_000_000,
+	});
+	const lists = (ended: readonly string[]) => {
+		scheduler.applyLists({
+			worker, sentAt: now, now, lists: {
+				bornAt: 1, partial: false, running: [], ended: ended.map((task, index) => ({
+					sequence: worker.appliedEnd + index + 1, task, run: 1001, reason: EndReason.Done, checkpoint: '',
+				})),
+			},
+		});
+	};
+
+	lists([]);
+	const records = createRunRecords({
+		epoch: 2, now: () => now, onUnreadable: () => undefined,
+		commits: {
+			async commit(operations) {
+				transactions.push([...operations]);
+				for (const operation of operations) {
+					if (operation.type === 'put') {
+						store.set(operation.key, operation.value);
+					} else if (operation.type === 'delete') {
+						store.delete(operation.key);
+					}
+				}
+			},
+			flush: async () => undefined, end: () => undefined,
+		},
+	});
+	return {
+		scheduler, worker, store, transactions, records, lists,
+		place(id: string, taskCount: number): RunRow[] {
+			scheduler.addJob(createDeclaration(id, taskCount), {restored: false, now, wallNow: 0});
+			return scheduler.plan({now, wallNow: 0, mayStart: true}).flatMap(order => order.type === 'start' ? [order.row] : []);
+		},
+		pass(milliseconds: number) {
+			now += milliseconds;
+			records.tick();
+		},
+	};
+};
+
+test('all starts of a tick share one write, and each waits for it', async t => {
+	const {place, records, transactions, store} = createCase();
+	await Promise.all(place('job', 3).map(async row => records.record(row)));
+	t.is(transactions.length, 1);
+	t.deepEqual([...store.values()].map(value => JSON.parse(value) as unknown), [[{
+		worker: {
+			id: 'w1', address: '10.0.0.1:80', pool: 'pickups', bornAt: 1,
+		}, runs: [['job.0.0.0', 1001], ['job.0.0.1', 1001], ['job.0.0.2', 1001]],
+	}]]);
+});
+
+test('a segment is removed once all its runs have ended, not before', async t => {
+	const {place, records, store, lists, pass} = createCase();
+	await Promise.all(place('job', 2).map(async row => records.record(row)));
+	lists(['job.0.0.0']);
+	pass(1000);
+	t.is(store.size, 1);
+	lists(['job.0.0.1']);
+	pass(1000);
+	t.is(store.size, 0);
+});
+
+test('long runs are recorded anew before their old segments are removed', async t => {
+	const {place, records, store, transactions, pass} = createCase();
+	for (const id of ['first', 'second', 'third']) {
+		// eslint-disable-next-line no-await-in-loop -- One segment after the other.
+		await Promise.all(place(id, 2).map(async row => records.record(row)));
+	}
+
+	t.is(store.size, 3);
+	pass(5000);
+	await settle();
+	t.is(store.size, 1);
+	t.is(transactions.at(-1)![0]!.type, 'put');
+	const [value = ''] = store.values();
+	t.true(['first.0.0.0', 'second.0.0.1', 'third.0.0.0'].every(task => value.includes(task)));
+	pass(5000);
+	t.is(transactions.length, 4);
+});
+
+test('a segment of a former owner stays until its runs are settled', t => {
+	const {scheduler, records, store, pass} = createCase();
+	const silent = scheduler.reportWorker({
+		report: {
+			id: 'silent', bornAt: 5, address: '10.0.0.2:80', pool: 'pickups', zone: 'north', draining: false, labels: [],
+			capacity: {cpuMillis: 4000, memoryMegabytes: 1000, accelerators: 0},
+		}, listed: true, resolved: false, lapsesBy: 3000,
+	});
+	scheduler.addJob(createDeclaration('old', 1), {restored: true, now: 0, wallNow: 0});
+	store.set('turmericbay/runs/1-1', 'x');
+	const row = scheduler.restoreRun({
+		worker: silent, task: 'old.0.0.0', run: 3, now: 0,
+	});
+	records.adopt('turmericbay/runs/1-1', [row!]);
+	pass(1000);
+	t.is(store.size, 1);
+	scheduler.plan({now: 3000, wallNow: 0, mayStart: false});
+	pass(2500);
+	t.is(store.size, 0);
+});
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -10,7 +10,7 @@
 import type {
 	JobDeclaration, JobRow, Policies, RunRow, Ticket, WorkerLists, WorkerReport, WorkerRow,
 } from './model.js';
-import {JobState, RunPhase} from './model.js';
+import {formatRunKey, JobState, RunPhase} from './model.js';
 import type {PaceOrder} from './pacing.js';
 import {createPacing} from './pacing.js';
 import type {AdviceOrder, StartOrder} from './placement.js';
@@ -163,14 +163,17 @@
 			});
 		},
 		/** A former owner may have started this run; until its worker has told, or its lease has ended, it counts as running. */
-		restoreRun(change: {readonly worker: WorkerRow; readonly task: string; readonly run: number; readonly now: number}): void {
+		restoreRun(change: {readonly worker: WorkerRow; readonly task: string; readonly run: number; readonly now: number}): RunRow | undefined {
 			const {worker, run, now} = change;
 			const task = jobs.findTask(change.task);
-			if (task && !task.done && !worker.resolved) {
-				workers.addRun({
-					task, worker, run, phase: RunPhase.Unconfirmed, now,
-				});
+			if (!task || task.done || worker.resolved) {
+				return undefined;
 			}
+
+			// Long runs are recorded more than once.
+			return worker.runs.get(formatRunKey(task.name, run)) ?? workers.addRun({
+				task, worker, run, phase: RunPhase.Unconfirmed, now,
+			});
 		},
 		cancelJob(id: string): void {
 			const job = jobs.jobs.get(id);
