--- a/packages/jobs/job-service/src/intake.ts
+++ b/packages/jobs/job-service/src/intake.ts
@@ -1,6 +1,6 @@
 /** What any instance does for callers: accepts, cancels and describes jobs, with the store as the one truth. */
 import type {JobDeclaration} from '@turmericbay/scheduler';
-import {JobState} from '@turmericbay/scheduler';
+import {isFinalState, JobState} from '@turmericbay/scheduler';
 import type {KeyValueStore} from '@turmericbay/types';
 import {StoreErrorKind} from '@turmericbay/types';
 import type {OwnerLink} from './owner-link.js';
@@ -9,6 +9,7 @@
 	cancellationPrefix, jobPrefix, parseJob, parseResult, resultPrefix, toJobState,
 } from './records.js';
 import type {StoreHealth} from './store-health.js';
+import {wait} from './wait.js';
 
 /** Pause between tries of a write whose outcome is unknown. */
 const retryMilliseconds = 80;
@@ -19,8 +20,6 @@
 export type CancelOutcome = 'cancelled' | 'unknown-job' | 'unavailable';
 export type DescribeOutcome = {readonly type: 'known'; readonly state: JobState} | {readonly type: 'unknown-job'} | {readonly type: 'unavailable'};
 
-const isTerminal = (state: JobState): boolean => state === JobState.Completed || state === JobState.Failed || state === JobState.Cancelled;
-
 export type Intake = ReturnType<typeof createIntake>;
 
 export const createIntake = (options: {
@@ -35,7 +34,7 @@
 	const results = new Map<string, JobState>();
 
 	const remember = (id: string, state: JobState): void => {
-		if (isTerminal(state)) {
+		if (isFinalState(state)) {
 			results.set(id, state);
 			if (results.size > maximumKnownResults) {
 				results.delete(results.keys().next().value!);
@@ -43,12 +42,6 @@
 		}
 	};
 
-	const wait = async (milliseconds: number): Promise<void> => {
-		await new Promise(resolve => {
-			setTimeout(resolve, milliseconds);
-		});
-	};
-
 	/** The job is read before its result, since the result is written before the job is removed. */
 	const readStored = async (id: string): Promise<DescribeOutcome & {readonly revision?: number}> => {
 		if (health.downFor() !== undefined) {
--- a/packages/jobs/job-service/src/owned-jobs.ts
+++ b/packages/jobs/job-service/src/owned-jobs.ts
@@ -110,7 +110,6 @@
 			const writes: Array<Promise<void>> = [];
 			const operations: StoreOperation[] = [];
 			for (const job of scheduler.changedJobs) {
-				job.changed = false;
 				const state = toTerminalState(job.state);
 				if (state === undefined) {
 					operations.push({type: 'put', key: progressPrefix + job.declaration.id, value: JSON.stringify(readProgress(job))});
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -23,6 +23,7 @@
 	cancellationPrefix, idOf, jobPrefix, machineOrderPrefix, progressPrefix, runPrefix, waveProgressPrefix,
 } from './records.js';
 import {createRunRecords} from './run-records.js';
+import {wait} from './wait.js';
 import {createWorkerSession} from './worker-session.js';
 
 /** Longest time between two runs of the scheduler. */
@@ -75,12 +76,6 @@
 		}
 	};
 
-	const wait = async (milliseconds: number): Promise<void> => {
-		await new Promise(resolve => {
-			setTimeout(resolve, milliseconds);
-		});
-	};
-
 	const commits = createCommits({
 		store, epoch: tenure.epoch, revision: tenure.commitRevision,
 		onFenced() {
--- /dev/null
+++ b/packages/jobs/job-service/src/wait.ts
@@ -0,0 +1,5 @@
+export const wait = async (milliseconds: number): Promise<void> => {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+};
--- a/packages/jobs/scheduler/src/index.ts
+++ b/packages/jobs/scheduler/src/index.ts
@@ -1,6 +1,6 @@
 /** Decides which task of which job runs on which worker. */
 export * from './model.js';
-export {estimateChain, isActive} from './jobs.js';
+export {estimateChain, isActive, isFinalState} from './jobs.js';
 export type {SchedulerEvent} from './lists.js';
 export type {PaceOrder} from './pacing.js';
 export type {AdviceOrder, StartOrder} from './placement.js';
--- a/packages/jobs/scheduler/src/jobs.ts
+++ b/packages/jobs/scheduler/src/jobs.ts
@@ -5,6 +5,10 @@
 import {formatTaskName, JobState} from './model.js';
 import type {JobProgress} from './progress.js';
 
+export const isFinalState = (state: JobState): boolean => state !== JobState.Queued && state !== JobState.Running;
+
+export const isActive = (job: JobRow): boolean => !isFinalState(job.state);
+
 /** A late result still counts until three times the objective (the users' rules, benefit). */
 const lateFactor = 3;
 
@@ -12,7 +16,7 @@
 	const declaration = job.declaration.steps[index]!;
 	const step: StepRow = {
 		job, occurrence, index, declaration, tasks: [], remaining: declaration.taskCount, waiting: declaration.taskCount,
-		gangFailures: 0, tickets: new Map(), advisedAgainst: new Set(), adviceInFlight: false,
+		tickets: new Map(), advisedAgainst: new Set(), adviceInFlight: false,
 	};
 	for (let task = 0; task < declaration.taskCount; task += 1) {
 		step.tasks.push({
@@ -45,7 +49,6 @@
 	const changedJobs = new Set<JobRow>();
 
 	const markChanged = (job: JobRow): void => {
-		job.changed = true;
 		changedJobs.add(job);
 	};
 
@@ -58,7 +61,7 @@
 	const occurrenceCount = (job: JobRow): number => Math.max(1, job.declaration.repetitions);
 
 	const finishIfComplete = (job: JobRow): void => {
-		if ((job.state === JobState.Queued || job.state === JobState.Running) && job.finishedOccurrences >= occurrenceCount(job)) {
+		if (isActive(job) && job.finishedOccurrences >= occurrenceCount(job)) {
 			job.state = JobState.Completed;
 		}
 	};
@@ -151,7 +154,7 @@
 			const objective = ((policy?.stretch ?? 1) * estimateChain(declaration)) + (policy?.objectiveMilliseconds ?? 0);
 			const job: JobRow = {
 				declaration, occurrences: new Map(), nextOccurrence: 0, finishedOccurrences: 0, state: JobState.Queued, begun: false,
-				changed: false, dueBy: now - age + objective, lateBy: now - age + (lateFactor * objective),
+				dueBy: now - age + objective, lateBy: now - age + (lateFactor * objective),
 			};
 			jobs.set(declaration.id, job);
 			if (progress) {
@@ -169,7 +172,7 @@
 		openDueOccurrences(wallNow: number): void {
 			for (const job of jobs.values()) {
 				const {repetitions, firstDueAt, intervalMilliseconds} = job.declaration;
-				if (job.state === JobState.Queued || job.state === JobState.Running) {
+				if (isActive(job)) {
 					while (job.nextOccurrence < repetitions && firstDueAt + (job.nextOccurrence * intervalMilliseconds) <= wallNow) {
 						openOccurrence(job, job.nextOccurrence);
 						job.nextOccurrence += 1;
@@ -190,5 +193,3 @@
 	const steps = step.job.occurrences.get(step.occurrence);
 	return steps !== undefined && step.declaration.after.every(index => steps[index]?.remaining === 0);
 };
-
-export const isActive = (job: JobRow): boolean => job.state === JobState.Queued || job.state === JobState.Running;
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -170,7 +170,6 @@
 	remaining: number;
 	/** Tasks neither done nor with a run. */
 	waiting: number;
-	gangFailures: number;
 	/** Workers that the advice service allows. */
 	readonly tickets: Map<string, Ticket>;
 	readonly advisedAgainst: Set<string>;
@@ -186,8 +185,6 @@
 	finishedOccurrences: number;
 	state: JobState;
 	begun: boolean;
-	/** Changed since the progress was last written. */
-	changed: boolean;
 	/** Steady clock, end of the objective. */
 	dueBy: number;
 	/** End of the time in which a late result still counts. */
