Soak the real programs under faults from outside

Change: packages/tools/soak starts three instances and a stand-in of the platform (store, workers, a caller with the oracle of the worker model) on loopback, kills, pauses, stops and restarts processes, and delays, resets, silences or cuts one way their connections to the store and the workers. Not injected yet: wrong clocks, a forgotten history, lost machines, the machines' service.

--- a/packages/jobs/worker-model/src/index.ts
+++ b/packages/jobs/worker-model/src/index.ts
@@ -1,3 +1,4 @@
 export * from './gangs.js';
 export * from './machines.js';
+export * from './oracle.js';
 export * from './worker.js';
--- a/packages/tools/experiment/src/run-site.ts
+++ b/packages/tools/experiment/src/run-site.ts
@@ -2,6 +2,8 @@
 import type {JobService, ServiceLog} from '@turmericbay/job-service';
 import type {JobDeclaration, JobState} from '@turmericbay/scheduler';
 import {JobState as State} from '@turmericbay/scheduler';
+import type {Violation} from '@turmericbay/worker-model';
+import {createOracle} from '@turmericbay/worker-model';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {Fault} from './faults.js';
@@ -10,8 +12,6 @@
 import {
 	createPolicies, createWork, maximumAttempts, planJobs,
 } from './load.js';
-import type {Violation} from './oracle.js';
-import {createOracle} from './oracle.js';
 import {createSite, wallStart} from './site.js';
 import {createVirtualTime, ProcessState} from './virtual-time.js';
 
--- a/packages/tools/experiment/src/site-clients.ts
+++ b/packages/tools/experiment/src/site-clients.ts
@@ -5,13 +5,12 @@
 import {MachineState, WorkerCallErrorKind} from '@turmericbay/job-service';
 import type {WorkerLists} from '@turmericbay/scheduler';
 import type {
-	MachineAnswer, MachineModel, StartAnswer, WorkerModel,
+	MachineAnswer, MachineModel, Oracle, StartAnswer, WorkerModel,
 } from '@turmericbay/worker-model';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {Network} from './network.js';
 import {Service} from './network.js';
-import type {Oracle} from './oracle.js';
 import type {WorkerPlace} from './site.js';
 import type {VirtualTime} from './virtual-time.js';
 
--- a/packages/tools/experiment/src/site.ts
+++ b/packages/tools/experiment/src/site.ts
@@ -10,13 +10,14 @@
 } from '@turmericbay/scheduler';
 import type {KeyValueStore, StoreError} from '@turmericbay/types';
 import {StoreErrorKind} from '@turmericbay/types';
-import type {MachineRow, TaskWork, WorkerModel} from '@turmericbay/worker-model';
+import type {
+	MachineRow, Oracle, TaskWork, WorkerModel,
+} from '@turmericbay/worker-model';
 import {createGangs, createMachineModel, createWorkerModel} from '@turmericbay/worker-model';
 import type {Result} from 'neverthrow';
 import {err} from 'neverthrow';
 import type {Network} from './network.js';
 import {createNetwork, Service} from './network.js';
-import type {Oracle} from './oracle.js';
 import {createMachineClient, createWorkerCaller} from './site-clients.js';
 import type {SimulatedProcess, VirtualTime} from './virtual-time.js';
 import {ProcessState} from './virtual-time.js';
--- /dev/null
+++ b/packages/tools/soak/src/index.ts
@@ -0,0 +1,2 @@
+export * from './proxy.js';
+export * from './soak.js';
