Run jobs in the demo: a worker and an entry instance are killed, a job is cancelled, the counts add up

Change: the programs of the soak are started by one module that the demo uses too; logs of the instances are kept if something was broken.

--- a/packages/tools/demo/src/main.ts
+++ b/packages/tools/demo/src/main.ts
@@ -6,6 +6,7 @@
  */
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {playPrograms} from '@turmericbay/soak';
 import {createBalancer} from './balancer.js';
 import {createDemoDocument} from './demo-document.js';
 import {startFleet} from './fleet.js';
@@ -21,7 +22,7 @@
 const loadMilliseconds = 15_000;
 const runMilliseconds = 20;
 /** The whole demo ends within this time, whatever hangs. */
-const boundMilliseconds = 60_000;
+const boundMilliseconds = 120_000;
 
 const listSources = (keys: Readonly<Record<string, string>>): readonly LoadSource[] => [
 	{
@@ -149,13 +150,48 @@
 	return printReport(report, await countRepeatedRuns(fleet), events);
 };
 
+const jobsSeed = 1;
+
+/** Jobs on stand-in workers: one worker and one entry instance end in the middle, one job is cancelled. */
+const runJobs = async (): Promise<boolean> => {
+	const report = await playPrograms({
+		seed: jobsSeed,
+		async disturb({instances, crashWorker, cancelJob}) {
+			crashWorker(0);
+			await sleep(1000);
+			cancelJob();
+			const [killed] = instances;
+			killed?.signal('SIGKILL');
+			await killed?.restart(1000);
+			await sleep(2000);
+		},
+	});
+	const rows: ReadonlyArray<readonly [string, number]> = [
+		['jobs sent', report.sent],
+		['accepted', report.accepted],
+		['ended', report.ended],
+		['of these cancelled', report.cancelled],
+		['tasks started', report.starts],
+		['run twice', report.violations.filter(({rule}) => rule === 'TWICE').length],
+	];
+	console.log('\nJobs, with one worker and one entry instance killed and one job cancelled:\n');
+	for (const [name, count] of rows) {
+		console.log(`${name.padEnd(18)} ${String(count).padStart(6)}`);
+	}
+
+	const isRight = report.isSound && report.accepted === report.ended && report.cancelled === 1;
+	console.log(`\n${isRight ? 'The counts add up.' : 'The counts do not add up.'}`);
+	return isRight;
+};
+
 const launcher = await createLauncher();
 const watchdog = setTimeout(() => {
 	console.error(`the demo did not end within ${boundMilliseconds} ms`);
 	process.exit(1); // eslint-disable-line unicorn/no-process-exit -- The program itself, whose children end with it.
 }, boundMilliseconds);
 try {
-	process.exitCode = await runDemo(launcher) ? 0 : 1;
+	const isServed = await runDemo(launcher);
+	process.exitCode = await runJobs() && isServed ? 0 : 1;
 } finally {
 	clearTimeout(watchdog);
 	await launcher.endAll();
--- a/packages/tools/soak/src/main.ts
+++ b/packages/tools/soak/src/main.ts
@@ -26,12 +26,12 @@
 for (let seed = from; seed < from + seeds; seed += 1) {
 	// eslint-disable-next-line no-await-in-loop -- One seed at a time keeps the machine free.
 	const report = await runSoak({seed, faults});
-	const isSound = report.violations.length === 0 && report.unfinished.length === 0 && report.exits.length === 0 && report.accepted > 0;
+	const {isSound} = report;
 	broken += isSound ? 0 : 1;
 	process.stdout.write(`seed ${seed}: ${report.sent} sent, ${report.accepted} accepted, ${report.ended} ended, ${report.starts} starts, ${isSound ? 'sound' : 'BROKEN'}\n`);
 	if (!isSound) {
 		process.stdout.write(`${JSON.stringify({
-			violations: report.violations.slice(0, 5), unfinished: report.unfinished, exits: report.exits, faults: report.faults,
+			violations: report.violations.slice(0, 5), unfinished: report.unfinished, exits: report.exits, faults: report.faults, logs: report.folder,
 		}, undefined, '\t')}\n`);
 	}
 }
