Share what tests, the experiment and the stand-ins wrote more than once

No assertion is changed. Conclusion: no change of behaviour; the programs of the bundle are untouched.

--- a/packages/jobs/job-service/test/commits.test.ts
+++ b/packages/jobs/job-service/test/commits.test.ts
@@ -3,6 +3,7 @@
 import test from 'ava';
 import {err, ok} from 'neverthrow';
 import {createCommits} from '../src/commits.js';
+import {settle} from './support/builders.js';
 
 type Transaction = {readonly operations: readonly StoreOperation[]; answer(outcome: TransactionOutcome): void; lose(): void};
 
@@ -31,12 +32,6 @@
 	return {store: store as KeyValueStore, transactions};
 };
 
-const settle = async (): Promise<void> => {
-	await new Promise(resolve => {
-		setImmediate(resolve);
-	});
-};
-
 const put = (key: string, value: string): StoreOperation => ({type: 'put', key, value});
 
 const createTestCommits = (store: KeyValueStore, onFenced: () => void = () => undefined) => createCommits({
--- a/packages/jobs/job-service/test/machine-list.test.ts
+++ b/packages/jobs/job-service/test/machine-list.test.ts
@@ -3,6 +3,7 @@
 import {createMachineList} from '../src/machine-list.js';
 import type {MachineRecord, MachineService} from '../src/ports.js';
 import {MachineState} from '../src/ports.js';
+import {settle} from './support/builders.js';
 
 const createService = (records: readonly MachineRecord[]): MachineService => ({
 	async list() {
@@ -20,12 +21,6 @@
 	machine: 'm1', pool: 'pickups', state: MachineState.Up, worker: undefined, labels: [], cpuMillis: 4000, ...overrides,
 });
 
-const settle = async (): Promise<void> => {
-	await new Promise(resolve => {
-		setImmediate(resolve);
-	});
-};
-
 // Guards against an upkeep of a machine that a move has just filled: by the old list nothing ran on it.
 test('a machine counts as moving until a list was read after the newest order for it', async t => {
 	let now = 1000;
--- a/packages/jobs/job-service/test/maintenance.test.ts
+++ b/packages/jobs/job-service/test/maintenance.test.ts
@@ -1,4 +1,3 @@
-import type {WorkerReport} from '@turmericbay/scheduler';
 import {createScheduler} from '@turmericbay/scheduler';
 import type {StoredEntry, StoreOperation} from '@turmericbay/types';
 import test from 'ava';
@@ -8,17 +7,7 @@
 import type {MachineOutcome, MachineService, PlatformRecords} from '../src/ports.js';
 import {MachineState} from '../src/ports.js';
 import {machineOrderPrefix, waveProgressPrefix} from '../src/records.js';
-
-const report: WorkerReport = {
-	id: 'w1', bornAt: 1, address: '10.0.0.1:80', pool: 'pickups', zone: 'north', draining: false,
-	capacity: {cpuMillis: 4000, memoryMegabytes: 1000, accelerators: 0}, labels: [],
-};
-
-const settle = async (): Promise<void> => {
-	await new Promise(resolve => {
-		setImmediate(resolve);
-	});
-};
+import {createReport, settle} from './support/builders.js';
 
 const records: Pick<PlatformRecords, 'decodeWave' | 'encodeWaveStatus'> = {
 	decodeWave: () => ({
@@ -46,7 +35,7 @@
 	};
 	const scheduler = createScheduler({epoch: 2, emit: () => undefined});
 	const worker = scheduler.reportWorker({
-		report, listed: true, resolved: true, lapsesBy: 1_000_000,
+		report: createReport(), listed: true, resolved: true, lapsesBy: 1_000_000,
 	});
 	const clock = {now: () => now, wallNow: () => now};
 	const commit = async (operations: readonly StoreOperation[]): Promise<void> => {
--- a/packages/jobs/job-service/test/orders.test.ts
+++ b/packages/jobs/job-service/test/orders.test.ts
@@ -1,44 +1,14 @@
 /** A start that is sent before the store names it would be unknown to the next owner, which could start the task twice. */
 import type {RunRow, StartOrder} from '@turmericbay/scheduler';
-import {createScheduler} from '@turmericbay/scheduler';
 import test from 'ava';
 import {err, ok} from 'neverthrow';
 import {createOrders} from '../src/orders.js';
 import {WorkerCallErrorKind} from '../src/ports.js';
-
-const settle = async (): Promise<void> => {
-	await new Promise(resolve => {
-		setImmediate(resolve);
-	});
-};
+import {createDeclaration, createSchedulerWithWorker, settle} from './support/builders.js';
 
 const createCase = () => {
-	const scheduler = createScheduler({epoch: 1, emit: () => undefined});
-	scheduler.setPolicies({
-		queues: new Map([['quotes', {
-			name: 'quotes', pool: 'pickups', priority: 0, maximumAttempts: 2, stretch: 2, objectiveMilliseconds: 600, advice: undefined,
-		}]]),
-		pools: new Map(), workspaces: new Map(),
-	});
-	const worker = scheduler.reportWorker({
-		report: {
-			id: 'w1', bornAt: 1, address: '10.0.0.1:80', pool: 'pickups', zone: 'north', draining: false, labels: [],
-			capacity: {cpuMillis: 4000, memoryMegabytes: 1000, accelerators: 0},
-		}, listed: true, resolved: true, lapsesBy: 1_000_000,
-	});
-	scheduler.applyLists({
-		worker, sentAt: 0, now: 0, lists: {
-			bornAt: 1, running: [], ended: [], partial: false,
-		},
-	});
-	scheduler.addJob({
-		id: 'job', queue: 'quotes', workspace: undefined, payload: '', repetitions: 0, firstDueAt: 0, intervalMilliseconds: 0, submittedAt: 0,
-		steps: [{
-			taskCount: 1, resources: {cpuMillis: 1000, memoryMegabytes: 100, accelerators: 0}, estimateMilliseconds: 500, after: [], checkpointing: false,
-			gang: false, sameRack: false, requiredLabel: undefined, preferredRack: undefined, maximumPerWorker: 0, speculative: false, longRunning: false,
-			image: '', targetMilliseconds: 0, fills: false, maximumAway: undefined,
-		}],
-	}, {restored: false, now: 0, wallNow: 0});
+	const {scheduler, worker} = createSchedulerWithWorker(1);
+	scheduler.addJob(createDeclaration('job'), {restored: false, now: 0, wallNow: 0});
 	const started: string[] = [];
 	const records: Array<{readonly row: RunRow; readonly stored: () => void}> = [];
 	const unused = async () => err({kind: WorkerCallErrorKind.NotSent, message: 'not used'} as const);
--- a/packages/jobs/job-service/test/run-records.test.ts
+++ b/packages/jobs/job-service/test/run-records.test.ts
@@ -1,42 +1,18 @@
 /** A start that the next owner does not know of may run twice; a record that is never removed makes takeovers slower and slower. */
-import type {JobDeclaration, RunRow, Scheduler} from '@turmericbay/scheduler';
-import {createScheduler, EndReason} from '@turmericbay/scheduler';
+import type {RunRow} from '@turmericbay/scheduler';
+import {EndReason} from '@turmericbay/scheduler';
 import type {StoreOperation} from '@turmericbay/types';
 import test from 'ava';
 import {createRunRecords} from '../src/run-records.js';
-
-const settle = async (): Promise<void> => {
-	await new Promise(resolve => {
-		setImmediate(resolve);
-	});
-};
-
-const createDeclaration = (id: string, taskCount: number): JobDeclaration => ({
-	id, queue: 'quotes', workspace: undefined, payload: '', repetitions: 0, firstDueAt: 0, intervalMilliseconds: 0, submittedAt: 0,
-	steps: [{
-		taskCount, resources: {cpuMillis: 100, memoryMegabytes: 1, accelerators: 0}, estimateMilliseconds: 500, after: [], checkpointing: false,
-		gang: false, sameRack: false, requiredLabel: undefined, preferredRack: undefined, maximumPerWorker: 0, speculative: false, longRunning: false,
-		image: '', targetMilliseconds: 0, fills: false, maximumAway: undefined,
-	}],
-});
+import {
+	createDeclaration, createReport, createSchedulerWithWorker, settle,
+} from './support/builders.js';
 
 const createCase = () => {
 	let now = 0;
 	const store = new Map<string, string>();
 	const transactions: StoreOperation[][] = [];
-	const scheduler: Scheduler = createScheduler({epoch: 2, emit: () => undefined});
-	scheduler.setPolicies({
-		queues: new Map([['quotes', {
-			name: 'quotes', pool: 'pickups', priority: 0, maximumAttempts: 2, stretch: 2, objectiveMilliseconds: 600, advice: undefined,
-		}]]),
-		pools: new Map(), workspaces: new Map(),
-	});
-	const worker = scheduler.reportWorker({
-		report: {
-			id: 'w1', bornAt: 1, address: '10.0.0.1:80', pool: 'pickups', zone: 'north', draining: false, labels: [],
-			capacity: {cpuMillis: 4000, memoryMegabytes: 1000, accelerators: 0},
-		}, listed: true, resolved: true, lapsesBy: 1_000_000,
-	});
+	const {scheduler, worker} = createSchedulerWithWorker(2);
 	const lists = (ended: readonly string[]) => {
 		scheduler.applyLists({
 			worker, sentAt: now, now, lists: {
@@ -47,7 +23,6 @@
 		});
 	};
 
-	lists([]);
 	const records = createRunRecords({
 		epoch: 2, now: () => now, onUnreadable: () => undefined,
 		commits: {
@@ -120,10 +95,7 @@
 test('a segment of a former owner stays until its runs are settled', t => {
 	const {scheduler, records, store, pass} = createCase();
 	const silent = scheduler.reportWorker({
-		report: {
-			id: 'silent', bornAt: 5, address: '10.0.0.2:80', pool: 'pickups', zone: 'north', draining: false, labels: [],
-			capacity: {cpuMillis: 4000, memoryMegabytes: 1000, accelerators: 0},
-		}, listed: true, resolved: false, lapsesBy: 3000,
+		report: createReport({id: 'silent', bornAt: 5, address: '10.0.0.2:80'}), listed: true, resolved: false, lapsesBy: 3000,
 	});
 	scheduler.addJob(createDeclaration('old', 1), {restored: true, now: 0, wallNow: 0});
 	store.set('turmericbay/runs/1-1', 'x');
--- /dev/null
+++ b/packages/jobs/job-service/test/support/builders.ts
@@ -0,0 +1,45 @@
+/** Short ways to set up what several tests of the job service need. */
+import type {JobDeclaration, Scheduler, WorkerReport} from '@turmericbay/scheduler';
+import {createScheduler} from '@turmericbay/scheduler';
+
+/** Lets all promises settle that need no timer. */
+export const settle = async (): Promise<void> => {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+};
+
+export const createReport = (overrides: Partial<WorkerReport> = {}): WorkerReport => ({
+	id: 'w1', bornAt: 1, address: '10.0.0.1:80', pool: 'pickups', zone: 'north', draining: false,
+	capacity: {cpuMillis: 4000, memoryMegabytes: 1000, accelerators: 0}, labels: [], ...overrides,
+});
+
+/** A job of one step. */
+export const createDeclaration = (id: string, taskCount = 1): JobDeclaration => ({
+	id, queue: 'quotes', workspace: undefined, payload: '', repetitions: 0, firstDueAt: 0, intervalMilliseconds: 0, submittedAt: 0,
+	steps: [{
+		taskCount, resources: {cpuMillis: 100, memoryMegabytes: 1, accelerators: 0}, estimateMilliseconds: 500, after: [], checkpointing: false,
+		gang: false, sameRack: false, requiredLabel: undefined, preferredRack: undefined, maximumPerWorker: 0, speculative: false, longRunning: false,
+		image: '', targetMilliseconds: 0, fills: false, maximumAway: undefined,
+	}],
+});
+
+/** A scheduler with one queue, and one worker that has answered and runs nothing. */
+export const createSchedulerWithWorker = (epoch: number) => {
+	const scheduler: Scheduler = createScheduler({epoch, emit: () => undefined});
+	scheduler.setPolicies({
+		queues: new Map([['quotes', {
+			name: 'quotes', pool: 'pickups', priority: 0, maximumAttempts: 2, stretch: 2, objectiveMilliseconds: 600, advice: undefined,
+		}]]),
+		pools: new Map(), workspaces: new Map(),
+	});
+	const worker = scheduler.reportWorker({
+		report: createReport(), listed: true, resolved: true, lapsesBy: 1_000_000,
+	});
+	scheduler.applyLists({
+		worker, sentAt: 0, now: 0, lists: {
+			bornAt: 1, running: [], ended: [], partial: false,
+		},
+	});
+	return {scheduler, worker};
+};
--- a/packages/jobs/job-service/test/worker-session.test.ts
+++ b/packages/jobs/job-service/test/worker-session.test.ts
@@ -1,25 +1,14 @@
 import {createScheduler} from '@turmericbay/scheduler';
-import type {WorkerReport} from '@turmericbay/scheduler';
 import test from 'ava';
 import {err, ok} from 'neverthrow';
 import type {WorkerClient} from '../src/ports.js';
 import {WorkerCallErrorKind} from '../src/ports.js';
 import {createWorkerSession} from '../src/worker-session.js';
+import {createReport, settle} from './support/builders.js';
 
 type Hold = Parameters<WorkerClient['hold']>[0];
 type HoldResult = Awaited<ReturnType<WorkerClient['hold']>>;
 
-const report: WorkerReport = {
-	id: 'w1', bornAt: 1, address: '10.0.0.1:80', pool: 'pickups', zone: 'north', draining: false,
-	capacity: {cpuMillis: 4000, memoryMegabytes: 1000, accelerators: 0}, labels: [],
-};
-
-const settle = async (): Promise<void> => {
-	await new Promise(resolve => {
-		setImmediate(resolve);
-	});
-};
-
 const lost: HoldResult = err({kind: WorkerCallErrorKind.Unknown, message: 'no answer'});
 const answerOf = (clockMilliseconds: number): HoldResult => ok({
 	clockMilliseconds, bornAt: 1, lists: {
@@ -44,7 +33,7 @@
 	};
 	const scheduler = createScheduler({epoch: 1, emit: () => undefined});
 	const worker = scheduler.reportWorker({
-		report, listed: true, resolved: true, lapsesBy: Number.NEGATIVE_INFINITY,
+		report: createReport(), listed: true, resolved: true, lapsesBy: Number.NEGATIVE_INFINITY,
 	});
 	const ignore = (): void => undefined;
 	const session = createWorkerSession({
--- a/packages/tools/experiment/src/load.ts
+++ b/packages/tools/experiment/src/load.ts
@@ -76,14 +76,14 @@
 
 export type PlannedJob = {readonly at: number; readonly declaration: JobDeclaration; readonly cancelAt: number | undefined};
 
-const priorities = 1;
+const priority = 1;
 export const maximumAttempts = 4;
-const stretch = 1.6;
-const objectiveMilliseconds = 600;
+export const stretch = 1.6;
+export const objectiveMilliseconds = 600;
 
 export const createPolicies = (load: Load): Policies => ({
 	queues: new Map(load.queues.map(({queue, pool}): [string, QueuePolicy] => [queue, {
-		name: queue, pool, priority: priorities, maximumAttempts, stretch, objectiveMilliseconds, advice: undefined,
+		name: queue, pool, priority, maximumAttempts, stretch, objectiveMilliseconds, advice: undefined,
 	}])),
 	pools: new Map(Object.keys(load.machines).map((name): [string, PoolPolicy] => [name, {name, enforcesCapacity: true, standby: name === load.standbyPool}])),
 	workspaces: new Map(Array.from({length: load.workspaces}, (_, index): [string, WorkspacePolicy] => [`workspace-${index}`, {
--- a/packages/tools/experiment/src/main.ts
+++ b/packages/tools/experiment/src/main.ts
@@ -2,9 +2,9 @@
 import {writeFileSync} from 'node:fs';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
-import type {Load, RunFigures} from './index.js';
+import type {Load, RunFigures, SitePolicy} from './index.js';
 import {
-	createRandom, drawFaults, runSite, smallLoad, turnsLoad,
+	createRandom, drawFaults, playSchedule, runSite, smallLoad, turnsLoad, usualPolicy,
 } from './index.js';
 
 const usage = `Usage: npm run experiment -- [--load turns|small] [--policy NAME]... [--seeds N] [--faults N] [--json]
@@ -13,17 +13,12 @@
 `;
 /** Exit code for wrong arguments (EX_USAGE of sysexits.h). */
 const usageExitCode = 64;
-const workerLeaseMilliseconds = 3500;
-/** Faults of a drawn schedule. */
-const faultsPerSchedule = 4;
 
-type Policy = {readonly instances: number; readonly leaseMilliseconds: number};
-
-const policies: ReadonlyMap<string, Policy> = new Map([
-	['usual', {instances: 3, leaseMilliseconds: workerLeaseMilliseconds}],
-	['long-lease', {instances: 3, leaseMilliseconds: 2 * workerLeaseMilliseconds}],
-	['five-instances', {instances: 5, leaseMilliseconds: workerLeaseMilliseconds}],
-	['two-instances', {instances: 2, leaseMilliseconds: workerLeaseMilliseconds}],
+const policies: ReadonlyMap<string, SitePolicy> = new Map([
+	['usual', usualPolicy],
+	['long-lease', {...usualPolicy, leaseMilliseconds: 2 * usualPolicy.leaseMilliseconds}],
+	['five-instances', {...usualPolicy, instances: 5}],
+	['two-instances', {...usualPolicy, instances: 2}],
 ]);
 const loads: ReadonlyMap<string, Load> = new Map([turnsLoad, smallLoad].map(load => [load.name, load]));
 
@@ -99,9 +94,7 @@
 	for (let seed = from; seed < from + count; seed += 1) {
 		progress(`schedule ${seed}, ${broken.length} broken`);
 		// eslint-disable-next-line no-await-in-loop -- Virtual time replaces the global timers of the process.
-		const figures = await runSite({
-			load: smallLoad, faults: drawFaults(createRandom(seed * 7919), faultsPerSchedule), seed, instances: 3, leaseMilliseconds: workerLeaseMilliseconds,
-		});
+		const figures = await playSchedule(seed);
 		const [first] = figures.violations;
 		if (first !== undefined || figures.unfinished.length > 0) {
 			broken.push({
--- a/packages/tools/experiment/src/run-site.ts
+++ b/packages/tools/experiment/src/run-site.ts
@@ -1,5 +1,5 @@
 /** Plays one load with one fault schedule in virtual time and reports figures and broken rules. */
-import type {JobService, ServiceLog} from '@turmericbay/job-service';
+import type {JobService} from '@turmericbay/job-service';
 import type {JobDeclaration, JobState} from '@turmericbay/scheduler';
 import {JobState as State} from '@turmericbay/scheduler';
 import type {Violation} from '@turmericbay/worker-model';
@@ -10,8 +10,9 @@
 import {applyFault} from './faults.js';
 import type {Load, PlannedJob} from './load.js';
 import {
-	createPolicies, createWork, maximumAttempts, planJobs,
+	createPolicies, createWork, maximumAttempts, objectiveMilliseconds, planJobs, stretch,
 } from './load.js';
+import {createLog} from './site-log.js';
 import {createSite, wallStart} from './site.js';
 import {createVirtualTime, ProcessState} from './virtual-time.js';
 
@@ -24,8 +25,15 @@
 const callerRetries = 4;
 const callerPauseMilliseconds = 700;
 const pollMilliseconds = 250;
-const stretch = 1.6;
-const objectiveMilliseconds = 600;
+
+export type SitePolicy = {
+	readonly instances: number;
+	/** Of what runs on workers. */
+	readonly leaseMilliseconds: number;
+};
+
+/** The lease is that of the program for the users' platform. */
+export const usualPolicy: SitePolicy = {instances: 3, leaseMilliseconds: 3500};
 
 export type RunFigures = {
 	readonly sent: number;
@@ -52,63 +60,6 @@
 	return () => uniformInt(generator, 0, 0x7F_FF_FF_FF) / 0x80_00_00_00;
 };
 
-const createLog = (lines: string[], now: () => number, instance: string): ServiceLog => {
-	const write = (what: string, detail: unknown = ''): void => {
-		lines.push(`${(now() / 1000).toFixed(3)} ${instance} ${what} ${typeof detail === 'string' ? detail : JSON.stringify(detail)}`);
-	};
-
-	return {
-		scheduler(event) {
-			write('scheduler', event);
-		},
-		start(order, outcome) {
-			write('start', {
-				task: order.row.task.name, run: order.row.run, worker: order.row.worker.report.id, outcome,
-			});
-		},
-		workerLost(worker, message) {
-			write('worker-lost', `${worker.report.id} ${message}`);
-		},
-		workerRegained(worker) {
-			write('worker-regained', worker.report.id);
-		},
-		jobFinished(job) {
-			write('job-finished', `${job.declaration.id} ${job.state}`);
-		},
-		storeTrouble: write,
-		loaded(summary) {
-			write('loaded', summary);
-		},
-		wave(wave, machine, what) {
-			write('wave', `${wave} ${machine ?? ''} ${what}`);
-		},
-		move(move, outcome) {
-			write('move', {...move, outcome});
-		},
-		unreadable(key) {
-			write('unreadable', key);
-		},
-		ownershipGained(epoch) {
-			write('ownership-gained', String(epoch));
-		},
-		ownershipLost(epoch, reason) {
-			write('ownership-lost', `${epoch} ${reason}`);
-		},
-		ownerSeen(owner) {
-			write('owner-seen', owner?.instance ?? 'none');
-		},
-		configurationInForce(version) {
-			write('configuration', String(version));
-		},
-		configurationUnreadable(key) {
-			write('configuration-unreadable', key);
-		},
-		peerTrouble(address, message) {
-			write('peer-trouble', `${address} ${message}`);
-		},
-	};
-};
-
 /** Longest chain of the work that really has to be done. */
 const chainOf = (declaration: JobDeclaration, work: ReturnType<typeof createWork>): number => {
 	const ends: number[] = [];
@@ -121,12 +72,10 @@
 	return Math.max(0, ...ends);
 };
 
-export const runSite = async (options: {
+export const runSite = async (options: SitePolicy & {
 	readonly load: Load;
 	readonly faults: readonly Fault[];
 	readonly seed: number;
-	readonly instances: number;
-	readonly leaseMilliseconds: number;
 }): Promise<RunFigures> => {
 	const {load, faults, seed, leaseMilliseconds} = options;
 	const random = createRandom(seed);
--- a/packages/tools/experiment/src/schedules.ts
+++ b/packages/tools/experiment/src/schedules.ts
@@ -1,11 +1,19 @@
 /** Random fault schedules: a few faults of any kind at any moment, some of them shortly after each other. */
 import type {Fault, Target} from './faults.js';
+import {smallLoad} from './load.js';
+import type {RunFigures} from './run-site.js';
+import {createRandom, runSite, usualPolicy} from './run-site.js';
 
 /** Faults begin within this part of the load, so that what they leave behind shows. */
 const spanMilliseconds = 22_000;
 /** Half of the faults follow the one before within this time. */
 const closeMilliseconds = 2500;
 
+/** Faults of a drawn schedule; a few at a time, so that a cause can be found. */
+const faultsPerSchedule = 4;
+/** Draws of a schedule's faults and of its load come from different seeds. */
+const faultSeedFactor = 7919;
+
 export const drawFaults = (random: () => number, count: number): Fault[] => {
 	const between = (low: number, high: number): number => Math.round(low + (random() * (high - low)));
 	const choose = <Value>(values: readonly Value[]): Value => values[Math.floor(random() * values.length)]!;
@@ -99,3 +107,8 @@
 
 	return faults.toSorted((left, right) => left.at - right.at);
 };
+
+/** Plays the schedule that belongs to a seed; the same for the tests and the command. */
+export const playSchedule = async (seed: number): Promise<RunFigures> => runSite({
+	load: smallLoad, faults: drawFaults(createRandom(seed * faultSeedFactor), faultsPerSchedule), seed, ...usualPolicy,
+});
--- /dev/null
+++ b/packages/tools/experiment/src/site-log.ts
@@ -0,0 +1,59 @@
+/** What the instances of a simulated site report, as lines of text. */
+import type {ServiceLog} from '@turmericbay/job-service';
+
+export const createLog = (lines: string[], now: () => number, instance: string): ServiceLog => {
+	const write = (what: string, detail: unknown = ''): void => {
+		lines.push(`${(now() / 1000).toFixed(3)} ${instance} ${what} ${typeof detail === 'string' ? detail : JSON.stringify(detail)}`);
+	};
+
+	return {
+		scheduler(event) {
+			write('scheduler', event);
+		},
+		start(order, outcome) {
+			write('start', {
+				task: order.row.task.name, run: order.row.run, worker: order.row.worker.report.id, outcome,
+			});
+		},
+		workerLost(worker, message) {
+			write('worker-lost', `${worker.report.id} ${message}`);
+		},
+		workerRegained(worker) {
+			write('worker-regained', worker.report.id);
+		},
+		jobFinished(job) {
+			write('job-finished', `${job.declaration.id} ${job.state}`);
+		},
+		storeTrouble: write,
+		loaded(summary) {
+			write('loaded', summary);
+		},
+		wave(wave, machine, what) {
+			write('wave', `${wave} ${machine ?? ''} ${what}`);
+		},
+		move(move, outcome) {
+			write('move', {...move, outcome});
+		},
+		unreadable(key) {
+			write('unreadable', key);
+		},
+		ownershipGained(epoch) {
+			write('ownership-gained', String(epoch));
+		},
+		ownershipLost(epoch, reason) {
+			write('ownership-lost', `${epoch} ${reason}`);
+		},
+		ownerSeen(owner) {
+			write('owner-seen', owner?.instance ?? 'none');
+		},
+		configurationInForce(version) {
+			write('configuration', String(version));
+		},
+		configurationUnreadable(key) {
+			write('configuration-unreadable', key);
+		},
+		peerTrouble(address, message) {
+			write('peer-trouble', `${address} ${message}`);
+		},
+	};
+};
--- a/packages/tools/experiment/src/site.ts
+++ b/packages/tools/experiment/src/site.ts
@@ -1,34 +1,20 @@
 /** A site in virtual time: instances with whole job services, the store, workers on machines, and callers. */
-import type {KeyValueEngine} from '@turmericbay/fakes';
 import {createFaultSwitches, createKeyValueEngine, createMemoryStore} from '@turmericbay/fakes';
-import type {
-	Configuration, JobService, OwnerRecord, PeerTransport, PlatformRecords, ServiceLog,
-} from '@turmericbay/job-service';
+import type {Configuration, PlatformRecords, ServiceLog} from '@turmericbay/job-service';
 import {createJobService} from '@turmericbay/job-service';
-import type {
-	JobDeclaration, JobState, Policies, WorkerReport,
-} from '@turmericbay/scheduler';
-import type {KeyValueStore, StoreError} from '@turmericbay/types';
-import {StoreErrorKind} from '@turmericbay/types';
+import type {Policies, WorkerReport} from '@turmericbay/scheduler';
 import type {
 	MachineRow, Oracle, TaskWork, WorkerModel,
 } from '@turmericbay/worker-model';
 import {createGangs, createMachineModel, createWorkerModel} from '@turmericbay/worker-model';
-import type {Result} from 'neverthrow';
-import {err} from 'neverthrow';
-import type {Network} from './network.js';
-import {createNetwork, Service} from './network.js';
+import {createNetwork} from './network.js';
+import {createRemoteStore} from './remote-store.js';
+import type {SimulatedInstance} from './simulated-peers.js';
+import {createSimulatedPeers} from './simulated-peers.js';
 import {createMachineClient, createWorkerCaller} from './site-clients.js';
-import type {SimulatedProcess, VirtualTime} from './virtual-time.js';
+import type {VirtualTime} from './virtual-time.js';
 import {ProcessState} from './virtual-time.js';
 
-/** One way to the store: the users' sheets say 4 ms an answer. */
-const storeLatencyMilliseconds = 2;
-/** The adapter's deadline of a call to the store. */
-const storeTimeoutMilliseconds = 1000;
-/** One way between zones. */
-const peerLatencyMilliseconds = 1;
-const peerTimeoutMilliseconds = 300;
 /** Leases of the store are looked at this often. */
 const sweepMilliseconds = 20;
 /** A worker that is silent leaves the list after this time; three reports of 1.5 s. */
@@ -71,87 +57,6 @@
 });
 /* eslint-enable @typescript-eslint/no-unsafe-type-assertion */
 
-const toStoreError = (type: 'refused' | 'timeout'): StoreError => type === 'refused'
-	? {kind: StoreErrorKind.NotApplied, code: 'STORE_REFUSED', message: 'status 503'}
-	: {kind: StoreErrorKind.Unknown, code: 'STORE_NO_ANSWER', message: 'no complete answer within the deadline'};
-
-/** The store as one process sees it over the network. */
-const createRemoteStore = (options: {readonly engine: KeyValueEngine; readonly network: Network; readonly time: VirtualTime}): KeyValueStore => {
-	const {engine, network, time} = options;
-	const local = createMemoryStore({engine, faults: createFaultSwitches(), zone: 'zone'});
-	const call = async <Value>(act: () => Promise<Result<Value, StoreError>>): Promise<Result<Value, StoreError>> => {
-		const outcome = await network.call<Result<Value, StoreError>>({
-			service: Service.Store, called: 'store', latency: storeLatencyMilliseconds, timeout: storeTimeoutMilliseconds,
-			handle(answer) {
-				void act().then(answer);
-			},
-		});
-		return outcome.type === 'answered' ? outcome.answer : err(toStoreError(outcome.type));
-	};
-
-	return {
-		read: async request => call(async () => local.read(request)),
-		list: async request => call(async () => local.list(request)),
-		transact: async request => call(async () => local.transact(request)),
-		grantLease: async request => call(async () => local.grantLease(request)),
-		renewLease: async request => call(async () => local.renewLease(request)),
-		revokeLease: async request => call(async () => local.revokeLease(request)),
-		watch(request) {
-			const owner = time.current();
-			let isStopped = false;
-			const deliver = (act: () => void): void => {
-				if (network.isCut(owner?.name ?? '', Service.Store)) {
-					// A change that does not arrive breaks the watch; the caller lists everything anew.
-					time.after(storeTimeoutMilliseconds, () => {
-						time.deliver(owner, () => {
-							if (!isStopped) {
-								isStopped = true;
-								inner.stop();
-								request.onEnd(toStoreError('timeout'));
-							}
-						});
-					});
-					return;
-				}
-
-				time.after(storeLatencyMilliseconds, () => {
-					time.deliver(owner, () => {
-						if (!isStopped) {
-							act();
-						}
-					});
-				});
-			};
-
-			const inner = local.watch({
-				prefix: request.prefix,
-				onChange(entries) {
-					deliver(() => {
-						request.onChange(entries);
-					});
-				},
-				onDelete(keys) {
-					deliver(() => {
-						request.onDelete?.(keys);
-					});
-				},
-				onStart() {
-					deliver(() => {
-						request.onStart?.();
-					});
-				},
-				onEnd: request.onEnd,
-			});
-			return {
-				stop() {
-					isStopped = true;
-					inner.stop();
-				},
-			};
-		},
-	};
-};
-
 export type Site = ReturnType<typeof createSite>;
 
 export const createSite = (options: SiteOptions) => {
@@ -238,65 +143,16 @@
 	});
 	put(configurationKey, '1');
 
-	const instances = new Map<string, {readonly process: SimulatedProcess; readonly service: JobService; readonly local: {owner: () => ReturnType<JobService['owner']>}}>();
-
-	const createPeers = (name: string): PeerTransport => {
-		const ask = async <Answer>(address: string | undefined, act: (owner: NonNullable<ReturnType<JobService['owner']>>) => Answer): Promise<Answer | undefined> => {
-			if (address === undefined) {
-				return undefined;
-			}
-
-			const outcome = await network.call<Answer | undefined>({
-				service: Service.Peers, called: address, latency: peerLatencyMilliseconds, timeout: peerTimeoutMilliseconds,
-				handle(answer) {
-					const callee = instances.get(address);
-					if (callee) {
-						time.deliver(callee.process, () => {
-							const owner = callee.local.owner();
-							answer(owner && act(owner));
-						});
-					}
-				},
-			});
-			return outcome.type === 'answered' ? outcome.answer : undefined;
-		};
-
-		return {
-			address: name,
-			createLink: ({localOwner, remoteOwner}: {localOwner: () => ReturnType<JobService['owner']>; remoteOwner: () => OwnerRecord | undefined}) => ({
-				announceJob(declaration: JobDeclaration, revision: number) {
-					const owner = localOwner();
-					if (owner) {
-						owner.addJob(declaration, revision);
-					} else {
-						void ask(remoteOwner()?.address, other => {
-							other.addJob(declaration, revision);
-						});
-					}
-				},
-				announceCancellation(id: string) {
-					const owner = localOwner();
-					if (owner) {
-						owner.cancel(id);
-					} else {
-						void ask(remoteOwner()?.address, other => {
-							other.cancel(id);
-						});
-					}
-				},
-				describe: async (id: string): Promise<JobState | undefined> => localOwner()?.describe(id) ?? ask(remoteOwner()?.address, other => other.describe(id)),
-				countPending: async (queue: string): Promise<number | undefined> => localOwner()?.countPending(queue) ?? ask(remoteOwner()?.address, other => other.countPending(queue)),
-			}),
-			serve: () => undefined,
-			close: () => undefined,
-		};
-	};
+	const instances = new Map<string, SimulatedInstance>();
 
 	const startInstance = (name: string): void => {
 		const process = time.createProcess(name);
 		time.deliver(process, () => {
 			const service = createJobService({
-				instance: name, peers: createPeers(name), store: createRemoteStore({engine, network, time}), records: createRecords(currentConfiguration),
+				instance: name, store: createRemoteStore({engine, network, time}), records: createRecords(currentConfiguration),
+				peers: createSimulatedPeers({
+					name, network, time, find: other => instances.get(other),
+				}),
 				workerClient: createWorkerCaller({network, time, workers}), advice: undefined,
 				machines: createMachineClient({
 					network, time, machines, oracle,
@@ -304,7 +160,7 @@
 				clock: {now: time.now, wallNow: () => wallStart + time.now() + process.wallOffset},
 				random, cores: 1, leaseMilliseconds: options.leaseMilliseconds, log: options.log(name),
 			});
-			instances.set(name, {process, service, local: {owner: service.owner}});
+			instances.set(name, {process, service});
 		});
 	};
 
--- a/packages/tools/experiment/test/fault-schedules.test.ts
+++ b/packages/tools/experiment/test/fault-schedules.test.ts
@@ -1,11 +1,9 @@
 /** Whole job services under random fault schedules in virtual time; an oracle outside them checks the users' rules. */
 import test from 'ava';
 import {
-	createRandom, drawFaults, runSite, smallLoad,
+	playSchedule, runSite, smallLoad, usualPolicy,
 } from '../src/index.js';
 
-const workerLeaseMilliseconds = 3500;
-const faultsPerSchedule = 4;
 /** Fixed, so that the verdict never depends on luck; `npm run experiment -- --schedules` draws more. */
 const seeds = Array.from({length: 12}, (_, index) => index + 1);
 /** Seeds that once broke a rule. */
@@ -14,13 +12,9 @@
 	[144, 'a worker that starts again under its name while an older answer is on its way'],
 ];
 
-const play = async (seed: number) => runSite({
-	load: smallLoad, faults: drawFaults(createRandom(seed * 7919), faultsPerSchedule), seed, instances: 3, leaseMilliseconds: workerLeaseMilliseconds,
-});
-
 test.serial('without faults every job is accepted and ends, and no rule is broken', async t => {
 	const figures = await runSite({
-		load: smallLoad, faults: [], seed: 1, instances: 3, leaseMilliseconds: workerLeaseMilliseconds,
+		load: smallLoad, faults: [], seed: 1, ...usualPolicy,
 	});
 	t.is(figures.accepted, figures.sent);
 	t.deepEqual(figures.violations, []);
@@ -30,7 +24,7 @@
 
 for (const [seed, cause] of [...seeds.map((seed): [number, string] => [seed, 'drawn']), ...regressions]) {
 	test.serial(`no rule is broken under schedule ${seed} (${cause})`, async t => {
-		const {violations, unfinished} = await play(seed);
+		const {violations, unfinished} = await playSchedule(seed);
 		t.deepEqual(violations, []);
 		t.deepEqual(unfinished, []);
 	});
