--- a/packages/common/telemetry/src/logger.ts
+++ b/packages/common/telemetry/src/logger.ts
@@ -15,18 +15,13 @@
 /** The event of the line that is being written; roarr hands on the text alone. */
 let currentEvent: LogEvent | undefined;
 
-/** Directs all log lines of the process to a bounded output. */
-export const setLogOutput = (output: {write(line: string, event: LogEvent | undefined): void}): void => {
+/** Directs all log lines of the process to one function, one line per call. */
+export const setLogWriter = (write: (line: string, event: LogEvent | undefined) => void): void => {
 	ROARR.write = line => {
-		output.write(line, currentEvent);
+		write(line, currentEvent);
 	};
 };
 
-/** Directs all log lines of the process to one function, one line per call. */
-export const setLogWriter = (write: (line: string) => void): void => {
-	ROARR.write = write;
-};
-
 export const createLogger = (options: {minimumLevel: LogLevel; context: LogFields}): Logger => {
 	const child = Roarr.child({...options.context, application: 'turmericbay'});
 	return {
--- a/packages/jobs/job-service/src/machine-list.ts
+++ b/packages/jobs/job-service/src/machine-list.ts
@@ -10,7 +10,7 @@
 
 export const createMachineList = (options: {readonly machines: MachineService; readonly scheduler: Scheduler; readonly clock: Clock}) => {
 	const {machines, scheduler, clock} = options;
-	let records: readonly MachineRecord[] = [];
+	let records: ReadonlyMap<string, MachineRecord> = new Map();
 	let sentAt = Number.NEGATIVE_INFINITY;
 	let endedAt = Number.NEGATIVE_INFINITY;
 	let isReading = false;
@@ -24,18 +24,28 @@
 		isReading = false;
 		endedAt = clock.now();
 		if (list) {
-			records = list;
+			records = new Map(list.map(record => [record.machine, record]));
 			sentAt = began;
 		}
 	};
 
-	/** What runs on the machine is known: no order came after the list, and its worker has been heard of. */
-	const isKnown = (record: MachineRecord): boolean =>
-		(orderedAt.get(record.machine) ?? Number.NEGATIVE_INFINITY) < sentAt && (record.worker === undefined || scheduler.workers.has(record.worker));
+	/** The list was asked for after the newest order for the machine. */
+	const isNewerThanOrder = (machine: string): boolean => (orderedAt.get(machine) ?? Number.NEGATIVE_INFINITY) < sentAt;
+
+	/** A machine of which it is not known what runs there counts as moving: an order came after the list, or its worker has not been heard of. */
+	const judge = (record: MachineRecord): MachineRecord => {
+		const isKnown = isNewerThanOrder(record.machine) && (record.worker === undefined || scheduler.workers.has(record.worker));
+		return record.state === MachineState.Up && !isKnown ? {...record, state: MachineState.Moving} : record;
+	};
 
 	return {
-		/** The newest list that was read; empty before. A machine of which it is not known what runs there counts as moving. */
-		records: (): readonly MachineRecord[] => records.map(record => record.state === MachineState.Up && !isKnown(record) ? {...record, state: MachineState.Moving} : record),
+		/** The newest list that was read; empty before. */
+		records: (): readonly MachineRecord[] => [...records.values()].map(record => judge(record)),
+		recordOf(machine: string): MachineRecord | undefined {
+			const record = records.get(machine);
+			return record && judge(record);
+		},
+		isNewerThanOrder,
 		/** Called when an order for the machine is sent, and again when it is answered. */
 		noteOrder(machine: string): void {
 			orderedAt.set(machine, clock.now());
@@ -43,7 +53,7 @@
 		/** Send time of the call that brought it. */
 		sentAt: () => sentAt,
 		workerOn(machine: string): WorkerRow | undefined {
-			const id = records.find(record => record.machine === machine)?.worker;
+			const id = records.get(machine)?.worker;
 			return id === undefined ? undefined : scheduler.workers.get(id);
 		},
 		refresh(): void {
--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -50,8 +50,6 @@
 	const restored = new Map<number, WaveProgress>();
 	/** Machines for which an order may have been carried out already; an acceptance then says nothing about what runs now. */
 	const uncertain = new Set<string>();
-	/** When each machine's upkeep was accepted; an older list says nothing about it. */
-	const acceptedAt = new Map<string, number>();
 
 	const writeStatus = async (wave: WaveRow, isCompleted: boolean): Promise<void> => {
 		const progress: WaveProgress = {begun: [...wave.begun], ordered: [...wave.ordered]};
@@ -92,7 +90,6 @@
 		log.wave(wave.wave, machine, outcome);
 		switch (outcome) {
 			case 'accepted': {
-				acceptedAt.set(machine, clock.now());
 				wave.down.add(machine);
 				if (worker && !uncertain.has(machine)) {
 					retire(worker);
@@ -137,7 +134,7 @@
 	const runWave = (wave: WaveRow, now: number): void => {
 		const known = view();
 		for (const machine of wave.down) {
-			if (list.sentAt() > (acceptedAt.get(machine) ?? 0) && known.get(machine)?.isUp !== false) {
+			if (list.isNewerThanOrder(machine) && known.get(machine)?.isUp !== false) {
 				wave.down.delete(machine);
 			}
 		}
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -2,20 +2,17 @@
 import type {JobDeclaration, JobState} from '@turmericbay/scheduler';
 import {createScheduler} from '@turmericbay/scheduler';
 import type {
-	KeyValueStore, StoredEntry, StoreOperation, WatchHandle,
+	KeyValueStore, StoredEntry, WatchHandle,
 } from '@turmericbay/types';
 import {createCommits} from './commits.js';
 import {followPrefix, listAll} from './follow.js';
-import {createMachineList} from './machine-list.js';
-import {createMachineOrders} from './machine-orders.js';
-import {createMaintenance} from './maintenance.js';
+import {createMachineDuties} from './machine-duties.js';
 import {createOrders} from './orders.js';
 import {createOwnedJobs} from './owned-jobs.js';
 import type {OwnedWorkers} from './owned-workers.js';
 import {createOwnedWorkers, extensionMilliseconds, handoverExtensionMilliseconds} from './owned-workers.js';
 import type {OwnerLog} from './owner-log.js';
 import type {Renewal, Tenure} from './ownership.js';
-import {createPoolMoves} from './pool-moves.js';
 import type {
 	AdviceClient, Clock, Configuration, MachineService, PlatformRecords, WorkerClient,
 } from './ports.js';
@@ -128,22 +125,12 @@
 		onStart: log.start,
 	});
 
-	const createMachineDuties = (service: MachineService) => {
-		const commit = async (operations: readonly StoreOperation[]): Promise<void> => commits.commit(operations);
-		const machineOrders = createMachineOrders({
-			clock, holder: instance, tookOverAt, reachedBy, mayOrder: mayStart, commit,
-		});
-		const shared = {
-			scheduler, machines: service, list: createMachineList({machines: service, scheduler, clock}),
-			clock, holder: instance, epoch: tenure.epoch, orders: machineOrders, mayOrder: mayStart, retire: workers.retire, log,
-		};
-		const maintenance = createMaintenance({
-			...shared, records, commit,
-		});
-		return {machineOrders, maintenance, poolMoves: createPoolMoves({...shared, isReserved: maintenance.isReserved})};
-	};
-
-	const {machineOrders, maintenance, poolMoves} = machines ? createMachineDuties(machines) : {};
+	const {machineOrders, maintenance, poolMoves} = machines
+		? createMachineDuties({
+			scheduler, machines, records, clock, holder: instance, epoch: tenure.epoch, tookOverAt, reachedBy, mayOrder: mayStart,
+			commit: commits.commit, retire: workers.retire, log,
+		})
+		: {};
 
 	const tick = (): void => {
 		if (isEnded || !isLoaded) {
--- a/packages/jobs/job-service/src/pool-moves.ts
+++ b/packages/jobs/job-service/src/pool-moves.ts
@@ -100,7 +100,7 @@
 	const settle = (now: number): void => {
 		for (const [machine, pool] of incoming) {
 			const at = movedAt.get(machine) ?? now;
-			const record = list.records().find(entry => entry.machine === machine);
+			const record = list.recordOf(machine);
 			const isSeen = list.sentAt() > at && record?.pool === pool && record.state === MachineState.Up;
 			if (isSeen || now - at > longestMoveMilliseconds) {
 				incoming.delete(machine);
--- a/packages/jobs/job-service/src/run-records.ts
+++ b/packages/jobs/job-service/src/run-records.ts
@@ -12,7 +12,7 @@
 
 /** Segments are looked through this often. */
 const sweepMilliseconds = 500;
-/** What still runs after this time is recorded anew with the next starts, so that a long run does not keep its segment. */
+/** What still runs after this time is recorded anew together, so that a long run does not keep a segment of its own. */
 const keptMilliseconds = 4000;
 
 type Segment = {readonly key: string; readonly storedAt: number; rows: readonly RunRow[]};
@@ -123,6 +123,5 @@
 				void store(old.flatMap(({rows}) => rows), old);
 			}
 		},
-		segmentCount: () => segments.length,
 	};
 };
--- a/packages/jobs/scheduler/src/jobs.ts
+++ b/packages/jobs/scheduler/src/jobs.ts
@@ -151,10 +151,11 @@
 
 			// Clocks of instances differ, so an age is never taken as negative.
 			const age = Math.max(0, wallNow - declaration.submittedAt);
-			const objective = ((policy?.stretch ?? 1) * estimateChain(declaration)) + (policy?.objectiveMilliseconds ?? 0);
+			const chainMilliseconds = estimateChain(declaration);
+			const objective = ((policy?.stretch ?? 1) * chainMilliseconds) + (policy?.objectiveMilliseconds ?? 0);
 			const job: JobRow = {
 				declaration, occurrences: new Map(), nextOccurrence: 0, finishedOccurrences: 0, state: JobState.Queued, begun: false,
-				dueBy: now - age + objective, lateBy: now - age + (lateFactor * objective),
+				chainMilliseconds, dueBy: now - age + objective, lateBy: now - age + (lateFactor * objective),
 			};
 			jobs.set(declaration.id, job);
 			if (progress) {
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -185,6 +185,8 @@
 	finishedOccurrences: number;
 	state: JobState;
 	begun: boolean;
+	/** Milliseconds of work on the longest chain of steps, by the declared estimates. */
+	readonly chainMilliseconds: number;
 	/** Steady clock, end of the objective. */
 	dueBy: number;
 	/** End of the time in which a late result still counts. */
--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -1,5 +1,5 @@
 /** Chooses a worker for each task that may start, in the order in which jobs can still meet their objective. */
-import {estimateChain, isActive, isStepReady} from './jobs.js';
+import {isActive, isStepReady} from './jobs.js';
 import type {
 	JobRow, Policies, QueuePolicy, Resources, RunRow, StepRow, TaskRow, WorkerRow,
 } from './model.js';
@@ -42,12 +42,11 @@
 
 /** Late jobs come after those that can still be in time, and jobs past any use after these. */
 const lateness = (job: JobRow, now: number): number => {
-	const remaining = estimateChain(job.declaration);
-	if (now + remaining <= job.dueBy) {
+	if (now + job.chainMilliseconds <= job.dueBy) {
 		return 0;
 	}
 
-	return now + remaining <= job.lateBy ? 1 : 2;
+	return now + job.chainMilliseconds <= job.lateBy ? 1 : 2;
 };
 
 const isLongRunning = (job: JobRow): boolean => job.declaration.steps.some(step => step.longRunning);
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -17,16 +17,13 @@
 import {createPlacement} from './placement.js';
 import type {JobProgress} from './progress.js';
 import {createSpeeds} from './speeds.js';
+import {createStartOutcomes} from './start-outcomes.js';
+import type {StopOrder} from './stops.js';
+import {createStops} from './stops.js';
 import {createWorkerTable} from './workers.js';
 
 /** Starts of one owner stay below this number for each task, so that the next owner's numbers are higher without a write per start. */
 const runsPerEpoch = 1000;
-/** An unanswered stop is sent again after this time. */
-const stopRepeatMilliseconds = 500;
-/** A worker that rejected a start for want of room is left alone until its next list. */
-const rejectedPauseMilliseconds = 250;
-/** A worker that says it is unhealthy gets no new work for this time. */
-const unhealthyPauseMilliseconds = 1500;
 /** A worker that fails what it starts gets no new work for this time. */
 const failingPauseMilliseconds = 4000;
 /** Failed runs after which a worker counts as failing, if they outnumber its good ones. */
@@ -34,17 +31,8 @@
 /** Counts of ends are halved after this time, so that a worker is judged by its last seconds. */
 const countHalfLifeMilliseconds = 3000;
 
-export type StopOrder = {readonly type: 'stop'; readonly worker: WorkerRow; readonly task: string; readonly run: number; readonly row: RunRow | undefined};
 export type Order = StartOrder | AdviceOrder | PaceOrder | StopOrder;
 
-export type StartOutcome
-	= | {readonly type: 'started'}
-		| {readonly type: 'rejected'; readonly reason: 'fenced' | 'superseded' | 'late' | 'room' | 'ticket' | 'unhealthy' | 'invalid'}
-		| {readonly type: 'not-sent'}
-		/** Not sent, since the task or its worker is no longer wanted. */
-		| {readonly type: 'withdrawn'}
-		| {readonly type: 'unknown'};
-
 /** A list entry or an answer may arrive after the worker has started again; it says nothing about the life of now. */
 const isEarlierLife = (bornAt: number | undefined, worker: WorkerRow): boolean =>
 	bornAt !== undefined && worker.bornAt !== undefined && bornAt < worker.bornAt;
@@ -66,59 +54,12 @@
 		jobs, workers, firstRun, policyOf: queue => policies.queues.get(queue), emit,
 	});
 	const placement = createPlacement({workers, policies: () => policies, firstRun: () => firstRun});
+	const stops = createStops({reconciler, workers});
+	const outcomes = createStartOutcomes({jobs, reconciler});
 	const pacing = createPacing();
 	const speeds = createSpeeds();
 	const demand = createDemand();
 
-	const needsStop = (row: RunRow, now: number): boolean => {
-		if (row.stopInFlight || row.phase === RunPhase.Starting) {
-			return false;
-		}
-
-		if (row.stopSentAt !== undefined && now - row.stopSentAt < stopRepeatMilliseconds) {
-			return false;
-		}
-
-		const isUnwanted = !isActive(row.task.step.job) || row.task.done || row.isEvacuating;
-		switch (row.phase) {
-			case RunPhase.Running: {
-				return isUnwanted;
-			}
-
-			case RunPhase.Unconfirmed: {
-				// A list that was asked for after the doubt and does not show the run leaves only the late order to be ruled out.
-				return row.stoppedAt === undefined && (isUnwanted || row.worker.answeredAt > (row.doubtedAt ?? row.startedAt));
-			}
-
-			case RunPhase.Stopping: {
-				return row.stoppedAt === undefined;
-			}
-		}
-	};
-
-	const planStops = (now: number): StopOrder[] => {
-		const orders: StopOrder[] = reconciler.unwanted.splice(0).map(({worker, task, run}) => ({
-			type: 'stop', worker, task, run, row: undefined,
-		}));
-		for (const worker of workers.workers.values()) {
-			for (const row of worker.runs.values()) {
-				if (needsStop(row, now)) {
-					row.stopInFlight = true;
-					row.stopSentAt = now;
-					if (row.phase === RunPhase.Running) {
-						row.phase = RunPhase.Stopping;
-					}
-
-					orders.push({
-						type: 'stop', worker, task: row.task.name, run: row.run, row,
-					});
-				}
-			}
-		}
-
-		return orders;
-	};
-
 	const judgeWorkers = (now: number): void => {
 		speeds.judge(workers.workers.values(), now);
 		const isHalving = now - countsHalvedAt > countHalfLifeMilliseconds;
@@ -228,87 +169,7 @@
 			change.worker.failures = 0;
 			reconciler.apply(change);
 		},
-		noteStart(row: RunRow, outcome: StartOutcome, now: number): void {
-			const {worker, task} = row;
-			switch (outcome.type) {
-				case 'started': {
-					row.confirmedAt ??= now;
-					if (row.phase === RunPhase.Starting || row.phase === RunPhase.Unconfirmed) {
-						row.phase = RunPhase.Running;
-					}
-
-					if (!task.step.job.begun) {
-						task.step.job.begun = true;
-						jobs.markChanged(task.step.job);
-					}
-
-					break;
-				}
-
-				case 'unknown': {
-					if (row.phase === RunPhase.Starting) {
-						row.phase = RunPhase.Unconfirmed;
-						row.doubtedAt = now;
-						worker.failures += 1;
-					}
-
-					break;
-				}
-
-				case 'withdrawn': {
-					reconciler.drop(row, 'not-run');
-
-					break;
-				}
-
-				case 'not-sent': {
-					worker.failures += 1;
-					reconciler.drop(row, 'not-run');
-
-					break;
-				}
-
-				case 'rejected': {
-					task.notBefore = now;
-					switch (outcome.reason) {
-						case 'room':
-						case 'late': {
-							worker.avoidUntil = Math.max(worker.avoidUntil, now + rejectedPauseMilliseconds);
-
-							break;
-						}
-
-						case 'unhealthy': {
-							worker.avoidUntil = Math.max(worker.avoidUntil, now + unhealthyPauseMilliseconds);
-
-							break;
-						}
-
-						case 'ticket': {
-							task.step.tickets.delete(worker.report.id);
-
-							break;
-						}
-
-						case 'invalid': {
-							task.notBefore = now + stopRepeatMilliseconds;
-
-							break;
-						}
-
-						// The task is placed anew with a higher run; another owner is noticed elsewhere.
-						case 'fenced':
-						case 'superseded': {
-							break;
-						}
-					}
-
-					reconciler.drop(row, 'not-run');
-
-					break;
-				}
-			}
-		},
+		noteStart: outcomes.note,
 		noteStop(row: RunRow, isAnswered: boolean, now: number): void {
 			row.stopInFlight = false;
 			if (isAnswered) {
@@ -342,7 +203,7 @@
 			reconciler.expireLeases(now);
 			jobs.openDueOccurrences(wallNow);
 			judgeWorkers(now);
-			const orders: Order[] = planStops(now);
+			const orders: Order[] = stops.plan(now);
 			if (mayStart) {
 				orders.push(...placement.place(jobs.jobs.values(), now), ...pacing.pace(workers.workers.values(), now));
 			}
--- /dev/null
+++ b/packages/jobs/scheduler/src/start-outcomes.ts
@@ -0,0 +1,107 @@
+/** What the answer to a start means for its run, its task and its worker. */
+import type {JobTable} from './jobs.js';
+import type {Reconciler} from './lists.js';
+import type {RunRow} from './model.js';
+import {RunPhase} from './model.js';
+
+/** A worker that rejected a start for want of room is left alone until its next list. */
+const rejectedPauseMilliseconds = 250;
+/** A worker that says it is unhealthy gets no new work for this time. */
+const unhealthyPauseMilliseconds = 1500;
+/** A start whose content a worker refused is tried again after this time. */
+const invalidPauseMilliseconds = 500;
+
+export type StartOutcome
+	= | {readonly type: 'started'}
+		| {readonly type: 'rejected'; readonly reason: 'fenced' | 'superseded' | 'late' | 'room' | 'ticket' | 'unhealthy' | 'invalid'}
+		| {readonly type: 'not-sent'}
+		/** Not sent, since the task or its worker is no longer wanted. */
+		| {readonly type: 'withdrawn'}
+		| {readonly type: 'unknown'};
+
+export const createStartOutcomes = (options: {readonly jobs: JobTable; readonly reconciler: Reconciler}) => {
+	const {jobs, reconciler} = options;
+	return {
+		note(row: RunRow, outcome: StartOutcome, now: number): void {
+			const {worker, task} = row;
+			switch (outcome.type) {
+				case 'started': {
+					row.confirmedAt ??= now;
+					if (row.phase === RunPhase.Starting || row.phase === RunPhase.Unconfirmed) {
+						row.phase = RunPhase.Running;
+					}
+
+					if (!task.step.job.begun) {
+						task.step.job.begun = true;
+						jobs.markChanged(task.step.job);
+					}
+
+					break;
+				}
+
+				case 'unknown': {
+					if (row.phase === RunPhase.Starting) {
+						row.phase = RunPhase.Unconfirmed;
+						row.doubtedAt = now;
+						worker.failures += 1;
+					}
+
+					break;
+				}
+
+				case 'withdrawn': {
+					reconciler.drop(row, 'not-run');
+
+					break;
+				}
+
+				case 'not-sent': {
+					worker.failures += 1;
+					reconciler.drop(row, 'not-run');
+
+					break;
+				}
+
+				case 'rejected': {
+					task.notBefore = now;
+					switch (outcome.reason) {
+						case 'room':
+						case 'late': {
+							worker.avoidUntil = Math.max(worker.avoidUntil, now + rejectedPauseMilliseconds);
+
+							break;
+						}
+
+						case 'unhealthy': {
+							worker.avoidUntil = Math.max(worker.avoidUntil, now + unhealthyPauseMilliseconds);
+
+							break;
+						}
+
+						case 'ticket': {
+							task.step.tickets.delete(worker.report.id);
+
+							break;
+						}
+
+						case 'invalid': {
+							task.notBefore = now + invalidPauseMilliseconds;
+
+							break;
+						}
+
+						// The task is placed anew with a higher run; another owner is noticed elsewhere.
+						case 'fenced':
+						case 'superseded': {
+							break;
+						}
+					}
+
+					reconciler.drop(row, 'not-run');
+
+					break;
+				}
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/jobs/scheduler/src/stops.ts
@@ -0,0 +1,65 @@
+/** Which runs have to be stopped now. */
+import {isActive} from './jobs.js';
+import type {Reconciler} from './lists.js';
+import type {RunRow, WorkerRow} from './model.js';
+import {RunPhase} from './model.js';
+import type {WorkerTable} from './workers.js';
+
+/** An unanswered stop is sent again after this time. */
+const stopRepeatMilliseconds = 500;
+
+export type StopOrder = {readonly type: 'stop'; readonly worker: WorkerRow; readonly task: string; readonly run: number; readonly row: RunRow | undefined};
+
+const needsStop = (row: RunRow, now: number): boolean => {
+	if (row.stopInFlight || row.phase === RunPhase.Starting) {
+		return false;
+	}
+
+	if (row.stopSentAt !== undefined && now - row.stopSentAt < stopRepeatMilliseconds) {
+		return false;
+	}
+
+	const isUnwanted = !isActive(row.task.step.job) || row.task.done || row.isEvacuating;
+	switch (row.phase) {
+		case RunPhase.Running: {
+			return isUnwanted;
+		}
+
+		case RunPhase.Unconfirmed: {
+			// A list that was asked for after the doubt and does not show the run leaves only the late order to be ruled out.
+			return row.stoppedAt === undefined && (isUnwanted || row.worker.answeredAt > (row.doubtedAt ?? row.startedAt));
+		}
+
+		case RunPhase.Stopping: {
+			return row.stoppedAt === undefined;
+		}
+	}
+};
+
+export const createStops = (options: {readonly reconciler: Reconciler; readonly workers: WorkerTable}) => {
+	const {reconciler, workers} = options;
+	return {
+		plan(now: number): StopOrder[] {
+			const orders: StopOrder[] = reconciler.unwanted.splice(0).map(({worker, task, run}) => ({
+				type: 'stop', worker, task, run, row: undefined,
+			}));
+			for (const worker of workers.workers.values()) {
+				for (const row of worker.runs.values()) {
+					if (needsStop(row, now)) {
+						row.stopInFlight = true;
+						row.stopSentAt = now;
+						if (row.phase === RunPhase.Running) {
+							row.phase = RunPhase.Stopping;
+						}
+
+						orders.push({
+							type: 'stop', worker, task: row.task.name, run: row.run, row,
+						});
+					}
+				}
+			}
+
+			return orders;
+		},
+	};
+};
--- a/packages/jobs/worker-model/src/oracle.ts
+++ b/packages/jobs/worker-model/src/oracle.ts
@@ -1,7 +1,7 @@
 /** Checks from outside what the users' rules forbid: it sees what workers and the machines' service do, and what callers are told. */
 import type {JobDeclaration, StepDeclaration} from '@turmericbay/scheduler';
 import {EndReason, JobState} from '@turmericbay/scheduler';
-import type {WorkerEvent} from './worker.js';
+import type {WorkerEvent} from './worker-types.js';
 
 /** Holders may not take turns on a machine within this time (the users' bounds, `leaseTtlMs`). */
 const turnMilliseconds = 3000;
