Bind every call to a worker to the process it is meant for

A worker may start again under its name. A call in flight then reaches the new process: a heartbeat with the acknowledged number of the earlier one made it drop ended runs that the owner had not seen, so their tasks ran again. Two more places were found by reading: a restart that the platform's list shows before the worker has answered left the old clock and the old acknowledged number in use (leases of arbitrary length, acknowledgements under the new process), and a stop or start that the earlier process had answered counted for the new one. Ruled out: the target header, which names the worker and not its process. Clock readings and acknowledged numbers count only for the process that they came from. Tests: three in worker-session.test.ts, all failing before (acknowledged 7 instead of 0, a lease by the old clock, ownership given up).

--- a/packages/jobs/job-service/src/order-executor.ts
+++ b/packages/jobs/job-service/src/order-executor.ts
@@ -2,7 +2,10 @@
 import type {
 	AdviceOrder, Order, RunRow, Scheduler, StartOrder, StopOrder, ThrottleOrder, Ticket, WorkerRow,
 } from '@turmericbay/scheduler';
-import {formatRunKey, isActive, RunPhase} from '@turmericbay/scheduler';
+import {
+	formatRunKey, isActive, isEarlierIncarnation, RunPhase,
+} from '@turmericbay/scheduler';
+import type {FencingTokens} from './fencing-tokens.js';
 import type {AdviceClient, Clock, WorkerClient} from './ports.js';
 import {WorkerCallErrorKind} from './ports.js';
 import type {WorkerSession} from './worker-session.js';
@@ -15,7 +18,7 @@
 	readonly workerClient: WorkerClient;
 	readonly adviceClient: AdviceClient | undefined;
 	readonly clock: Clock;
-	readonly epoch: number;
+	readonly fencingTokens: FencingTokens;
 	readonly getSession: (worker: WorkerRow) => WorkerSession | undefined;
 	/** Resolves once the run is stored. */
 	readonly recordRun: (row: RunRow) => Promise<void>;
@@ -25,9 +28,15 @@
 	readonly onChange: () => void;
 	readonly onStartAttempted: (order: StartOrder, outcome: string) => void;
 }) => {
-	const {scheduler, workerClient, adviceClient, clock, epoch, getSession, recordRun, mayStart, onFenced, onChange, onStartAttempted} = options;
+	const {scheduler, workerClient, adviceClient, clock, fencingTokens, getSession, recordRun, mayStart, onFenced, onChange, onStartAttempted} = options;
 	const toTarget = (worker: WorkerRow) => ({id: worker.registration.id, address: worker.registration.address});
 
+	const handleFenced = (worker: WorkerRow, fencingToken: number): void => {
+		if (!fencingTokens.isSuperseded(worker, fencingToken)) {
+			onFenced();
+		}
+	};
+
 	const start = async (order: StartOrder): Promise<void> => {
 		const {row, ticket} = order;
 		await recordRun(row);
@@ -46,17 +55,24 @@
 			return;
 		}
 
+		const fencingToken = fencingTokens.get(worker);
 		const started = await workerClient.start({
 			worker: toTarget(row.worker), task: row.task.name, run: row.run, payload: row.task.step.job.declaration.payload,
-			leaseExpiresAt, fencingToken: epoch, checkpoint: row.task.checkpoint, ticket,
+			leaseExpiresAt, fencingToken, checkpoint: row.task.checkpoint, ticket,
 		});
 		const now = clock.now();
 		if (started.isOk()) {
-			const {rejection} = started.value;
-			scheduler.recordStartOutcome(row, rejection === undefined ? {type: 'started'} : {type: 'rejected', reason: rejection}, now);
+			const {rejection, incarnation} = started.value;
+			if (rejection === undefined && isEarlierIncarnation(incarnation, worker)) {
+				// Started by a process that has ended since.
+				scheduler.recordStartOutcome(row, {type: 'unknown'}, now);
+			} else {
+				scheduler.recordStartOutcome(row, rejection === undefined ? {type: 'started'} : {type: 'rejected', reason: rejection}, now);
+			}
+
 			onStartAttempted(order, rejection ?? 'started');
 			if (rejection === 'fenced') {
-				onFenced();
+				handleFenced(worker, fencingToken);
 			}
 		} else {
 			switch (started.error.kind) {
@@ -79,7 +95,7 @@
 
 				case WorkerCallErrorKind.Fenced: {
 					scheduler.recordStartOutcome(row, {type: 'rejected', reason: 'fenced'}, now);
-					onFenced();
+					handleFenced(worker, fencingToken);
 					break;
 				}
 
@@ -96,25 +112,29 @@
 	};
 
 	const stop = async (order: StopOrder): Promise<void> => {
+		const {worker} = order;
+		const fencingToken = fencingTokens.get(worker);
 		const stopped = await workerClient.stop({
-			worker: toTarget(order.worker), task: order.task, run: order.run, fencingToken: epoch,
+			worker: toTarget(worker), task: order.task, run: order.run, fencingToken,
 		});
 		if (order.row) {
-			scheduler.recordStopOutcome(order.row, stopped.isOk(), clock.now());
-			if (stopped.isOk() && order.row.phase === RunPhase.Unconfirmed) {
-				getSession(order.worker)?.wake();
+			// A process that has ended since cannot reject a delayed start for the current one.
+			const isAnswered = stopped.isOk() && !isEarlierIncarnation(stopped.value.incarnation, worker);
+			scheduler.recordStopOutcome(order.row, isAnswered, clock.now());
+			if (isAnswered && order.row.phase === RunPhase.Unconfirmed) {
+				getSession(worker)?.wake();
 			}
 		}
 
 		if (stopped.isErr() && stopped.error.kind === WorkerCallErrorKind.Fenced) {
-			onFenced();
+			handleFenced(worker, fencingToken);
 		}
 	};
 
 	const throttle = async (order: ThrottleOrder): Promise<void> => {
 		const {row, percent} = order;
 		const throttled = await workerClient.throttle({
-			worker: toTarget(row.worker), task: row.task.name, run: row.run, percent, fencingToken: epoch,
+			worker: toTarget(row.worker), task: row.task.name, run: row.run, percent, fencingToken: fencingTokens.get(row.worker),
 		});
 		scheduler.recordThrottleOutcome(row, percent, throttled.isOk());
 	};
--- a/packages/jobs/job-service/src/owned-workers.ts
+++ b/packages/jobs/job-service/src/owned-workers.ts
@@ -65,12 +65,16 @@
 			return;
 		}
 
-		const isKnown = scheduler.workers.has(entry.id);
+		const known = scheduler.workers.get(entry.id);
+		const knownGeneration = known?.generation;
 		openSession(scheduler.registerWorker({
 			registration: entry, isRegistered: true, isReconciled: !isRestored, latestLeaseExpiry: isRestored ? restoredLeaseExpiry : Number.NEGATIVE_INFINITY,
 		}));
-		if (!isKnown) {
+		if (!known) {
 			onChange();
+		} else if (known.generation !== knownGeneration) {
+			// The next process has to report before it can get leases.
+			sessions.get(entry.id)?.wake();
 		}
 	};
 
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -5,6 +5,7 @@
 	KeyValueStore, StoredEntry, WatchHandle,
 } from '@turmericbay/types';
 import {createCommitQueue} from './commit-queue.js';
+import {createFencingTokens} from './fencing-tokens.js';
 import {createMachineManagement} from './machine-management.js';
 import {createOrderExecutor} from './order-executor.js';
 import {createOwnedJobs} from './owned-jobs.js';
@@ -66,6 +67,7 @@
 			log.schedulerEvent(event);
 		},
 	});
+	const fencingTokens = createFencingTokens({epoch: ownership.epoch, scheduler});
 	const loseOwnership = (reason: string): void => {
 		if (!isEnded) {
 			onLost(reason);
@@ -106,7 +108,7 @@
 	const workers: OwnedWorkers = createOwnedWorkers({
 		scheduler, runRecords, recordCodec, workerClient, clock, tookOverAt, workerLeaseMilliseconds, onChange: requestTick, log,
 		createSession: worker => createWorkerSession({
-			worker, workerClient, scheduler, clock, epoch: ownership.epoch, workerLeaseMilliseconds, mayExtendLeases, onFenced,
+			worker, workerClient, scheduler, clock, fencingTokens, workerLeaseMilliseconds, mayExtendLeases, onFenced,
 			persistChanges: jobs.persistChanges,
 			onChange: requestTick,
 			onCallFailed: log.workerCallFailed,
@@ -117,7 +119,7 @@
 		}),
 	});
 	const orderExecutor = createOrderExecutor({
-		scheduler, workerClient, adviceClient, clock, epoch: ownership.epoch, mayStart, onFenced,
+		scheduler, workerClient, adviceClient, clock, fencingTokens, mayStart, onFenced,
 		getSession: worker => workers.getSession(worker),
 		recordRun: runRecords.record,
 		onChange: requestTick,
--- a/packages/jobs/job-service/src/worker-session.ts
+++ b/packages/jobs/job-service/src/worker-session.ts
@@ -1,7 +1,10 @@
 /** Heartbeat loop of the owner with one worker: extends its lease, applies its run reports, and acknowledges ended runs once they are stored. */
 import type {Scheduler, WorkerRow} from '@turmericbay/scheduler';
-import {computeLatestLeaseExpiry} from '@turmericbay/scheduler';
-import type {Clock, WorkerCallError, WorkerClient} from './ports.js';
+import {computeLatestLeaseExpiry, isEarlierIncarnation} from '@turmericbay/scheduler';
+import type {FencingTokens} from './fencing-tokens.js';
+import type {
+	Clock, WorkerCallError, WorkerClient, WorkerResponse,
+} from './ports.js';
 import {WorkerCallErrorKind} from './ports.js';
 
 /** Longest wait of a worker for an ended run before it responds. Also bounds the age of the measurements in its run report. */
@@ -15,7 +18,7 @@
 const persistWaitMilliseconds = 400;
 
 export type WorkerSession = {
-	/** Returns the expiry of a lease granted now, on the worker's clock, and records it as possibly granted. Returns undefined until the worker has responded once. */
+	/** Returns the expiry of a lease granted now, on the worker's clock, and records it as possibly granted. Returns undefined until the current process of the worker has responded once. */
 	grantLease(): number | undefined;
 	/** Requests a run report at once, without waiting for the end of a retry delay or of a long poll. */
 	wake(): void;
@@ -27,7 +30,7 @@
 	readonly workerClient: WorkerClient;
 	readonly scheduler: Scheduler;
 	readonly clock: Clock;
-	readonly epoch: number;
+	readonly fencingTokens: FencingTokens;
 	readonly workerLeaseMilliseconds: number;
 	/** False once the owner's own lease is too old for leases of workers to be extended. */
 	readonly mayExtendLeases: () => boolean;
@@ -40,10 +43,11 @@
 	/** Called when the worker process of this session has ended. */
 	readonly onGone: (worker: WorkerRow) => void;
 }): WorkerSession => {
-	const {worker, workerClient, scheduler, clock, epoch, workerLeaseMilliseconds, mayExtendLeases, persistChanges, onFenced, onChange, onCallFailed, onRecovered, onGone} = options;
+	const {worker, workerClient, scheduler, clock, fencingTokens, workerLeaseMilliseconds, mayExtendLeases, persistChanges, onFenced, onChange, onCallFailed, onRecovered, onGone} = options;
 	let isEnded = false;
 	/** The worker's clock at the local time `at`, from the newest response. */
 	let clockReading: {readonly clockMilliseconds: number; readonly at: number; readonly incarnation: number | undefined} | undefined;
+	/** Sequence number of the last stored ended run of the process that `clockReading` is from. */
 	let persistedSequence = 0;
 	let retryDelay = firstRetryMilliseconds;
 	let cancelPause: (() => void) | undefined;
@@ -61,8 +65,25 @@
 		cancelPause = undefined;
 	};
 
+	/** False until the current process of the worker has responded. Its clock and the numbers of its ended runs start anew. */
+	const hasCurrentReading = (): boolean => clockReading !== undefined && clockReading.incarnation === worker.incarnation;
+
+	/** Returns false if the response is from a process that has ended since. */
+	const applyResponse = ({clockMilliseconds, incarnation = worker.incarnation}: WorkerResponse): boolean => {
+		if (isEarlierIncarnation(incarnation, worker)) {
+			return false;
+		}
+
+		if (clockReading?.incarnation !== incarnation) {
+			persistedSequence = 0;
+		}
+
+		clockReading = {clockMilliseconds, at: clock.now(), incarnation};
+		return true;
+	};
+
 	const grantLease = (): number | undefined => {
-		if (!clockReading) {
+		if (!clockReading || !hasCurrentReading()) {
 			return undefined;
 		}
 
@@ -72,9 +93,13 @@
 		return Math.round(clockReading.clockMilliseconds + (now - clockReading.at) + workerLeaseMilliseconds);
 	};
 
-	const handleFailure = async (failure: WorkerCallError): Promise<void> => {
+	const handleFailure = async (failure: WorkerCallError, fencingToken: number): Promise<void> => {
 		switch (failure.kind) {
 			case WorkerCallErrorKind.Fenced: {
+				if (fencingTokens.isSuperseded(worker, fencingToken)) {
+					return;
+				}
+
 				isEnded = true;
 				onFenced();
 				return;
@@ -103,15 +128,16 @@
 		// The lease of an unreachable worker is not extended: it has to expire before its tasks can start elsewhere.
 		const leaseExpiresAt = mayExtendLeases() && worker.unansweredCalls === 0 ? grantLease() : undefined;
 		// After unanswered calls another incarnation may respond, which numbers its ended runs from the start.
-		const acknowledgedSequence = worker.unansweredCalls === 0 ? persistedSequence : 0;
+		const acknowledgedSequence = worker.unansweredCalls === 0 && hasCurrentReading() ? persistedSequence : 0;
+		const fencingToken = fencingTokens.get(worker);
 		const appliedBefore = worker.lastAppliedSequence;
 		isLongPolling = true;
 		const response = await workerClient.heartbeat({
 			worker: {id: worker.registration.id, address: worker.registration.address},
-			fencingToken: epoch,
+			fencingToken,
 			acknowledgedSequence,
 			leaseExpiresAt,
-			waitMilliseconds: clockReading === undefined || worker.unansweredCalls > 0 ? 0 : (worker.runs.size > 0 ? busyLongPollMilliseconds : idleLongPollMilliseconds),
+			waitMilliseconds: !hasCurrentReading() || worker.unansweredCalls > 0 ? 0 : (worker.runs.size > 0 ? busyLongPollMilliseconds : idleLongPollMilliseconds),
 		});
 		isLongPolling = false;
 		if (isEnded) {
@@ -119,16 +145,15 @@
 		}
 
 		if (response.isErr()) {
-			await handleFailure(response.error);
+			await handleFailure(response.error, fencingToken);
 			return;
 		}
 
-		const {clockMilliseconds, report, incarnation} = response.value;
-		if (clockReading && clockReading.incarnation !== incarnation) {
-			persistedSequence = 0;
+		if (!applyResponse(response.value)) {
+			return;
 		}
 
-		clockReading = {clockMilliseconds, at: clock.now(), incarnation};
+		const {report} = response.value;
 		retryDelay = firstRetryMilliseconds;
 		if (worker.unansweredCalls > 0) {
 			onRecovered(worker);
@@ -158,7 +183,7 @@
 		isReportRequested = true;
 		const sentAt = clock.now();
 		const response = await workerClient.heartbeat({
-			worker: {id: worker.registration.id, address: worker.registration.address}, fencingToken: epoch, acknowledgedSequence: 0, leaseExpiresAt: undefined, waitMilliseconds: 0,
+			worker: {id: worker.registration.id, address: worker.registration.address}, fencingToken: fencingTokens.get(worker), acknowledgedSequence: 0, leaseExpiresAt: undefined, waitMilliseconds: 0,
 		});
 		isReportRequested = false;
 		if (isEnded) {
@@ -171,6 +196,10 @@
 			return;
 		}
 
+		if (!applyResponse(response.value)) {
+			return;
+		}
+
 		scheduler.applyRunReport({
 			worker, report: response.value.report, sentAt, now: clock.now(),
 		});
--- a/packages/jobs/job-service/test/order-executor.test.ts
+++ b/packages/jobs/job-service/test/order-executor.test.ts
@@ -2,6 +2,7 @@
 import type {RunRow, StartOrder} from '@turmericbay/scheduler';
 import test from 'ava';
 import {err, ok} from 'neverthrow';
+import {createFencingTokens} from '../src/fencing-tokens.js';
 import {createOrderExecutor} from '../src/order-executor.js';
 import {WorkerCallErrorKind} from '../src/ports.js';
 import {createDeclaration, createSchedulerWithWorker, settle} from './support/builders.js';
@@ -13,7 +14,7 @@
 	const pendingRecords: Array<{readonly row: RunRow; readonly stored: () => void}> = [];
 	const unused = async () => err({kind: WorkerCallErrorKind.NotSent, message: 'not used'} as const);
 	const orderExecutor = createOrderExecutor({
-		scheduler, adviceClient: undefined, clock: {now: () => 10, wallNow: () => 10}, epoch: 1, mayStart: () => true,
+		scheduler, adviceClient: undefined, clock: {now: () => 10, wallNow: () => 10}, fencingTokens: createFencingTokens({epoch: 1, scheduler}), mayStart: () => true,
 		workerClient: {
 			stop: unused, throttle: unused, heartbeat: unused, disconnect: () => undefined,
 			async start({task}) {
--- a/packages/jobs/job-service/test/worker-session.test.ts
+++ b/packages/jobs/job-service/test/worker-session.test.ts
@@ -1,6 +1,8 @@
-import {createScheduler} from '@turmericbay/scheduler';
+import type {EndedEntry} from '@turmericbay/scheduler';
+import {createScheduler, EndReason} from '@turmericbay/scheduler';
 import test from 'ava';
 import {err, ok} from 'neverthrow';
+import {createFencingTokens} from '../src/fencing-tokens.js';
 import type {WorkerClient} from '../src/ports.js';
 import {WorkerCallErrorKind} from '../src/ports.js';
 import {createWorkerSession} from '../src/worker-session.js';
@@ -10,11 +12,14 @@
 type HeartbeatResult = Awaited<ReturnType<WorkerClient['heartbeat']>>;
 
 const lostResponse: HeartbeatResult = err({kind: WorkerCallErrorKind.Unknown, message: 'no answer'});
-const createResponse = (clockMilliseconds: number): HeartbeatResult => ok({
-	clockMilliseconds, incarnation: 1, report: {
-		incarnation: 1, running: [], ended: [], hasMoreEnded: false,
+const createResponse = (clockMilliseconds: number, incarnation = 1, ended: readonly EndedEntry[] = []): HeartbeatResult => ok({
+	clockMilliseconds, incarnation, report: {
+		incarnation, running: [], ended, hasMoreEnded: false,
 	},
 });
+const endedRun: EndedEntry = {
+	sequence: 7, task: 'job.0.0.0', run: 1, reason: EndReason.Done, checkpoint: '',
+};
 
 const createFixture = () => {
 	let now = 1000;
@@ -36,12 +41,23 @@
 		registration: createRegistration(), isRegistered: true, isReconciled: true, latestLeaseExpiry: Number.NEGATIVE_INFINITY,
 	});
 	const ignore = (): void => undefined;
+	let fencedCount = 0;
 	const session = createWorkerSession({
-		worker, workerClient, scheduler, clock: {now: () => now, wallNow: () => now}, epoch: 1, workerLeaseMilliseconds: 3500, mayExtendLeases: () => true,
-		persistChanges: async () => undefined, onFenced: ignore, onChange: ignore, onCallFailed: ignore, onRecovered: ignore, onGone: ignore,
+		worker, workerClient, scheduler, clock: {now: () => now, wallNow: () => now}, fencingTokens: createFencingTokens({epoch: 1, scheduler}), workerLeaseMilliseconds: 3500, mayExtendLeases: () => true,
+		persistChanges: async () => undefined, onChange: ignore, onCallFailed: ignore, onRecovered: ignore, onGone: ignore,
+		onFenced() {
+			fencedCount += 1;
+		},
 	});
 	return {
 		worker, heartbeats, session,
+		fencedCount: () => fencedCount,
+		/** The platform lists the worker's next process before that has answered. */
+		listRestarted(): void {
+			scheduler.registerWorker({
+				registration: createRegistration({incarnation: 2}), isRegistered: true, isReconciled: true, latestLeaseExpiry: Number.NEGATIVE_INFINITY,
+			});
+		},
 		advance(milliseconds: number): void {
 			now += milliseconds;
 		},
@@ -97,3 +113,50 @@
 	t.is(worker.lastContactAt, 1100);
 	session.end();
 });
+
+// Guards against ended runs that a restarted worker drops, because a call for its previous process acknowledged their numbers: their tasks ran twice.
+test('after a restart, calls carry a higher token and acknowledge nothing until the new process has reported', async t => {
+	const {heartbeats, session, listRestarted} = createFixture();
+	heartbeats[0]!.resolve(createResponse(500, 1, [endedRun]));
+	await settle();
+	t.is(heartbeats[1]!.request.acknowledgedSequence, 7);
+	listRestarted();
+	heartbeats[1]!.resolve(createResponse(600));
+	await settle();
+	t.is(heartbeats[2]!.request.acknowledgedSequence, 0);
+	t.true(heartbeats[2]!.request.fencingToken > heartbeats[1]!.request.fencingToken);
+	session.end();
+});
+
+// Guards against leases that end at an arbitrary time: the clock of the next process starts anew.
+test('no lease is granted by the clock of a process that has ended', async t => {
+	const {heartbeats, session, listRestarted} = createFixture();
+	heartbeats[0]!.resolve(createResponse(500));
+	await settle();
+	t.not(session.grantLease(), undefined);
+	listRestarted();
+	t.is(session.grantLease(), undefined);
+	heartbeats[1]!.resolve(createResponse(600));
+	await settle();
+	t.is(session.grantLease(), undefined);
+	heartbeats[2]!.resolve(createResponse(20, 2));
+	await settle();
+	t.is(session.grantLease(), 3520);
+	session.end();
+});
+
+// Guards against an owner that gives up because the restarted worker rejects a call for its previous process.
+test('a rejection of an earlier token of this owner does not end its ownership', async t => {
+	const {heartbeats, session, listRestarted, fencedCount} = createFixture();
+	heartbeats[0]!.resolve(createResponse(500));
+	await settle();
+	listRestarted();
+	heartbeats[1]!.resolve(err({kind: WorkerCallErrorKind.Fenced, message: 'lower token'}));
+	await settle();
+	t.is(fencedCount(), 0);
+	t.is(heartbeats.length, 3);
+	heartbeats[2]!.resolve(err({kind: WorkerCallErrorKind.Fenced, message: 'lower token'}));
+	await settle();
+	t.is(fencedCount(), 1);
+	session.end();
+});
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -219,6 +219,8 @@
 	/** Present in the platform's worker list. */
 	isRegistered: boolean;
 	incarnation: number | undefined;
+	/** Increases with each process that this owner has seen under the name. */
+	generation: number;
 	/** No unknown runs are left on the worker: it has answered this owner, or all earlier leases have expired. */
 	isReconciled: boolean;
 	/** Latest time at which a lease granted by this or a previous owner can still be valid. */
--- a/packages/jobs/scheduler/src/reconciler.ts
+++ b/packages/jobs/scheduler/src/reconciler.ts
@@ -124,6 +124,7 @@
 	const handleRestart = (worker: WorkerRow, incarnation: number | undefined): void => {
 		emit({type: 'worker-reborn', worker: worker.registration.id});
 		worker.incarnation = incarnation;
+		worker.generation = workers.nextGeneration(worker.registration.id);
 		worker.lastAppliedSequence = 0;
 		for (const row of worker.runs.values()) {
 			if (row.phase === RunPhase.Starting || row.phase === RunPhase.Unconfirmed) {
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -21,7 +21,7 @@
 import {createStopPlanner} from './stops.js';
 import type {ThrottleOrder} from './throttling.js';
 import {createThrottling} from './throttling.js';
-import {createWorkerTable} from './workers.js';
+import {createWorkerTable, isEarlierIncarnation} from './workers.js';
 
 /**
  * Run numbers reserved for each task and epoch, so that the runs of a new owner get higher numbers than all earlier ones
@@ -37,10 +37,6 @@
 
 export type Order = StartOrder | AdviceOrder | ThrottleOrder | StopOrder;
 
-/** A registration or a report of an earlier process may arrive after the worker has restarted; it says nothing about the current process. */
-const isEarlierIncarnation = (incarnation: number | undefined, worker: WorkerRow): boolean =>
-	incarnation !== undefined && worker.incarnation !== undefined && incarnation < worker.incarnation;
-
 export type Scheduler = ReturnType<typeof createScheduler>;
 
 export const createScheduler = (options: {
--- a/packages/jobs/scheduler/src/workers.ts
+++ b/packages/jobs/scheduler/src/workers.ts
@@ -19,10 +19,16 @@
 	return fills ? {...resources, cpuMillis: 0} : resources;
 };
 
+/** A registration or a report of an earlier process may arrive after the worker has restarted; it says nothing about the current process. */
+export const isEarlierIncarnation = (incarnation: number | undefined, worker: WorkerRow): boolean =>
+	incarnation !== undefined && worker.incarnation !== undefined && incarnation < worker.incarnation;
+
 export type WorkerTable = ReturnType<typeof createWorkerTable>;
 
 export const createWorkerTable = () => {
 	const workers = new Map<string, WorkerRow>();
+	/** Latest generation by worker name. Kept when a worker is removed, since it may be listed again. */
+	const generations = new Map<string, number>();
 	/** Resources of all runs of each workspace, including unconfirmed and stopping ones. */
 	const workspaceUsage = new Map<string, {cpuMillis: number; memoryMegabytes: number; accelerators: number}>();
 
@@ -42,8 +48,16 @@
 		}
 	};
 
+	/** A generation higher than all earlier ones of the worker name. */
+	const nextGeneration = (id: string): number => {
+		const generation = (generations.get(id) ?? -1) + 1;
+		generations.set(id, generation);
+		return generation;
+	};
+
 	return {
 		workers,
+		nextGeneration,
 		workspaceUsage,
 		addRun(options: {readonly task: TaskRow; readonly worker: WorkerRow; readonly run: number; readonly phase: RunPhase; readonly now: number}): RunRow {
 			const {task, worker, run, phase, now} = options;
@@ -89,7 +103,7 @@
 			}
 
 			const row: WorkerRow = {
-				registration, isRegistered, incarnation: registration.incarnation, isReconciled, latestLeaseExpiry, lastContactAt: Number.NEGATIVE_INFINITY, unansweredCalls: 0,
+				registration, isRegistered, incarnation: registration.incarnation, generation: nextGeneration(registration.id), isReconciled, latestLeaseExpiry, lastContactAt: Number.NEGATIVE_INFINITY, unansweredCalls: 0,
 				lastAppliedSequence: 0, avoidUntil: 0, isCordoned: false, isTerminating: false, runs: new Map(), used: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0},
 				recentFailures: 0, recentSuccesses: 0, speed: 1,
 			};
