Let a new owner load the jobs over a slow link

Ruled out: processor time (the same without charging it) and the store's rates. Change: the lease is renewed while loading; the watches are opened first and their changes kept; then the prefixes are read one page at a time, and only a page that failed is read again.

--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -1,9 +1,7 @@
 /** The owner of the jobs: loads the stored jobs and run records, takes over the workers, and runs the scheduler until it loses ownership. */
 import type {JobDeclaration, JobState} from '@turmericbay/scheduler';
 import {createScheduler} from '@turmericbay/scheduler';
-import type {
-	KeyValueStore, StoredEntry, WatchHandle,
-} from '@turmericbay/types';
+import type {KeyValueStore, StoredEntry} from '@turmericbay/types';
 import {createCommitQueue} from './commit-queue.js';
 import {createFencingTokens} from './fencing-tokens.js';
 import {createMachineManagement} from './machine-management.js';
@@ -20,16 +18,15 @@
 	cancellationPrefix, idFromKey, jobPrefix, machineOrderPrefix, progressPrefix, runPrefix, waveProgressPrefix,
 } from './records.js';
 import {createRunRecords} from './run-records.js';
+import type {WatchedPrefix} from './stored-state.js';
+import {createStoredState} from './stored-state.js';
 import {wait} from './wait.js';
-import {listAll, watchPrefix} from './watch-prefix.js';
 import {createWorkerSession} from './worker-session.js';
 
 /** Longest time between two ticks. */
 const tickIntervalMilliseconds = 50;
 /** Responses that arrive within this time are handled in one tick. */
 const tickCoalescingMilliseconds = 4;
-/** Delay before another attempt to load the stored jobs. */
-const loadRetryMilliseconds = 100;
 
 export type Owner = Awaited<ReturnType<typeof createOwner>>;
 
@@ -52,7 +49,7 @@
 	readonly log: OwnerLog;
 };
 
-/** Returns undefined if the lease expired while the stored jobs were being read. */
+/** Returns undefined if the ownership was lost while the stored jobs were being read. */
 export const createOwner = async (options: OwnerOptions) => {
 	const {store, recordCodec, ownership, leaseRenewal, workerClient, adviceClient, machineClient, instance, clock, configuration, workerLeaseMilliseconds, getReachedTime, onLost, log} = options;
 	const tookOverAt = clock.now();
@@ -60,7 +57,6 @@
 	let isLoaded = false;
 	/** After a handover, the end of the time in which this owner still extends leases. */
 	let handoverEndsAt = Number.POSITIVE_INFINITY;
-	const watches: WatchHandle[] = [];
 
 	const scheduler = createScheduler({
 		epoch: ownership.epoch, emit(event) {
@@ -134,12 +130,17 @@
 		: {};
 
 	const tick = (): void => {
-		if (isEnded || !isLoaded) {
+		if (isEnded) {
 			return;
 		}
 
-		const now = clock.now();
+		// Also while the records are being read, which can take longer than the lease.
 		leaseRenewal.tick();
+		if (!isLoaded) {
+			return;
+		}
+
+		const now = clock.now();
 		workers.tick(now);
 		runRecords.tick();
 		for (const order of scheduler.plan({now, wallNow: clock.wallNow(), mayStart: mayStart()})) {
@@ -155,54 +156,14 @@
 		poolMoves?.tick();
 	};
 
-	const load = async (): Promise<boolean> => {
-		const [registeredWorkers, segments, storedJobs, progress, cancellations, waves, machineOrders] = await Promise.all([
-			listAll(store, recordCodec.workerPrefix),
-			listAll(store, runPrefix),
-			listAll(store, jobPrefix),
-			listAll(store, progressPrefix),
-			listAll(store, cancellationPrefix),
-			listAll(store, waveProgressPrefix),
-			listAll(store, machineOrderPrefix),
-		]);
-		if (registeredWorkers.isErr() || segments.isErr() || storedJobs.isErr() || progress.isErr() || cancellations.isErr() || waves.isErr() || machineOrders.isErr()) {
-			return false;
-		}
-
-		scheduler.setPolicies(configuration());
-		workers.restore(segments.value);
-		workers.applyEntries(registeredWorkers.value, true);
-		jobs.addEntries(storedJobs.value, true, new Map(progress.value.map(entry => [idFromKey(entry.key), entry])));
-		workers.restoreRuns(clock.now());
-		for (const entry of cancellations.value) {
-			jobs.cancel(idFromKey(entry.key));
-		}
-
-		orderGuard?.restore(machineOrders.value);
-		maintenance?.restore(waves.value);
-		isLoaded = true;
-		log.jobsLoaded({jobs: scheduler.jobs.size, workers: scheduler.workers.size, milliseconds: clock.now() - tookOverAt});
-		return true;
-	};
-
-	const watch = (prefix: string, handlers: {
-		readonly onEntries: (entries: readonly StoredEntry[]) => void;
-		readonly onSnapshot?: (entries: readonly StoredEntry[]) => void;
-		readonly onDelete?: (keys: readonly string[]) => void;
-	}): void => {
-		watches.push(watchPrefix({
-			store, prefix, onSnapshot: handlers.onSnapshot ?? handlers.onEntries, onChange: handlers.onEntries,
-			onDelete(keys) {
-				handlers.onDelete?.(keys);
-			},
-			onFailure(error) {
-				log.storeCallFailed(prefix, error.message);
-			},
-		}));
-	};
+	const storedState = createStoredState({
+		store, wait, onFailure: log.storeCallFailed,
+		isCancelled: () => isEnded || leaseRenewal.isEnded(),
+	});
 
-	const startWatches = (): void => {
-		watch(recordCodec.workerPrefix, {
+	const watchedPrefixes: readonly WatchedPrefix[] = [
+		{
+			prefix: recordCodec.workerPrefix,
 			onEntries(entries) {
 				workers.applyEntries(entries, false);
 			},
@@ -213,29 +174,61 @@
 			onDelete(keys) {
 				workers.markUnregistered(keys.map(key => idFromKey(key)));
 			},
-		});
+		},
 		// Deletions of these need no handling: only this owner deletes jobs and cancellations, and waves are never deleted.
-		watch(jobPrefix, {
+		{
+			prefix: jobPrefix,
 			onEntries(entries) {
 				jobs.addEntries(entries, false);
 			},
-		});
-		watch(recordCodec.wavePrefix, {
-			onEntries(entries) {
-				for (const entry of entries) {
-					if (maintenance?.addWave(entry) === false) {
-						log.recordUnreadable(entry.key);
-					}
-				}
-			},
-		});
-		watch(cancellationPrefix, {
+		},
+		{
+			prefix: cancellationPrefix,
 			onEntries(entries) {
 				for (const entry of entries) {
 					jobs.cancel(idFromKey(entry.key));
 				}
 			},
+		},
+	];
+	const wavePrefixes: readonly WatchedPrefix[] = [{
+		prefix: recordCodec.wavePrefix,
+		onEntries(entries) {
+			for (const entry of entries) {
+				if (maintenance?.addWave(entry) === false) {
+					log.recordUnreadable(entry.key);
+				}
+			}
+		},
+	}];
+
+	/** Returns false if the ownership was lost first. */
+	const load = async (): Promise<boolean> => {
+		const entriesByPrefix = await storedState.load({
+			watched: [...watchedPrefixes, ...wavePrefixes],
+			prefixes: [recordCodec.workerPrefix, runPrefix, jobPrefix, progressPrefix, cancellationPrefix, recordCodec.wavePrefix, waveProgressPrefix, machineOrderPrefix],
 		});
+		if (!entriesByPrefix) {
+			return false;
+		}
+
+		const getEntries = (prefix: string): readonly StoredEntry[] => entriesByPrefix.get(prefix) ?? [];
+		scheduler.setPolicies(configuration());
+		workers.restore(getEntries(runPrefix));
+		workers.applyEntries(getEntries(recordCodec.workerPrefix), true);
+		jobs.addEntries(getEntries(jobPrefix), true, new Map(getEntries(progressPrefix).map(entry => [idFromKey(entry.key), entry])));
+		workers.restoreRuns(clock.now());
+		for (const entry of getEntries(cancellationPrefix)) {
+			jobs.cancel(idFromKey(entry.key));
+		}
+
+		orderGuard?.restore(getEntries(machineOrderPrefix));
+		maintenance?.restore(getEntries(waveProgressPrefix));
+		wavePrefixes[0]!.onEntries(getEntries(recordCodec.wavePrefix));
+		isLoaded = true;
+		storedState.follow();
+		log.jobsLoaded({jobs: scheduler.jobs.size, workers: scheduler.workers.size, milliseconds: clock.now() - tookOverAt});
+		return true;
 	};
 
 	/** Stops starting tasks and writing. At a handover the leases of workers are extended until the new owner does so. */
@@ -245,9 +238,7 @@
 		clearTimeout(pendingTick);
 		leaseRenewal.end();
 		commitQueue.end();
-		for (const handle of watches) {
-			handle.stop();
-		}
+		storedState.stop();
 
 		if (isHandover) {
 			handoverEndsAt = clock.now() + handoverExtensionMilliseconds;
@@ -259,23 +250,12 @@
 	};
 
 	const timer = setInterval(tick, tickIntervalMilliseconds);
-	// eslint-disable-next-line no-await-in-loop -- Retried until the store responds or the lease expires.
-	while (!await load()) {
-		log.storeCallFailed('load', 'the jobs could not be read');
-		leaseRenewal.tick();
-		if (!leaseRenewal.isValid()) {
-			end();
-			return undefined;
-		}
-
-		// eslint-disable-next-line no-await-in-loop -- Delay between attempts.
-		await wait(loadRetryMilliseconds);
+	if (!await load()) {
+		end();
+		return undefined;
 	}
 
-	if (!isEnded) {
-		startWatches();
-		requestTick();
-	}
+	requestTick();
 
 	return {
 		end,
--- a/packages/jobs/job-service/src/ownership.ts
+++ b/packages/jobs/job-service/src/ownership.ts
@@ -156,6 +156,7 @@
 		},
 		/** Send time of the newest renewal that was acknowledged, on the monotonic clock. */
 		renewedAt: () => renewedAt,
+		isEnded: () => isEnded,
 		end(): void {
 			isEnded = true;
 		},
--- a/packages/jobs/job-service/src/watch-prefix.ts
+++ b/packages/jobs/job-service/src/watch-prefix.ts
@@ -6,11 +6,11 @@
 import {err, ok} from 'neverthrow';
 
 /** The platform returns about 500 keys at most in one page. */
-const pageSize = 500;
+export const pageSize = 500;
 const firstRetryMilliseconds = 100;
 const longestRetryMilliseconds = 1000;
 
-export const listAll = async (store: KeyValueStore, prefix: string): Promise<Result<StoredEntry[], StoreError>> => {
+const listAll = async (store: KeyValueStore, prefix: string): Promise<Result<StoredEntry[], StoreError>> => {
 	const entries: StoredEntry[] = [];
 	let after: string | undefined;
 	for (;;) {
@@ -36,8 +36,11 @@
 	readonly onChange: (entries: readonly StoredEntry[]) => void;
 	readonly onDelete: (keys: readonly string[]) => void;
 	readonly onFailure: (error: StoreError) => void;
+	/** If set, it is called when the watch is first open, and the caller lists the keys itself then. */
+	readonly onOpened?: () => void;
 }): WatchHandle => {
 	const {store, prefix, onSnapshot, onChange, onDelete, onFailure} = options;
+	let {onOpened} = options;
 	let isStopped = false;
 	let watch: WatchHandle | undefined;
 	let retry: NodeJS.Timeout | undefined;
@@ -87,7 +90,12 @@
 			},
 			// Listing after the watch has started ensures that no change is missed in between.
 			onStart() {
-				void load(opened);
+				if (onOpened) {
+					onOpened();
+					onOpened = undefined;
+				} else {
+					void load(opened);
+				}
 			},
 			onEnd(error) {
 				if (watch === opened) {
--- a/packages/tools/experiment/test/fault-schedules.test.ts
+++ b/packages/tools/experiment/test/fault-schedules.test.ts
@@ -29,3 +29,17 @@
 		t.deepEqual(unfinished, []);
 	});
 }
+
+// Guards against owners that lose their lease while they read the stored jobs over a slow link, one after the other: no accepted job went on.
+test.serial('a new owner takes over although reading the stored jobs takes longer than its lease', async t => {
+	const {violations, unfinished, logLines} = await runSimulation({
+		load: smallLoad, seed: 3, ...defaultPolicy, listingBytesPerSecond: 1500,
+		faults: [{
+			type: 'kill', at: 9000, milliseconds: 3000, target: 'owner',
+		}],
+	});
+	const loadTimes = logLines.filter(line => line.includes(' loaded ')).map(line => Number(/"milliseconds":(\d+)/v.exec(line)?.[1]));
+	t.true(loadTimes.some(milliseconds => milliseconds > 2000), `${loadTimes.join(' ')}`);
+	t.deepEqual(violations, []);
+	t.deepEqual(unfinished, []);
+});
