Check the availability limit again directly before maintenance is ordered

An order for maintenance is decided, then stored, then sent; on a starved owner the decision was up to a second old and rested on reports of workers that had not answered since. Ruled out: two waves at once (there is one), moves (only machines without runs are moved). Change: a run elsewhere counts as available only by a report requested within 2.5 s from a worker without unanswered calls; the limit is checked again after the order is stored, and an order that is no longer allowed is withheld. Test: waves.test.ts, "a task counts as available only if its worker has reported recently".

--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -2,7 +2,7 @@
 import type {
 	Scheduler, WaveMachine, WaveRow, WorkerRow,
 } from '@turmericbay/scheduler';
-import {planWave} from '@turmericbay/scheduler';
+import {isDisruptionAllowed, planWave} from '@turmericbay/scheduler';
 import type {StoredEntry, StoreOperation} from '@turmericbay/types';
 import type {MachineList} from './machine-list.js';
 import type {MachineOrderGuard} from './machine-order-guard.js';
@@ -77,8 +77,14 @@
 		const worker = machineList.getWorker(machine);
 		// Stored before the order is sent, so that the next owner knows that the machine may have had its maintenance.
 		const [maySend] = await Promise.all([orderGuard.recordOrder(machine), writeStatus(wave, false)]);
-		if (!maySend) {
+		// Tasks elsewhere may have ended while the order was being stored.
+		if (!maySend || (worker && !isDisruptionAllowed(worker, clock.now()))) {
 			wave.ordered.delete(machine);
+			if (worker) {
+				worker.isTerminating = false;
+			}
+
+			log.waveProgressed(wave.wave, machine, 'withheld');
 			return;
 		}
 
--- a/packages/jobs/scheduler/src/waves.ts
+++ b/packages/jobs/scheduler/src/waves.ts
@@ -17,6 +17,8 @@
 const busyLoadThreshold = 0.6;
 /** Maximum share of a pool that a wave takes out of service at once while there is time. */
 const maximumPoolShare = 0.34;
+/** A task counts as available by a report that was requested at most this long ago; busy workers are asked about every 0.9 s and may wait as long with the response. */
+const maximumReportAgeMilliseconds = 2500;
 
 export type WaveMachine = {
 	readonly machine: string;
@@ -42,18 +44,22 @@
 	readonly down: Set<string>;
 };
 
+const hasRecentReport = (worker: WorkerRow, now: number): boolean =>
+	worker.unansweredCalls === 0 && worker.lastContactAt >= now - maximumReportAgeMilliseconds;
+
 /**
  * Counts the tasks of a step on the worker, and the unavailable ones elsewhere. A run on the worker counts
- * even if the latest report does not show it as ready: it may be ready when the maintenance order arrives.
+ * even if the latest report does not show it as ready: it may be ready when the maintenance order arrives. A run
+ * elsewhere counts as available only by a recent report.
  */
-const countUnavailable = (step: StepRow, worker: WorkerRow): {unavailable: number; onWorker: number} => {
+const countUnavailable = (step: StepRow, worker: WorkerRow, now: number): {unavailable: number; onWorker: number} => {
 	let unavailable = 0;
 	let onWorker = 0;
 	for (const task of step.tasks) {
-		const rows = [...task.runs.values()].filter(row => row.phase !== RunPhase.Stopping && !row.isEvacuating && !row.worker.isTerminating);
+		const rows = [...task.runs.values()].filter(row => row.phase !== RunPhase.Stopping && !row.isEvacuating && (row.worker === worker || !row.worker.isTerminating));
 		if (rows.some(row => row.worker === worker)) {
 			onWorker += 1;
-		} else if (!rows.some(row => row.phase === RunPhase.Running && row.percent === 100)) {
+		} else if (!rows.some(row => row.phase === RunPhase.Running && row.percent === 100 && hasRecentReport(row.worker, now))) {
 			unavailable += 1;
 		}
 	}
@@ -62,7 +68,7 @@
 };
 
 /** True if all runs on the worker may be interrupted now. */
-export const isDisruptionAllowed = (worker: WorkerRow): boolean => {
+export const isDisruptionAllowed = (worker: WorkerRow, now: number): boolean => {
 	const steps = new Set<StepRow>();
 	for (const row of worker.runs.values()) {
 		if (row.task.step.declaration.maximumAway !== undefined) {
@@ -71,7 +77,7 @@
 	}
 
 	for (const step of steps) {
-		const {unavailable, onWorker} = countUnavailable(step, worker);
+		const {unavailable, onWorker} = countUnavailable(step, worker, now);
 		if (onWorker > 0 && unavailable + onWorker > (step.declaration.maximumAway ?? 0)) {
 			return false;
 		}
@@ -81,7 +87,7 @@
 };
 
 /** A run that may be stopped first, on a worker with more tasks of a step than may be unavailable at once. */
-const chooseEvacuation = (worker: WorkerRow): RunRow | undefined => {
+const chooseEvacuation = (worker: WorkerRow, now: number): RunRow | undefined => {
 	for (const row of worker.runs.values()) {
 		const {step} = row.task;
 		const {maximumAway} = step.declaration;
@@ -89,7 +95,7 @@
 			continue;
 		}
 
-		const {unavailable, onWorker} = countUnavailable(step, worker);
+		const {unavailable, onWorker} = countUnavailable(step, worker, now);
 		if (unavailable + onWorker > maximumAway && unavailable + 1 <= maximumAway) {
 			return row;
 		}
@@ -118,7 +124,7 @@
 			return [machine];
 		}
 
-		if (isDisruptionAllowed(worker) && (!hasFiniteRuns(worker) || now - cordonedAt > maximumDrainMilliseconds)) {
+		if (isDisruptionAllowed(worker, now) && (!hasFiniteRuns(worker) || now - cordonedAt > maximumDrainMilliseconds)) {
 			worker.isTerminating = true;
 			return [machine];
 		}
@@ -127,11 +133,11 @@
 	return [];
 };
 
-const chooseEvacuations = (wave: WaveRow, machines: ReadonlyMap<string, WaveMachine>): RunRow[] => {
+const chooseEvacuations = (wave: WaveRow, machines: ReadonlyMap<string, WaveMachine>, now: number): RunRow[] => {
 	const rows: RunRow[] = [];
 	for (const machine of wave.cordonedSince.keys()) {
 		const worker = machines.get(machine)?.worker;
-		const row = worker && !worker.isTerminating ? chooseEvacuation(worker) : undefined;
+		const row = worker && !worker.isTerminating ? chooseEvacuation(worker, now) : undefined;
 		if (row) {
 			row.isEvacuating = true;
 			rows.push(row);
@@ -198,5 +204,5 @@
 		}
 	}
 
-	return {readyForMaintenance: chooseNextMaintenance(wave, machines, now), evacuated: chooseEvacuations(wave, machines)};
+	return {readyForMaintenance: chooseNextMaintenance(wave, machines, now), evacuated: chooseEvacuations(wave, machines, now)};
 };
--- a/packages/jobs/scheduler/test/waves.test.ts
+++ b/packages/jobs/scheduler/test/waves.test.ts
@@ -27,9 +27,9 @@
 test('tasks on a machine with a pending maintenance order count as unavailable', t => {
 	const {workers} = createService(2, 1, 1);
 	const [first, second] = workers.filter(worker => worker.runs.size > 0);
-	t.true(isDisruptionAllowed(first!));
+	t.true(isDisruptionAllowed(first!, 10));
 	first!.isTerminating = true;
-	t.false(isDisruptionAllowed(second!));
+	t.false(isDisruptionAllowed(second!, 10));
 });
 
 // Guards against a wave that never completes: a machine with more tasks of a step than may be unavailable could not be taken down.
@@ -87,5 +87,17 @@
 		task: row.task.name, run: row.run, checkpoint: '', percent: 0, latencyOrCpuUsage: 0,
 	})));
 	t.true(worker.runs.size > 0);
-	t.false(isDisruptionAllowed(worker));
+	t.false(isDisruptionAllowed(worker, 10));
+});
+
+// Guards against an owner that is short of processor time and takes down a machine although the task on another has ended meanwhile.
+test('a task counts as available only if its worker has reported recently', t => {
+	const {scheduler, workers} = createService(2, 1, 1);
+	const [first, second] = workers.filter(worker => worker.runs.size > 0);
+	t.true(isDisruptionAllowed(first!, 2500));
+	t.false(isDisruptionAllowed(first!, 5000));
+	respond(scheduler, second!, 4000);
+	t.true(isDisruptionAllowed(first!, 5000));
+	second!.unansweredCalls = 1;
+	t.false(isDisruptionAllowed(first!, 5000));
 });
