Read the records of jobs in parts over a slow link

Ruled out: processor time of the others (peers and plain instances answer meanwhile). Change: jobs, progress and cancellations are listed by the first digit of the job ID. If the first part takes less than 60 ms, one more call reads the others, so a takeover over a fast link takes three calls more. Test: stored-state.test.ts, "over a slow link the records of jobs are read in sixteen parts, otherwise in two".

--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -157,7 +157,7 @@
 	};
 
 	const storedState = createStoredState({
-		store, wait, onFailure: log.storeCallFailed,
+		store, wait, now: clock.now, onFailure: log.storeCallFailed,
 		isCancelled: () => isEnded || leaseRenewal.isEnded(),
 	});
 
@@ -206,7 +206,8 @@
 	const load = async (): Promise<boolean> => {
 		const entriesByPrefix = await storedState.load({
 			watched: [...watchedPrefixes, ...wavePrefixes],
-			prefixes: [recordCodec.workerPrefix, runPrefix, jobPrefix, progressPrefix, cancellationPrefix, recordCodec.wavePrefix, waveProgressPrefix, machineOrderPrefix],
+			prefixes: [recordCodec.workerPrefix, runPrefix, recordCodec.wavePrefix, waveProgressPrefix, machineOrderPrefix],
+			prefixesByJob: [jobPrefix, progressPrefix, cancellationPrefix],
 		});
 		if (!entriesByPrefix) {
 			return false;
--- a/packages/jobs/job-service/src/stored-state.ts
+++ b/packages/jobs/job-service/src/stored-state.ts
@@ -10,6 +10,10 @@
 const openCheckMilliseconds = 5;
 /** Delay before a page that could not be read is requested again. */
 const pageRetryMilliseconds = 100;
+/** First characters of job IDs. The listing of jobs is divided by them where the link is slow. */
+const jobIdDigits = [...'0123456789abcdef'] as const;
+/** A first part that takes longer shows a slow link: all parts in one response would delay the renewals of the owner's lease for too long. */
+const slowPartMilliseconds = 60;
 
 export type WatchedPrefix = {
 	readonly prefix: string;
@@ -26,9 +30,10 @@
 	/** True once the records are not needed any more. */
 	readonly isCancelled: () => boolean;
 	readonly onFailure: (prefix: string, message: string) => void;
+	readonly now: () => number;
 	readonly wait: (milliseconds: number) => Promise<void>;
 }) => {
-	const {store, isCancelled, onFailure, wait} = options;
+	const {store, isCancelled, onFailure, now, wait} = options;
 	const watches: WatchHandle[] = [];
 	/** Changes that arrived before the records were applied; undefined afterwards. */
 	let pendingChanges: Array<() => void> | undefined = [];
@@ -66,10 +71,10 @@
 	};
 
 	/** Repeats only the page that failed: over a slow link a complete listing without any failure may never succeed. */
-	const readAll = async (prefix: string): Promise<StoredEntry[] | undefined> => {
+	const readAll = async (prefix: string, startAfter?: string): Promise<StoredEntry[] | undefined> => {
 		const entries: StoredEntry[] = [];
 		while (!isCancelled()) {
-			const after = entries.at(-1)?.key;
+			const after = entries.at(-1)?.key ?? startAfter;
 			// eslint-disable-next-line no-await-in-loop -- Each page starts after the previous one.
 			const page = await store.list({prefix, limit: pageSize, ...(after !== undefined && {after})});
 			if (page.isErr()) {
@@ -88,9 +93,35 @@
 		return undefined;
 	};
 
+	/** Reads keys that end in a job ID: those with the first digit, then the others at once, or digit by digit over a slow link. */
+	const readByJob = async (prefix: string): Promise<StoredEntry[] | undefined> => {
+		const startedAt = now();
+		const entries = await readAll(prefix + jobIdDigits[0]);
+		if (!entries) {
+			return undefined;
+		}
+
+		if (now() - startedAt < slowPartMilliseconds) {
+			const others = await readAll(prefix, entries.at(-1)?.key);
+			return others && [...entries, ...others];
+		}
+
+		for (const digit of jobIdDigits.slice(1)) {
+			// eslint-disable-next-line no-await-in-loop -- One part at a time.
+			const part = await readAll(prefix + digit);
+			if (!part) {
+				return undefined;
+			}
+
+			entries.push(...part);
+		}
+
+		return entries;
+	};
+
 	return {
 		/** Returns the entries by prefix; undefined if cancelled first. Changes of the watched prefixes are kept until `follow`. */
-		async load(request: {readonly watched: readonly WatchedPrefix[]; readonly prefixes: readonly string[]}): Promise<ReadonlyMap<string, readonly StoredEntry[]> | undefined> {
+		async load(request: {readonly watched: readonly WatchedPrefix[]; readonly prefixes: readonly string[]; readonly prefixesByJob: readonly string[]}): Promise<ReadonlyMap<string, readonly StoredEntry[]> | undefined> {
 			const opened = new Set<string>();
 			for (const watched of request.watched) {
 				openWatch(watched, () => {
@@ -108,9 +139,9 @@
 			}
 
 			const entriesByPrefix = new Map<string, readonly StoredEntry[]>();
-			for (const prefix of request.prefixes) {
+			for (const prefix of [...request.prefixes, ...request.prefixesByJob]) {
 				// eslint-disable-next-line no-await-in-loop -- One page at a time.
-				const entries = await readAll(prefix);
+				const entries = await (request.prefixesByJob.includes(prefix) ? readByJob(prefix) : readAll(prefix));
 				if (!entries) {
 					return undefined;
 				}
--- a/packages/jobs/job-service/src/worker-session.ts
+++ b/packages/jobs/job-service/src/worker-session.ts
@@ -183,7 +183,8 @@
 		isReportRequested = true;
 		const sentAt = clock.now();
 		const response = await workerClient.heartbeat({
-			worker: {id: worker.registration.id, address: worker.registration.address}, fencingToken: fencingTokens.get(worker), acknowledgedSequence: 0, leaseExpiresAt: undefined, waitMilliseconds: 0,
+			worker: {id: worker.registration.id, address: worker.registration.address}, fencingToken: fencingTokens.get(worker),
+			acknowledgedSequence: 0, leaseExpiresAt: undefined, waitMilliseconds: 0,
 		});
 		isReportRequested = false;
 		if (isEnded) {
--- a/packages/jobs/job-service/test/stored-state.test.ts
+++ b/packages/jobs/job-service/test/stored-state.test.ts
@@ -15,10 +15,11 @@
 const lostResponse: ListResult = err({kind: StoreErrorKind.Unknown, code: 'STORE_NO_ANSWER', message: 'lost'});
 
 /** A store whose listings wait for the test to complete them. */
-const createFixture = () => {
+const createFixture = (prefixesByJob: readonly string[] = []) => {
 	const lists: Array<{readonly request: ListRequest; readonly respond: (result: ListResult) => void}> = [];
 	const watches: WatchRequest[] = [];
 	let isCancelled = false;
+	let now = 0;
 	const store: Pick<KeyValueStore, 'list' | 'watch'> = {
 		async list(request) {
 			return new Promise(resolve => {
@@ -32,7 +33,7 @@
 	};
 	const storedState = createStoredState({
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Only the members that are used.
-		store: store as KeyValueStore, isCancelled: () => isCancelled, onFailure: () => undefined, wait: settle,
+		store: store as KeyValueStore, isCancelled: () => isCancelled, onFailure: () => undefined, wait: settle, now: () => now,
 	});
 	const applied: string[] = [];
 	const loaded = storedState.load({
@@ -42,10 +43,13 @@
 				applied.push(...entries.map(({key}) => key));
 			},
 		}],
-		prefixes: ['jobs/', 'runs/'],
+		prefixes: ['jobs/', 'runs/'], prefixesByJob,
 	});
 	return {
 		storedState, lists, watches, applied, loaded,
+		advance(milliseconds: number): void {
+			now += milliseconds;
+		},
 		cancel(): void {
 			isCancelled = true;
 		},
@@ -103,3 +107,25 @@
 	t.is(await loaded, undefined);
 	t.is(lists.length, 1);
 });
+
+const readParts = async (partMilliseconds: number): Promise<Array<readonly [prefix: string, after: string | undefined]>> => {
+	const {lists, watches, loaded, advance} = createFixture(['progress/']);
+	watches[0]!.onStart?.();
+	await settleAll();
+	for (let index = 0; index < lists.length; index += 1) {
+		const {request, respond} = lists[index]!;
+		advance(partMilliseconds);
+		respond(createPage(request.prefix === 'progress/0' ? ['progress/01'] : [], false));
+		// eslint-disable-next-line no-await-in-loop -- Each part follows the previous one.
+		await settleAll();
+	}
+
+	await loaded;
+	return lists.filter(({request}) => request.prefix.startsWith('progress/')).map(({request}) => [request.prefix, request.after]);
+};
+
+// Guards against an owner that loses its lease because one long response holds back those to its renewals.
+test('over a slow link the records of jobs are read in sixteen parts, otherwise in two', async t => {
+	t.deepEqual(await readParts(10), [['progress/0', undefined], ['progress/', 'progress/01']]);
+	t.deepEqual(await readParts(200), [...'0123456789abcdef'].map(digit => [`progress/${digit}`, undefined]));
+});
--- a/packages/jobs/job-service/test/worker-session.test.ts
+++ b/packages/jobs/job-service/test/worker-session.test.ts
@@ -43,7 +43,8 @@
 	const ignore = (): void => undefined;
 	let fencedCount = 0;
 	const session = createWorkerSession({
-		worker, workerClient, scheduler, clock: {now: () => now, wallNow: () => now}, fencingTokens: createFencingTokens({epoch: 1, scheduler}), workerLeaseMilliseconds: 3500, mayExtendLeases: () => true,
+		worker, workerClient, scheduler, clock: {now: () => now, wallNow: () => now},
+		fencingTokens: createFencingTokens({epoch: 1, scheduler}), workerLeaseMilliseconds: 3500, mayExtendLeases: () => true,
 		persistChanges: async () => undefined, onChange: ignore, onCallFailed: ignore, onRecovered: ignore, onGone: ignore,
 		onFenced() {
 			fencedCount += 1;
