--- a/packages/jobs/job-service/test/stored-state.test.ts
+++ b/packages/jobs/job-service/test/stored-state.test.ts
@@ -112,8 +112,8 @@
 	const {lists, watches, loaded, advance} = createFixture(['progress/']);
 	watches[0]!.onStart?.();
 	await settleAll();
-	for (let index = 0; index < lists.length; index += 1) {
-		const {request, respond} = lists[index]!;
+	// The list grows with each response.
+	for (const {request, respond} of lists) {
 		advance(partMilliseconds);
 		respond(createPage(request.prefix === 'progress/0' ? ['progress/01'] : [], false));
 		// eslint-disable-next-line no-await-in-loop -- Each part follows the previous one.
