--- a/packages/jobs/job-service/src/machine-order-guard.ts
+++ b/packages/jobs/job-service/src/machine-order-guard.ts
@@ -28,25 +28,20 @@
 	const {clock, holder, tookOverAt, getReachedTime, mayOrder, commit} = options;
 	/** End of the cooldown, for machines that another holder has ordered. */
 	const freeAt = new Map<string, number>();
-	/** Until when the machine may be out of service on the order of a previous owner without being listed so. */
-	const settledAt = new Map<string, number>();
 
 	return {
 		/** Starts the cooldown of machines that another holder has ordered. Orders of this holder come from an earlier incarnation, which sends no more. */
 		restore(entries: readonly StoredEntry[]): void {
 			for (const {key, value, modifiedRevision} of entries) {
-				const machine = idFromKey(key);
-				const cooldownEndsAt = (getReachedTime(modifiedRevision) ?? tookOverAt) + cooldownMilliseconds;
-				settledAt.set(machine, cooldownEndsAt);
 				if (value !== holder) {
-					freeAt.set(machine, cooldownEndsAt);
+					freeAt.set(idFromKey(key), (getReachedTime(modifiedRevision) ?? tookOverAt) + cooldownMilliseconds);
 				}
 			}
 		},
+		/** False while an unknown number of machines may be in maintenance on the order of a previous owner. */
+		isTakeoverCooldownOver: (): boolean => clock.now() > tookOverAt + cooldownMilliseconds,
 		/** False while the machine is in its cooldown. */
 		isFree: (machine: string): boolean => clock.now() > (freeAt.get(machine) ?? Number.NEGATIVE_INFINITY),
-		/** True if a previous owner, or an earlier incarnation of this one, may have ordered the machine within the cooldown. */
-		isRecentlyOrdered: (machine: string): boolean => clock.now() <= (settledAt.get(machine) ?? Number.NEGATIVE_INFINITY),
 		/** Records an order in the store before it is sent. Returns false if it must not be sent. */
 		async recordOrder(machine: string): Promise<boolean> {
 			const recordingStartedAt = clock.now();
--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -1,4 +1,4 @@
-/** Carries out maintenance waves through the machine service. Only an owner with a valid lease sends orders; machines that a previous owner ordered count as being in maintenance while they may be. */
+/** Carries out maintenance waves through the machine service. Only an owner with a valid lease sends orders, and only after a cooldown, since machines that the previous owner ordered may still be in maintenance. */
 import type {
 	Scheduler, WaveMachine, WaveRow, WorkerRow,
 } from '@turmericbay/scheduler';
@@ -138,11 +138,6 @@
 		machine, pool, isUp: state === MachineState.Up, worker: machineList.getWorker(machine),
 	}]));
 
-	/** Machines that this owner has not ordered, but that are in maintenance or that a previous owner has ordered lately. */
-	const countDownByOthers = (wave: WaveRow): number => wave.machines.filter(machine =>
-		!wave.cordonedSince.has(machine) && !wave.ordered.has(machine) && !wave.down.has(machine)
-		&& (orderGuard.isRecentlyOrdered(machine) || machineList.getRecord(machine)?.state === MachineState.Maintenance)).length;
-
 	const advanceWave = (wave: WaveRow, now: number): void => {
 		const machines = listMachines();
 		for (const machine of wave.down) {
@@ -161,7 +156,7 @@
 		const usable = new Map([...machines].filter(([machine]) => (retryAt.get(machine) ?? 0) <= now && orderGuard.isFree(machine)));
 		const backlogged = new Set([...scheduler.measurePoolDemands(now)].filter(([, demand]) => demand.waiting > 0).map(([pool]) => pool));
 		const plan = planWave({
-			wave, machines: usable, workers: scheduler.workers.values(), backlogged, downByOthers: countDownByOthers(wave), now,
+			wave, machines: usable, workers: scheduler.workers.values(), backlogged, now,
 		});
 		for (const machine of plan.readyForMaintenance) {
 			void orderMaintenance(wave, machine);
@@ -210,7 +205,7 @@
 		tick(): void {
 			const openWaves = [...waves.values()].filter(wave => !completed.has(wave.wave) || wave.down.size > 0);
 			const now = clock.now();
-			if (openWaves.length === 0 || !mayOrder()) {
+			if (openWaves.length === 0 || !orderGuard.isTakeoverCooldownOver() || !mayOrder()) {
 				return;
 			}
 
--- a/packages/jobs/job-service/test/maintenance.test.ts
+++ b/packages/jobs/job-service/test/maintenance.test.ts
@@ -11,20 +11,18 @@
 
 const recordCodec: Pick<PlatformRecordCodec, 'decodeWave' | 'encodeWaveStatus'> = {
 	decodeWave: () => ({
-		wave: 1, machines: ['m1', 'm2'], withinMilliseconds: 1000, maximumAtOnce: 1,
+		wave: 1, machines: ['m1'], withinMilliseconds: 1000, maximumAtOnce: 1,
 	}),
 	encodeWaveStatus: ({wave, isCompleted}) => ({key: `status/${wave}`, value: String(isCompleted)}),
 };
 
-const createFixture = (outcomes: MachineOutcome[], restored: readonly StoredEntry[] = [], tookOverAt = 0, recentOrders: readonly StoredEntry[] = []) => {
+const createFixture = (outcomes: MachineOutcome[], restored: readonly StoredEntry[] = [], tookOverAt = 0) => {
 	let now = 10_000;
 	const steps: string[] = [];
 	const machineClient: MachineClient = {
 		async list() {
 			return [{
 				machine: 'm1', pool: 'pool-1', state: MachineState.Up, worker: 'w1', labels: [], cpuMillis: 4000,
-			}, {
-				machine: 'm2', pool: 'pool-1', state: MachineState.Down, worker: undefined, labels: [], cpuMillis: 4000,
 			}];
 		},
 		async move() {
@@ -50,7 +48,6 @@
 	const orderGuard = createMachineOrderGuard({
 		clock, holder: 'owner', getReachedTime: () => undefined, tookOverAt, mayOrder: () => true, commit,
 	});
-	orderGuard.restore(recentOrders);
 	const maintenance = createMaintenance({
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Only the members that maintenance uses.
 		scheduler, machineClient, machineList: createMachineList({machineClient, scheduler, clock}), recordCodec: recordCodec as PlatformRecordCodec, clock, holder: 'owner', epoch: 2,
@@ -103,9 +100,10 @@
 	t.false(steps.includes('retired'));
 });
 
-// Guards against more machines in maintenance than a wave allows: those that the previous owner has ordered count, too.
-test('a new owner orders no maintenance while a machine that was ordered lately may fill the limit of the wave', async t => {
-	const {steps, tick} = createFixture(['accepted'], [], 10_000, [{key: `${machineOrderPrefix}m2`, value: 'other', modifiedRevision: 1}]);
+// Guards against orders of two holders for the same machine within three seconds, and against more machines in
+// maintenance than a wave allows: the new owner does not know which ones the previous owner has ordered.
+test('a new owner orders no maintenance before the takeover cooldown has passed', async t => {
+	const {steps, tick} = createFixture(['accepted'], [], 10_000);
 	await tick(1000);
 	await tick(2000);
 	t.false(steps.includes('maintenance'));
@@ -113,11 +111,3 @@
 	await tick(3000);
 	t.true(steps.includes('maintenance'));
 });
-
-// Guards against waves that are late after changes of the owner: each new owner waited 3.5 s although nothing was in maintenance.
-test('a new owner continues a wave at once if no machine was ordered lately', async t => {
-	const {steps, tick} = createFixture(['accepted'], [], 10_000);
-	await tick(500);
-	await tick(500);
-	t.true(steps.includes('maintenance'));
-});
--- a/packages/jobs/scheduler/src/waves.ts
+++ b/packages/jobs/scheduler/src/waves.ts
@@ -154,11 +154,9 @@
 	readonly workers: Iterable<WorkerRow>;
 	/** Pools in which tasks wait for capacity. */
 	readonly backlogged: ReadonlySet<string>;
-	/** Machines of the wave that are or may be in maintenance on the order of a previous owner. */
-	readonly downByOthers: number;
 	readonly now: number;
 }): {readonly readyForMaintenance: readonly string[]; readonly evacuated: readonly RunRow[]} => {
-	const {wave, machines, workers, backlogged, downByOthers, now} = options;
+	const {wave, machines, workers, backlogged, now} = options;
 	const poolSize = new Map<string, number>();
 	const poolLoad = new Map<string, number>();
 	for (const worker of workers) {
@@ -187,7 +185,7 @@
 			return loadFor(first) - loadFor(second);
 		});
 	for (const machine of candidates) {
-		if (wave.cordonedSince.size + wave.ordered.size + wave.down.size + downByOthers >= wave.maximumAtOnce) {
+		if (wave.cordonedSince.size + wave.ordered.size + wave.down.size >= wave.maximumAtOnce) {
 			break;
 		}
 
--- a/packages/jobs/scheduler/test/waves.test.ts
+++ b/packages/jobs/scheduler/test/waves.test.ts
@@ -42,7 +42,7 @@
 	}]]);
 	const wave = createWave(['m1']);
 	const plan = planWave({
-		wave, machines, workers: scheduler.workers.values(), backlogged: new Set(), downByOthers: 0, now: 10,
+		wave, machines, workers: scheduler.workers.values(), backlogged: new Set(), now: 10,
 	});
 	t.deepEqual(plan.readyForMaintenance, []);
 	t.is(plan.evacuated.length, 1);
@@ -57,24 +57,11 @@
 	}]));
 	const wave = createWave([...machines.keys()], {deadline: 0});
 	planWave({
-		wave, machines, workers: scheduler.workers.values(), backlogged: new Set(), downByOthers: 0, now: 10,
+		wave, machines, workers: scheduler.workers.values(), backlogged: new Set(), now: 10,
 	});
 	t.is(wave.cordonedSince.size, 2);
 });
 
-// Guards against an owner that takes down more machines than the wave allows, since it does not count those of its predecessor.
-test('machines in maintenance on the order of a previous owner count against the limit of the wave', t => {
-	const {scheduler, workers} = createService(0, 1, 1);
-	const machines = new Map<string, WaveMachine>(workers.map((worker, index) => [`m${index}`, {
-		machine: `m${index}`, pool: worker.registration.pool, isUp: true, worker,
-	}]));
-	const wave = createWave([...machines.keys()], {deadline: 0});
-	planWave({
-		wave, machines, workers: scheduler.workers.values(), backlogged: new Set(), downByOthers: 1, now: 10,
-	});
-	t.is(wave.cordonedSince.size, 1);
-});
-
 // Guards against maintenance and an evacuation in one tick, each counting the other's task as available.
 test('maintenance and evacuation do not affect the same step in one tick', t => {
 	const {scheduler, workers} = createService(3, 1, 1);
@@ -83,7 +70,7 @@
 	}]));
 	const wave = createWave([...machines.keys()], {maximumAtOnce: 3, deadline: 0});
 	const plan = planWave({
-		wave, machines, workers: scheduler.workers.values(), backlogged: new Set(), downByOthers: 0, now: 10,
+		wave, machines, workers: scheduler.workers.values(), backlogged: new Set(), now: 10,
 	});
 	t.is(plan.readyForMaintenance.length, 1);
 	t.deepEqual(plan.evacuated, []);
