Reject malformed messages of other instances

The peer server parsed the body of POST /jobs in a handler whose rejection nobody awaits, so a body that is not JSON ended the owner's process. Found by reading. Ruled out: the caller server, which catches errors of a call, and the store's records, which are parsed with a guard. Change: the body is parsed like a stored job; without steps it is rejected with 400. Test: peer-server.test.ts; before, the first request was never answered (stopped after 100 s).

--- a/packages/jobs/job-service/src/peer-server.ts
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -2,9 +2,9 @@
 import {Buffer} from 'node:buffer';
 import type {Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
-import type {JobDeclaration} from '@turmericbay/scheduler';
 import polka from 'polka';
 import type {Owner} from './owner.js';
+import {jobPrefix, parseJob} from './records.js';
 
 const okStatus = 200;
 const notFoundStatus = 404;
@@ -75,13 +75,14 @@
 			}
 
 			withOwner(response, owner => {
-				if (body === undefined) {
+				const declaration = body === undefined ? undefined : parseJob({key: jobPrefix, value: body, modifiedRevision: 0});
+				if (declaration?.steps === undefined) {
+					// The owner finds the job in the store.
 					respond(response, badRequestStatus, {});
 					return;
 				}
 
-				// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Sent by another instance of this program.
-				owner.addJob(JSON.parse(body) as JobDeclaration, Number(request.query.revision));
+				owner.addJob(declaration, Number(request.query.revision));
 				respond(response, okStatus, {});
 			});
 		})
--- /dev/null
+++ b/packages/jobs/job-service/test/peer-server.test.ts
@@ -0,0 +1,36 @@
+import {once} from 'node:events';
+import test from 'ava';
+import type {Owner} from '../src/owner.js';
+import {createPeerServer} from '../src/peer-server.js';
+
+// Guards against an owner whose process ends because another instance sent a malformed message.
+test('a malformed message is rejected, and the next one is handled', async t => {
+	const added: string[] = [];
+	const owner: Pick<NonNullable<Owner>, 'addJob'> = {
+		addJob({id}) {
+			added.push(id);
+		},
+	};
+	const server = createPeerServer({
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Only the members that are used.
+		host: '127.0.0.1', port: 0, getLocalOwner: () => owner as NonNullable<Owner>, renderMetrics: () => '',
+	});
+	t.teardown(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	await once(server, 'listening');
+	const address = server.address();
+	const port = typeof address === 'object' && address ? address.port : 0;
+	const send = async (body: string): Promise<number> => {
+		const response = await fetch(`http://127.0.0.1:${port}/jobs?revision=1`, {method: 'POST', body});
+		await response.text();
+		return response.status;
+	};
+
+	t.is(await send('{'), 400);
+	t.is(await send('null'), 400);
+	t.is(await send('{"id":"a"}'), 400);
+	t.is(await send('{"id":"b","steps":[]}'), 200);
+	t.deepEqual(added, ['b']);
+});
