Keep a worker marked after an order of unknown outcome

A withheld order cleared the mark of a worker whose machine an earlier order of unknown outcome may still take down; its tasks then counted as available. Ruled out: the same in the move of machines, which only uses workers without runs. Change: the mark stays for such machines. Test: maintenance.test.ts, "a withheld order does not hide an earlier one of unknown outcome".

--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -80,7 +80,8 @@
 		// Tasks elsewhere may have ended while the order was being stored.
 		if (!maySend || (worker && !isDisruptionAllowed(worker, clock.now()))) {
 			wave.ordered.delete(machine);
-			if (worker) {
+			// An earlier order of unknown outcome may still end the worker.
+			if (worker && !uncertainMachines.has(machine)) {
 				worker.isTerminating = false;
 			}
 
--- a/packages/jobs/job-service/test/maintenance.test.ts
+++ b/packages/jobs/job-service/test/maintenance.test.ts
@@ -18,6 +18,7 @@
 
 const createFixture = (outcomes: MachineOutcome[], restored: readonly StoredEntry[] = [], tookOverAt = 0) => {
 	let now = 10_000;
+	let commitMilliseconds = 0;
 	const steps: string[] = [];
 	const machineClient: MachineClient = {
 		async list() {
@@ -39,6 +40,7 @@
 	});
 	const clock = {now: () => now, wallNow: () => now};
 	const commit = async (operations: readonly StoreOperation[]): Promise<void> => {
+		now += commitMilliseconds;
 		const [first] = operations;
 		if (first?.type === 'put' && !first.key.startsWith(machineOrderPrefix)) {
 			steps.push(first.value);
@@ -61,6 +63,9 @@
 	maintenance.addWave({key: 'wave/1', value: '', modifiedRevision: 1});
 	return {
 		steps, worker,
+		slowDownCommits(milliseconds: number): void {
+			commitMilliseconds = milliseconds;
+		},
 		async tick(milliseconds: number): Promise<void> {
 			now += milliseconds;
 			maintenance.tick();
@@ -111,3 +116,15 @@
 	await tick(3000);
 	t.true(steps.includes('maintenance'));
 });
+
+// Guards against more unavailable tasks than a step allows: an order of unknown outcome may still end the worker.
+test('a withheld order does not hide an earlier one of unknown outcome', async t => {
+	const {steps, worker, tick, slowDownCommits} = createFixture(['unknown']);
+	await tick(1000);
+	await tick(3000);
+	t.true(worker.isTerminating);
+	slowDownCommits(500);
+	await tick(1000);
+	t.is(steps.filter(step => step === 'maintenance').length, 1);
+	t.true(worker.isTerminating);
+});
