Log steps that stand still and an owner that is late

Callers see accepted work that does not go on; the logs showed neither that a ready step had no run, nor why, and no line told an owner short of processor time from one that is idle. Ruled out as already visible: a takeover (8531 to 8505). No change of decisions.

--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -54,11 +54,13 @@
 	JobsLoaded = 8505,
 	RunStarted = 8511,
 	RunChanged = 8512,
+	StepWaiting = 8513,
 	WorkerUnreachable = 8521,
 	WorkerReachable = 8522,
 	OwnershipGained = 8531,
 	OwnershipLost = 8532,
 	OwnerSeen = 8533,
+	OwnerDelayed = 8534,
 	WaveStep = 8535,
 	MachineMoved = 8536,
 	RecordUnreadable = 8541,
@@ -291,6 +293,11 @@
 		message: 'A run ended, was adopted or was abandoned',
 		action: none,
 	},
+	[LogEvent.StepWaiting]: {
+		level: LogLevel.Warning,
+		message: 'A step could run, but none of its tasks has been started for some seconds',
+		action: 'Compare the workers with free capacity and the maximum of the workspace; without either, look for an owner that may not start or is late.',
+	},
 	[LogEvent.WorkerUnreachable]: {
 		level: LogLevel.Warning,
 		message: 'A worker does not answer and gets no new work',
@@ -316,6 +323,11 @@
 		message: 'The instance that owns the jobs has changed',
 		action: none,
 	},
+	[LogEvent.OwnerDelayed]: {
+		level: LogLevel.Warning,
+		message: 'The owner of the jobs has not planned for some time',
+		action: 'Look for pauses of this process, and for processor time near the limit of its machine.',
+	},
 	[LogEvent.WaveStep]: {
 		level: LogLevel.Information,
 		message: 'A step of a maintenance wave was decided',
--- a/packages/jobs/job-service/src/owner-log.ts
+++ b/packages/jobs/job-service/src/owner-log.ts
@@ -12,6 +12,8 @@
 	workerRecovered(worker: WorkerRow): void;
 	jobFinished(job: JobRow): void;
 	storeCallFailed(operation: string, message: string): void;
+	/** The owner planned this many milliseconds after the time before. */
+	ownerDelayed(milliseconds: number): void;
 	jobsLoaded(summary: {jobs: number; workers: number; milliseconds: number}): void;
 	recordUnreadable(key: string): void;
 };
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -27,6 +27,8 @@
 const tickIntervalMilliseconds = 50;
 /** Responses that arrive within this time are handled in one tick. */
 const tickCoalescingMilliseconds = 4;
+/** A longer time between two ticks is logged: meanwhile no task was started. */
+const delayedTickMilliseconds = 500;
 
 export type Owner = Awaited<ReturnType<typeof createOwner>>;
 
@@ -129,11 +131,18 @@
 		})
 		: {};
 
+	let lastTickAt = tookOverAt;
 	const tick = (): void => {
 		if (isEnded) {
 			return;
 		}
 
+		const sinceLastTick = clock.now() - lastTickAt;
+		lastTickAt += sinceLastTick;
+		if (sinceLastTick > delayedTickMilliseconds) {
+			log.ownerDelayed(sinceLastTick);
+		}
+
 		// Also while the records are being read, which can take longer than the lease.
 		leaseRenewal.tick();
 		if (!isLoaded) {
--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -19,7 +19,7 @@
 export type AdviceOrder = {readonly type: 'advise'; readonly step: StepRow; readonly workers: readonly string[]};
 export type StartOrder = {readonly type: 'start'; readonly row: RunRow; readonly ticket: string | undefined};
 
-const hasCapacityFor = (worker: WorkerRow, required: Resources): boolean => {
+export const hasCapacityFor = (worker: WorkerRow, required: Resources): boolean => {
 	const {capacity} = worker.registration;
 	const {used} = worker;
 	return used.cpuMillis + required.cpuMillis <= capacity.cpuMillis
@@ -27,7 +27,7 @@
 		&& used.accelerators + required.accelerators <= capacity.accelerators;
 };
 
-const isSchedulable = (worker: WorkerRow, now: number): boolean =>
+export const isSchedulable = (worker: WorkerRow, now: number): boolean =>
 	worker.isRegistered && worker.isReconciled && !worker.registration.draining && !worker.isCordoned
 	&& worker.unansweredCalls === 0 && worker.lastContactAt > now - contactTimeoutMilliseconds && worker.avoidUntil <= now;
 
--- a/packages/jobs/scheduler/src/reconciler.ts
+++ b/packages/jobs/scheduler/src/reconciler.ts
@@ -7,10 +7,12 @@
 import {
 	EndReason, formatRunKey, JobState, RunPhase,
 } from './model.js';
+import type {StepWaitingEvent} from './waiting-steps.js';
 import type {WorkerTable} from './workers.js';
 
 export type SchedulerEvent
-	= | {readonly type: 'run-ended'; readonly task: string; readonly run: number; readonly worker: string; readonly reason: EndReason | 'lost' | 'not-run'}
+	= | StepWaitingEvent
+		| {readonly type: 'run-ended'; readonly task: string; readonly run: number; readonly worker: string; readonly reason: EndReason | 'lost' | 'not-run'}
 		| {readonly type: 'run-adopted'; readonly task: string; readonly run: number; readonly worker: string}
 		| {readonly type: 'run-unwanted'; readonly task: string; readonly run: number; readonly worker: string}
 		| {readonly type: 'worker-reborn'; readonly worker: string}
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -21,6 +21,7 @@
 import {createStopPlanner} from './stops.js';
 import type {ThrottleOrder} from './throttling.js';
 import {createThrottling} from './throttling.js';
+import {createWaitingStepMonitor} from './waiting-steps.js';
 import {createWorkerTable, isEarlierIncarnation} from './workers.js';
 
 /**
@@ -57,6 +58,7 @@
 	const stopPlanner = createStopPlanner({reconciler, workers});
 	const startOutcomes = createStartOutcomeHandler({jobs, reconciler});
 	const throttling = createThrottling();
+	const waitingStepMonitor = createWaitingStepMonitor({workers, getPolicies: () => policies, emit});
 	const speedEstimator = createSpeedEstimator();
 	const demandEstimator = createDemandEstimator();
 
@@ -208,6 +210,7 @@
 				orders.push(...placement.place(jobs.jobs.values(), now), ...throttling.plan(workers.workers.values(), now));
 			}
 
+			waitingStepMonitor.check(jobs.jobs.values(), {now, mayStart});
 			return orders;
 		},
 	};
--- a/packages/tools/experiment/src/simulation-log.ts
+++ b/packages/tools/experiment/src/simulation-log.ts
@@ -25,6 +25,9 @@
 			write('job-finished', `${job.declaration.id} ${job.state}`);
 		},
 		storeCallFailed: write,
+		ownerDelayed(milliseconds) {
+			write('owner-delayed', String(milliseconds));
+		},
 		jobsLoaded(summary) {
 			write('loaded', summary);
 		},
