--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -275,7 +275,7 @@
 	},
 	[LogEvent.CallFailed]: {
 		level: LogLevel.Warning,
-		message: 'A call ended without a response',
+		message: 'A call ended in an internal error, or its caller left while sending the body',
 		action: 'Read the message; no action is needed if the caller closed the connection.',
 	},
 	[LogEvent.JobsLoaded]: {
