Pause calls to an owner that answers too late

Event 8513 showed ready steps with 'workersWithCapacity' 0 while the users saw most of the room free: the capacity was reserved by starts that waited for the owner's processor time. Cause: no back-off towards an owner that is short of processor time; class: retries that keep an overload going. Change: a circuit breaker for each owner; after two unanswered calls in a row a pause of 0.25 s, doubled up to 2 s, then one call as a trial; the store answers meanwhile. The owner finds stored jobs by its watch.

--- a/packages/jobs/job-service/src/owner-client.ts
+++ b/packages/jobs/job-service/src/owner-client.ts
@@ -4,7 +4,9 @@
 import type {JobDeclaration} from '@turmericbay/scheduler';
 import {JobState} from '@turmericbay/scheduler';
 import {z} from 'zod';
+import {createOwnerBreaker} from './owner-breaker.js';
 import type {Owner} from './owner.js';
+import type {Clock} from './ports.js';
 import type {OwnerRecord} from './records.js';
 
 /** The store is read instead if the owner does not respond within this time. */
@@ -18,28 +20,31 @@
 	/** Notifies the owner of a job that was stored at this revision. Only saves time: the owner also watches the store. */
 	notifyJobStored(declaration: JobDeclaration, revision: number): void;
 	notifyJobCancelled(id: string): void;
-	/** Undefined if the owner does not know the job or cannot be reached. */
+	/** Undefined if the owner does not know the job, cannot be reached or has not answered recent calls in time. */
 	getJobState(id: string): Promise<JobState | undefined>;
 	countPending(queue: string): Promise<number | undefined>;
 };
 
 export const createOwnerClient = (options: {
 	readonly client: HttpClient;
+	readonly clock: Clock;
 	readonly getLocalOwner: () => NonNullable<Owner> | undefined;
 	readonly getRemoteOwner: () => OwnerRecord | undefined;
 	readonly onFailure: (address: string, message: string) => void;
 }): OwnerClient => {
-	const {client, getLocalOwner, getRemoteOwner, onFailure} = options;
+	const {client, clock, getLocalOwner, getRemoteOwner, onFailure} = options;
+	const breaker = createOwnerBreaker({now: clock.now});
 
 	const call = async (method: 'GET' | 'POST', path: string, body?: string): Promise<unknown> => {
 		const address = getRemoteOwner()?.address;
-		if (address === undefined) {
+		if (address === undefined || !breaker.tryAcquire(address)) {
 			return undefined;
 		}
 
 		const response = await client.call({
 			address, method, path, timeoutMilliseconds: peerTimeoutMilliseconds, ...(body !== undefined && {body}),
 		});
+		breaker.record(address, response.isOk());
 		if (response.isErr()) {
 			onFailure(address, response.error.message);
 			return undefined;
--- a/packages/jobs/job-service/src/peer-transport.ts
+++ b/packages/jobs/job-service/src/peer-transport.ts
@@ -5,6 +5,7 @@
 import {createOwnerClient} from './owner-client.js';
 import type {Owner} from './owner.js';
 import {createPeerServer} from './peer-server.js';
+import type {Clock} from './ports.js';
 import type {OwnerRecord} from './records.js';
 
 export type GetLocalOwner = () => NonNullable<Owner> | undefined;
@@ -13,6 +14,7 @@
 	/** Address at which other instances reach this one. */
 	readonly address: string;
 	createOwnerClient(options: {
+		readonly clock: Clock;
 		readonly getLocalOwner: GetLocalOwner;
 		readonly getRemoteOwner: () => OwnerRecord | undefined;
 		readonly onFailure: (address: string, message: string) => void;
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -173,6 +173,7 @@
 	});
 
 	const ownerClient = peers.createOwnerClient({
+		clock,
 		getLocalOwner: () => owner,
 		getRemoteOwner: () => knownOwner?.instance === instance ? undefined : knownOwner,
 		onFailure: log.peerCallFailed,
