Fail a call to an invalid address instead of throwing

What callers could see: connections closed without an answer at every instance that becomes the owner, and accepted jobs that stand still, as long as the store holds a registration with an address such as 10.0.0.1:70000. Cause: undici throws for an invalid URL. The call then rejects, which no loop of a worker session expects, and the unhandled rejection ends the process. The next owner reads the same registration. The schema of registrations checks only digits and dots. Ruled out: invalid headers and host names that cannot be resolved (undici reports both as failures of the call). Change: the call fails as not sent; the worker counts as unreachable.

--- a/packages/common/http-client/src/index.ts
+++ b/packages/common/http-client/src/index.ts
@@ -96,6 +96,10 @@
 	};
 	return {
 		handler,
+		/** Fails a call that could not be sent. */
+		reject(message: string): void {
+			report(err({kind: HttpFailureKind.NotSent, message}));
+		},
 		/** Ends the call and closes its connection, since the connection itself may be dead. */
 		expire(): void {
 			const sent = controller;
@@ -133,7 +137,7 @@
 	return {
 		async call({address, method, path, body, headers, timeoutMilliseconds, maximumMilliseconds}) {
 			return new Promise(resolve => {
-				const {handler, expire} = createResponseHandler(result => {
+				const {handler, expire, reject} = createResponseHandler(result => {
 					clearTimeout(timer);
 					clearTimeout(limitTimer);
 					resolve(result);
@@ -144,10 +148,15 @@
 				});
 				const timer = setTimeout(expire, timeoutMilliseconds);
 				const limitTimer = maximumMilliseconds === undefined ? undefined : setTimeout(expire, maximumMilliseconds);
-				getPool(address).dispatch({
-					method, path, ...(body !== undefined && {body}),
-					headers: body === undefined ? {...headers} : {...headers, 'content-type': 'application/json'},
-				}, handler);
+				try {
+					getPool(address).dispatch({
+						method, path, ...(body !== undefined && {body}),
+						headers: body === undefined ? {...headers} : {...headers, 'content-type': 'application/json'},
+					}, handler);
+				} catch (error) {
+					// An address that another writer has registered may not be a valid one.
+					reject(String(error));
+				}
 			});
 		},
 		disconnect,
