Use workers again that a wave has finished with

What callers could see: tasks that wait although workers are idle, and long-running steps whose maintenance never goes on. Cause: a wave cordons the worker before the order; nothing lifted the cordon if the worker outlived the order. After the outcomes 'foreign' and 'invalid' the worker also stayed marked as ending, so its tasks counted as unavailable. After an accepted order that may refer to an earlier one, a process that restarts under the same name keeps the cordon. Ruled out: moves between pools, which lift their cordon by the list of machines (pool-moves.ts). Change: both marks are removed in these cases. Where the worker may have ended, it still counts as unreachable until it reports, so it gets no task before. Test: maintenance.test.ts, three cases (cordoned before).

--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -72,6 +72,12 @@
 		void writeStatus(wave, isCompleted);
 	};
 
+	/** Lets a worker get tasks again whose machine the wave has finished with. */
+	const release = (worker: WorkerRow): void => {
+		worker.isTerminating = false;
+		worker.isCordoned = false;
+	};
+
 	const orderMaintenance = async (wave: WaveRow, machine: string): Promise<void> => {
 		wave.ordered.add(machine);
 		const worker = machineList.getWorker(machine);
@@ -104,7 +110,7 @@
 				} else if (worker) {
 					// The acceptance may refer to an earlier order. The next run report shows whether the worker is still running.
 					worker.unansweredCalls += 1;
-					worker.isTerminating = false;
+					release(worker);
 				}
 
 				markBegun(wave, machine);
@@ -113,6 +119,10 @@
 
 			case 'foreign':
 			case 'invalid': {
+				if (worker) {
+					release(worker);
+				}
+
 				markBegun(wave, machine);
 				break;
 			}
--- a/packages/jobs/job-service/test/maintenance.test.ts
+++ b/packages/jobs/job-service/test/maintenance.test.ts
@@ -128,3 +128,23 @@
 	t.is(steps.filter(step => step === 'maintenance').length, 1);
 	t.true(worker.isTerminating);
 });
+
+// Guards against a worker that never gets a task again because its machine turned out not to need maintenance.
+for (const outcome of ['foreign', 'invalid'] as const) {
+	test(`a worker is used again after an order with the outcome ${outcome}`, async t => {
+		const {worker, tick} = createFixture([outcome]);
+		await tick(1000);
+		await tick(3000);
+		t.false(worker.isCordoned);
+		t.false(worker.isTerminating);
+	});
+}
+
+// Guards against a worker that never gets a task again because the accepted order was one whose maintenance is already over.
+test('a worker that may have outlived an accepted order is used again once it reports', async t => {
+	const {worker, tick} = createFixture(['accepted'], [{key: `${waveProgressPrefix}1`, value: '{"begun":[],"ordered":["m1"]}', modifiedRevision: 1}]);
+	await tick(1000);
+	await tick(3000);
+	t.is(worker.unansweredCalls, 1);
+	t.false(worker.isCordoned);
+});
