Reject peer calls with a path that cannot be decoded

What callers could see: connections closed without an answer at the owner when it gets such a call. Cause: decodeURIComponent throws in the handler; polka does not catch it, and the uncaught exception ends the process. Ruled out: malformed bodies (tested already) and bodies that are cut off (caught in the handler); instances of the present code encode the path. Change: status 400. Test: peer-server.test.ts (uncaught exception before).

--- a/packages/jobs/job-service/src/peer-server.ts
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -35,6 +35,15 @@
 	return Buffer.concat(chunks).toString('utf8');
 };
 
+/** Returns undefined if the text is not a valid encoding. */
+const decodePathPart = (text: string): string | undefined => {
+	try {
+		return decodeURIComponent(text);
+	} catch {
+		return undefined;
+	}
+};
+
 export const createPeerServer = (options: {
 	readonly host: string;
 	readonly port: number;
@@ -60,8 +69,13 @@
 			});
 		})
 		.get('/queues/:queue/pending', (request, response) => {
+			const queue = decodePathPart(String(request.params.queue));
 			withOwner(response, owner => {
-				respond(response, okStatus, {pending: owner.countPending(decodeURIComponent(String(request.params.queue)))});
+				if (queue === undefined) {
+					respond(response, badRequestStatus, {});
+				} else {
+					respond(response, okStatus, {pending: owner.countPending(queue)});
+				}
 			});
 		})
 		.post('/jobs', async (request, response) => {
--- a/packages/jobs/job-service/test/peer-server.test.ts
+++ b/packages/jobs/job-service/test/peer-server.test.ts
@@ -34,3 +34,23 @@
 	t.is(await send('{"id":"b","steps":[]}'), 200);
 	t.deepEqual(added, ['b']);
 });
+
+// Guards against an owner whose process ends because another instance sent a path that cannot be decoded.
+test('a path that cannot be decoded is rejected', async t => {
+	const server = createPeerServer({
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Only the members that are used.
+		host: '127.0.0.1', port: 0, getLocalOwner: () => ({countPending: () => 3} as unknown as NonNullable<Owner>), renderMetrics: () => '',
+	});
+	t.teardown(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	await once(server, 'listening');
+	const address = server.address();
+	const port = typeof address === 'object' && address ? address.port : 0;
+	const rejected = await fetch(`http://127.0.0.1:${port}/queues/%ZZ/pending`, {signal: AbortSignal.timeout(2000)});
+	t.is(rejected.status, 400);
+	await rejected.text();
+	const counted = await fetch(`http://127.0.0.1:${port}/queues/a%20b/pending`);
+	t.deepEqual(await counted.json(), {pending: 3});
+});
