Give ownership back that is acquired while the instance stops

What callers could see: after a planned stop, up to a lease (2 s) in which no task starts, and leases of workers that nobody extends. Cause: SIGTERM hands the ownership over only if it is held. An acquisition in progress went on, and the instance was the owner until its process ended, without a handover. Class: a decision at one moment that is not kept until the act. Ruled out: a stop while the jobs are being read (the handover is known by then). Change: the lease is revoked if the instance stops meanwhile.

--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -73,6 +73,9 @@
 		},
 	});
 
+	/** Read anew after each pause of a function. */
+	const hasStopped = (): boolean => isStopping;
+
 	const tryAcquireOwnership = async (): Promise<void> => {
 		const current = configuration.current();
 		const isTaken = owner !== undefined || (knownOwner !== undefined && knownOwner.instance !== instance);
@@ -91,6 +94,13 @@
 		}
 
 		const {ownership} = acquired;
+		if (hasStopped()) {
+			// Otherwise no other instance could become the owner until the lease expires.
+			void store.revokeLease({leaseId: ownership.leaseId});
+			isAcquiring = false;
+			return;
+		}
+
 		log.ownershipGained(ownership.epoch);
 		let isLost = false;
 		const endOwnership = (reason: string, isHandover: boolean): void => {
