Keep the next owner in mind when ownership is lost

What callers could see: 'queued' for jobs that run, counts of at most 500 jobs, and slower answers, at an instance that was the owner before a pause, for as long as the next owner stays. The instance also attempts an election each 0.3 s. Cause: the loss of ownership cleared the known owner, also if the watch had already reported the next one. Ruled out: lost work; the store stays the source of truth. Change: only the own record is cleared.

--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -114,7 +114,11 @@
 			owner = undefined;
 			leaseRenewal.end();
 			void store.revokeLease({leaseId: ownership.leaseId});
-			knownOwner = undefined;
+			// The next owner may be known already.
+			if (knownOwner?.epoch === ownership.epoch) {
+				knownOwner = undefined;
+			}
+
 			scheduleElection(electionRetryMilliseconds);
 		};
 
--- a/packages/jobs/job-service/test/service.test.ts
+++ b/packages/jobs/job-service/test/service.test.ts
@@ -110,3 +110,19 @@
 	t.false(events.includes('ownershipGained'));
 	t.is(service.owner(), undefined);
 });
+
+// Guards against callers that get no detailed states for as long as the next owner stays, because the instance forgot it.
+test('an instance that has lost the ownership still knows the owner that followed', async t => {
+	const {service, events, endLease, changeOwner, getRemoteOwner} = createFixture();
+	t.teardown(service.close);
+	await waitUntil(() => service.owner() !== undefined);
+	t.not(service.owner(), undefined);
+	changeOwner({
+		instance: 'i2', address: '127.0.0.1:2', epoch: 2, leaseId: 'lease-2',
+	});
+	endLease();
+	await waitUntil(() => events.includes('ownershipLost'));
+	t.true(events.includes('ownershipLost'));
+	t.is(getRemoteOwner()?.instance, 'i2');
+	service.handOver();
+});
