Show tasks that crash one worker after the other

Callers saw: a task that ends the process of each worker that starts it is started again without a limit; its job stays running and takes up to two workers away at any time, with all that runs on them. Cause: a crash ends a run as lost, which counts nowhere. Change: the worker model has runs that end their process; the simulated cluster starts such a worker again after 1.5 to 6 s, under another name at the same address, where calls for the old name are answered as gone and calls before the restart are refused; the oracle reports BUDGET for the third start after three crashes. No change of the job service. Ruled out: the change of addresses and answers in the simulation; the fault schedules break no rule with it.

--- a/packages/jobs/worker-model/src/oracle.ts
+++ b/packages/jobs/worker-model/src/oracle.ts
@@ -9,13 +9,17 @@
 const cancellationGraceMilliseconds = 3000;
 /** A second run of a speculative task may still start this long after the task's end was acknowledged. */
 const speculativeStartGraceMilliseconds = 1000;
+/** A task under which this many workers have crashed may be given up. */
+const crashLimit = 3;
+/** Starts after that limit of which the last breaks the rule. */
+const startsAfterCrashLimit = 3;
 /** The platform tolerates a tenth above the maximum of a workspace, and one task more. */
 const quotaTolerance = 1.1;
 
 /**
  * The rules: UNASKED, work that was not requested or is cancelled; TWICE, a task that runs twice; ORDER, a step that
- * starts before its dependencies are done; BUDGET, a start after the last allowed attempt; QUOTA, a workspace above its
- * maximum; MIXED, a completed job with unfinished tasks; LIMIT, too many machines in maintenance; ONE, orders of two holders
+ * starts before its dependencies are done; BUDGET, a start after the last allowed attempt,
+ * or repeated starts of a task that has crashed several workers; QUOTA, a workspace above its maximum; MIXED, a completed job with unfinished tasks; LIMIT, too many machines in maintenance; ONE, orders of two holders
  * for the same machine with the same fencing token or in too short a time, or an order with a lower token than the one before.
  */
 export type Violation = {readonly rule: string; readonly at: number; readonly what: string};
@@ -30,6 +34,9 @@
 	/** Starts after a successful end that may still be lost, since it is not acknowledged. */
 	readonly startedAfterDone: Array<{readonly run: number; readonly at: number}>;
 	failedAcknowledged: number;
+	/** Workers that the task has crashed. */
+	crashes: number;
+	startsAfterCrashes: number;
 	readonly checkpoints: Set<string>;
 };
 
@@ -59,7 +66,8 @@
 		}
 
 		const history: TaskHistory = {
-			running: new Map(), isDone: false, unacknowledged: new Map(), doneAcknowledgedAt: undefined, startedAfterDone: [], failedAcknowledged: 0, checkpoints: new Set(),
+			running: new Map(), isDone: false, unacknowledged: new Map(), doneAcknowledgedAt: undefined, startedAfterDone: [],
+			failedAcknowledged: 0, crashes: 0, startsAfterCrashes: 0, checkpoints: new Set(),
 		};
 		tasks.set(task, history);
 		return history;
@@ -95,6 +103,17 @@
 		}
 	};
 
+	const checkCrashes = (task: string, history: TaskHistory, now: number): void => {
+		if (history.crashes < crashLimit) {
+			return;
+		}
+
+		history.startsAfterCrashes += 1;
+		if (history.startsAfterCrashes >= startsAfterCrashLimit) {
+			report('BUDGET', now, `${task} started ${history.startsAfterCrashes} times after it had crashed ${crashLimit} workers`);
+		}
+	};
+
 	const recordStart = (event: Extract<WorkerEvent, {type: 'started'}>, worker: string, now: number): void => {
 		const {task, run} = event;
 		startCount += 1;
@@ -123,6 +142,7 @@
 			report('BUDGET', now, `${task} started after ${history.failedAcknowledged} failures`);
 		}
 
+		checkCrashes(task, history, now);
 		const cancelled = cancelledAt.get(id);
 		if (cancelled !== undefined && now > cancelled + cancellationGraceMilliseconds) {
 			report('UNASKED', now, `${task} started ${Math.round(now - cancelled)} ms after the cancellation`);
@@ -187,6 +207,11 @@
 					break;
 				}
 
+				case 'crashed': {
+					history.crashes += 1;
+					break;
+				}
+
 				case 'ended': {
 					if (history.running.delete(event.run)) {
 						adjustRunningCpu(event.task, -1);
--- a/packages/jobs/worker-model/src/worker-types.ts
+++ b/packages/jobs/worker-model/src/worker-types.ts
@@ -7,7 +7,8 @@
 	readonly resources: Resources;
 	/** Run time at normal speed; ignored for a long-running task. */
 	readonly durationMilliseconds: number;
-	readonly outcome: EndReason.Done | EndReason.Failed;
+	/** `worker-crash`: the run ends its worker process, and so all runs on it. */
+	readonly outcome: EndReason.Done | EndReason.Failed | 'worker-crash';
 	readonly longRunning: boolean;
 	/** Reserves no CPU. */
 	readonly bestEffort: boolean;
@@ -19,6 +20,8 @@
 export type WorkerEvent
 	= | {readonly type: 'started'; readonly task: string; readonly run: number; readonly checkpoint: string; readonly fencingToken: number}
 		| {readonly type: 'ended'; readonly task: string; readonly run: number; readonly reason: EndReason}
+		/** The run has ended the worker process. The end of each run on it follows. */
+		| {readonly type: 'crashed'; readonly task: string; readonly run: number}
 		/** The caller has persisted the end, and the worker has removed it. */
 		| {readonly type: 'acknowledged'; readonly task: string; readonly run: number; readonly reason: EndReason}
 		/** Also emitted if no run existed. */
--- a/packages/jobs/worker-model/src/worker.ts
+++ b/packages/jobs/worker-model/src/worker.ts
@@ -104,6 +104,20 @@
 		reportLeaseExpiry(now);
 	};
 
+	const endProcess = (now: number): void => {
+		for (const row of runs.values()) {
+			runs.delete(formatKey(row.task, row.run));
+			onEvent({
+				type: 'ended', task: row.task, run: row.run, reason: EndReason.LeaseExpired,
+			}, now);
+			if (row.work.gangSize !== undefined) {
+				gangs.leave({
+					group: formatGangKey(row.task, row.run), task: row.task, reason: EndReason.LeaseExpired, now,
+				});
+			}
+		}
+	};
+
 	const endDueRuns = (now: number): void => {
 		for (;;) {
 			const expiry = runs.size === 0 ? Number.POSITIVE_INFINITY : toSimulationTime(leaseExpiresAt);
@@ -121,8 +135,13 @@
 				endRun(next, EndReason.Stopped, at);
 			} else if (next.workingSince === undefined) {
 				endRun(next, EndReason.GangTimeout, at);
+			} else if (failsAllRuns) {
+				endRun(next, EndReason.Failed, at);
+			} else if (next.work.outcome === 'worker-crash') {
+				onEvent({type: 'crashed', task: next.task, run: next.run}, at);
+				endProcess(at);
 			} else {
-				endRun(next, failsAllRuns ? EndReason.Failed : next.work.outcome, at);
+				endRun(next, next.work.outcome, at);
 			}
 		}
 	};
@@ -303,17 +322,7 @@
 		/** Ends the worker process; its runs end without being reported. */
 		crash(now: number): void {
 			advance(now);
-			for (const row of runs.values()) {
-				runs.delete(formatKey(row.task, row.run));
-				onEvent({
-					type: 'ended', task: row.task, run: row.run, reason: EndReason.LeaseExpired,
-				}, now);
-				if (row.work.gangSize !== undefined) {
-					gangs.leave({
-						group: formatGangKey(row.task, row.run), task: row.task, reason: EndReason.LeaseExpired, now,
-					});
-				}
-			}
+			endProcess(now);
 		},
 		countRunning: () => runs.size,
 		getUsedCpuMillis: () => capacity.cpuMillis - getFreeCapacity().cpuMillis,
--- a/packages/tools/experiment/src/load.ts
+++ b/packages/tools/experiment/src/load.ts
@@ -39,6 +39,8 @@
 	readonly failingRunShare: number;
 	/** Share of jobs whose every run fails. */
 	readonly failingJobShare: number;
+	/** Share of jobs whose first task crashes every worker that starts it. */
+	readonly crashingJobShare: number;
 };
 
 /** Modelled on the users' first deployment: four queues with rotating peaks and a standby pool. */
@@ -61,7 +63,7 @@
 	machines: {
 		'pool-pickups': 6, 'pool-repairs': 6, 'pool-slots': 8, 'pool-invoices': 9, 'pool-standby': 6,
 	},
-	standbyPool: 'pool-standby', cpuMillis: 16_000, machinesPerRack: 4, workspaces: 6, failingRunShare: 0.005, failingJobShare: 0.01,
+	standbyPool: 'pool-standby', cpuMillis: 16_000, machinesPerRack: 4, workspaces: 6, failingRunShare: 0.005, failingJobShare: 0.01, crashingJobShare: 0,
 };
 
 /** Small enough to run many fault schedules in a test. */
@@ -76,6 +78,8 @@
 
 export type PlannedJob = {readonly at: number; readonly declaration: JobDeclaration; readonly cancelAt: number | undefined};
 
+/** Time from the start of a task that crashes its worker until the crash. */
+const crashDelayMilliseconds = 10;
 const priority = 1;
 export const maximumAttempts = 4;
 export const stretch = 1.6;
@@ -148,6 +152,8 @@
 	return value / 4_294_967_296;
 };
 
+export const isCrashingJob = (load: Load, id: string): boolean => hash(`${id} crashing`) < load.crashingJobShare;
+
 export const createWork = (load: Load, jobs: ReadonlyMap<string, JobDeclaration>) => (task: string, run: number): TaskWork => {
 	const [id = '', , step = '0'] = task.split('.');
 	const job = jobs.get(id);
@@ -155,11 +161,18 @@
 	const queue = load.queues.find(entry => entry.queue === job?.queue);
 	const isFailingJob = hash(`${id} hopeless`) < load.failingJobShare;
 	const fails = isFailingJob || hash(`${task} ${run}`) < load.failingRunShare;
-	return {
+	const work: TaskWork = {
 		resources: declaration?.resources ?? {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0},
 		durationMilliseconds: (queue?.workMilliseconds ?? 500) * (0.6 + (0.8 * hash(task))),
 		outcome: fails ? EndReason.Failed : EndReason.Done,
 		longRunning: declaration?.longRunning ?? false, bestEffort: declaration?.fills ?? false, checkpointing: declaration?.checkpointing ?? false,
 		gangSize: declaration?.gang ? declaration.taskCount : undefined,
 	};
+	if (task.endsWith('.0.0') && isCrashingJob(load, id)) {
+		return {
+			...work, durationMilliseconds: crashDelayMilliseconds, outcome: 'worker-crash', longRunning: false,
+		};
+	}
+
+	return work;
 };
--- a/packages/tools/experiment/src/run-simulation.ts
+++ b/packages/tools/experiment/src/run-simulation.ts
@@ -51,6 +51,8 @@
 	readonly medianMilliseconds: number;
 	readonly ninetiethPercentileMilliseconds: number;
 	readonly violations: readonly Violation[];
+	/** Jobs that callers were shown as failed. */
+	readonly failed: readonly string[];
 	/** Accepted jobs that did not end in the fault-free time after the load. */
 	readonly unfinished: readonly string[];
 	readonly logLines: readonly string[];
@@ -236,7 +238,7 @@
 		poolMachineSeconds: Math.round(poolMachineSeconds), machineMoves,
 		medianMilliseconds: Math.round(durations[Math.floor(durations.length / 2)] ?? 0),
 		ninetiethPercentileMilliseconds: Math.round(durations[Math.floor(durations.length * 0.9)] ?? 0),
-		violations: oracle.violations,
+		violations: oracle.violations, failed: [...endedAt].filter(([, {state}]) => state === JobState.Failed).map(([id]) => id),
 		unfinished: oracle.listUnfinished(accepted).filter(id => !jobs.get(id)!.steps.some(step => step.longRunning)),
 		logLines,
 	};
--- a/packages/tools/experiment/src/simulated-clients.ts
+++ b/packages/tools/experiment/src/simulated-clients.ts
@@ -28,25 +28,38 @@
 export const createWorkerClient = (options: {readonly network: Network; readonly time: VirtualTime; readonly workers: ReadonlyMap<string, SimulatedWorker>}): WorkerClient => {
 	const {network, time, workers} = options;
 
+	/** True if another worker process listens at the address. */
+	const isReplaced = (target: WorkerTarget): boolean =>
+		[...workers.values()].some(({id, registration, isUnreachable}) => id !== target.id && registration.address === target.address && !isUnreachable);
+
 	const call = async <Answer>(worker: WorkerTarget, timeout: number, execute: (model: WorkerModel, respond: (value: Answer) => void) => void): Promise<Result<Answer, WorkerCallError>> => {
-		const outcome = await network.call<Answer>({
+		const outcome = await network.call<Result<Answer, WorkerCallError>>({
 			service: Service.Workers, callee: worker.id, latency: workerOneWayMilliseconds, timeout,
 			execute(respond) {
 				const simulatedWorker = workers.get(worker.id);
-				if (simulatedWorker && !simulatedWorker.isUnreachable) {
+				// A run that is due may end the process before it reads the request.
+				simulatedWorker?.model.advance(time.now());
+				if (simulatedWorker?.refusesConnections) {
+					respond(err(toError(WorkerCallErrorKind.NotSent)));
+				} else if (simulatedWorker && !simulatedWorker.isUnreachable) {
 					const {model} = simulatedWorker;
 					execute(model, value => {
-						// A worker that crashed or restarted since the request never responds to it.
-						if (workers.get(worker.id)?.model === model && !simulatedWorker.isUnreachable) {
-							respond(value);
+						if (simulatedWorker.refusesConnections) {
+							// The connection closed when the process ended.
+							respond(err(toError(WorkerCallErrorKind.Unknown)));
+						} else if (workers.get(worker.id)?.model === model && !simulatedWorker.isUnreachable) {
+							// A worker that crashed or restarted since the request never responds to it.
+							respond(ok(value));
 						}
 					});
+				} else if (!simulatedWorker && isReplaced(worker)) {
+					respond(err(toError(WorkerCallErrorKind.Gone)));
 				}
 			},
 		});
 		switch (outcome.type) {
 			case 'answered': {
-				return ok(outcome.response);
+				return outcome.response;
 			}
 
 			case 'refused': {
@@ -59,6 +72,8 @@
 		}
 	};
 
+	const isRefusing = (target: WorkerTarget): boolean => workers.get(target.id)?.refusesConnections ?? false;
+
 	const describeProcess = (model: WorkerModel) => ({clockMilliseconds: model.readClock(time.now()), incarnation: model.incarnation});
 
 	return {
@@ -94,7 +109,7 @@
 				const firstReport = model.heartbeat({fencingToken, acknowledgedSequence, leaseExpiresAt}, time.now());
 				const respondOrWait = (): void => {
 					model.advance(time.now());
-					if (firstReport === undefined || model.hasUnacknowledgedEnds(acknowledgedSequence) || time.now() >= waitEnd) {
+					if (firstReport === undefined || model.hasUnacknowledgedEnds(acknowledgedSequence) || time.now() >= waitEnd || isRefusing(worker)) {
 						respond({report: firstReport && model.heartbeat({fencingToken, acknowledgedSequence, leaseExpiresAt: undefined}, time.now()), ...describeProcess(model)});
 					} else {
 						const nextCheckAt = Math.min(waitEnd, Math.max(time.now() + 1, Math.min(model.getNextEventTime(), time.now() + waitPollMilliseconds)));
--- a/packages/tools/experiment/src/simulated-cluster.ts
+++ b/packages/tools/experiment/src/simulated-cluster.ts
@@ -21,6 +21,9 @@
 const registrationExpiryMilliseconds = 4500;
 /** A started worker appears in the worker list within this time. */
 const maximumRegistrationDelayMilliseconds = 200;
+/** Bounds of the time that a worker process takes to be back after a task has crashed it. */
+const minimumRestartMilliseconds = 1500;
+const maximumRestartMilliseconds = 6000;
 /** Wall clock at the start of virtual time, in milliseconds since the Unix epoch. */
 export const startWallMilliseconds = 1_800_000_000_000;
 
@@ -44,7 +47,15 @@
 	readonly createLog: (instance: string) => ServiceLog;
 };
 
-export type SimulatedWorker = {readonly id: string; readonly machine: MachineRow; model: WorkerModel; isUnreachable: boolean; registration: WorkerRegistration};
+export type SimulatedWorker = {
+	readonly id: string;
+	readonly machine: MachineRow;
+	model: WorkerModel;
+	isUnreachable: boolean;
+	/** The process has ended while its machine is up, so that connections are refused. */
+	refusesConnections: boolean;
+	registration: WorkerRegistration;
+};
 
 const encodeRegistration = (registration: WorkerRegistration): string => JSON.stringify(registration);
 
@@ -86,19 +97,42 @@
 		gangs, createWork: options.createWork,
 		onEvent(event, now) {
 			oracle.recordWorkerEvent(event, {worker: id, pool: machine.pool, now});
+			if (event.type === 'crashed') {
+				restartCrashedWorker(id);
+			}
 		},
 	});
 
+	/** Starts the worker under another name at the same address. */
+	const restartCrashedWorker = (id: string): void => {
+		const worker = workers.get(id);
+		if (!worker) {
+			return;
+		}
+
+		worker.isUnreachable = true;
+		worker.refusesConnections = true;
+		time.scheduleAfter(registrationExpiryMilliseconds, () => {
+			remove(workerPrefix + id);
+		});
+		time.scheduleAfter(minimumRestartMilliseconds + (random() * (maximumRestartMilliseconds - minimumRestartMilliseconds)), () => {
+			if (workers.get(id) === worker) {
+				workers.delete(id);
+				worker.machine.worker = startWorker(worker.machine);
+			}
+		});
+	};
+
 	const startWorker = (machine: MachineRow): string => {
 		startedWorkers += 1;
 		const id = `worker-${startedWorkers}`;
 		const model = createModel(id, machine);
 		const registration: WorkerRegistration = {
-			id, incarnation: model.incarnation, address: `${id}:1`, pool: machine.pool, zone: machine.zone, draining: false,
+			id, incarnation: model.incarnation, address: `${machine.machine}:1`, pool: machine.pool, zone: machine.zone, draining: false,
 			capacity: {cpuMillis: options.cpuMillis, memoryMegabytes: 1_000_000, accelerators: 0}, labels: ['a', machine.rack],
 		};
 		workers.set(id, {
-			id, machine, model, isUnreachable: false, registration,
+			id, machine, model, isUnreachable: false, refusesConnections: false, registration,
 		});
 		time.scheduleAfter(random() * maximumRegistrationDelayMilliseconds, () => {
 			if (workers.get(id)?.registration === registration) {
