Check the capacity of a worker directly before a start is sent

The users now say that a worker's capacity may shrink and grow while it runs. Cause: a start waits until its run is stored; a registration with less capacity that arrives meanwhile was not looked at, so that a worker that does not reject starts for lack of capacity went over it. Change: a start is withdrawn if what its worker's runs reserve, this one included, exceeds the capacity by then; the task is placed again. Ruled out: placement. It reads the capacity of the current registration; a worker over its capacity gets no start until enough has ended, and more once it has grown, which a test now holds.

--- a/packages/jobs/job-service/src/order-executor.ts
+++ b/packages/jobs/job-service/src/order-executor.ts
@@ -3,7 +3,7 @@
 	AdviceOrder, Order, RunRow, Scheduler, StartOrder, StopOrder, ThrottleOrder, Ticket, WorkerRow,
 } from '@turmericbay/scheduler';
 import {
-	formatRunKey, isActive, isEarlierIncarnation, RunPhase,
+	formatRunKey, isActive, isEarlierIncarnation, isWithinCapacity, RunPhase,
 } from '@turmericbay/scheduler';
 import type {FencingTokens} from './fencing-tokens.js';
 import type {AdviceClient, Clock, WorkerClient} from './ports.js';
@@ -13,6 +13,12 @@
 /** Delay before advice is requested again after a failure; the service rejects requests while too many are waiting. */
 const adviceRetryMilliseconds = 200;
 
+/** False if the run was dropped, its task no longer needs it, or its worker is about to end. */
+const isWanted = (row: RunRow): boolean => {
+	const {worker, task} = row;
+	return worker.runs.get(formatRunKey(task.name, row.run)) === row && isActive(task.step.job) && !task.done && !worker.isCordoned;
+};
+
 export const createOrderExecutor = (options: {
 	readonly scheduler: Scheduler;
 	readonly workerClient: WorkerClient;
@@ -41,8 +47,7 @@
 		const {row, ticket} = order;
 		await recordRun(row);
 		const {worker, task} = row;
-		const isWanted = worker.runs.get(formatRunKey(task.name, row.run)) === row && isActive(task.step.job) && !task.done && !worker.isCordoned;
-		if (!isWanted) {
+		if (!isWanted(row) || !isWithinCapacity(worker)) {
 			scheduler.recordStartOutcome(row, {type: 'withdrawn'}, clock.now());
 			onChange();
 			return;
--- a/packages/jobs/job-service/test/order-executor.test.ts
+++ b/packages/jobs/job-service/test/order-executor.test.ts
@@ -65,3 +65,17 @@
 	t.deepEqual(started, []);
 	t.is(worker.runs.size, 0);
 });
+
+// Guards against starts that bring a worker over its capacity, where workers do not reject them.
+test('a start is not sent if the capacity of the worker has shrunk below what is in use meanwhile', async t => {
+	const {scheduler, worker, started, pendingRecords} = createFixture();
+	await settle();
+	worker.registration = {...worker.registration, capacity: {cpuMillis: 50, memoryMegabytes: 1000, accelerators: 0}};
+	pendingRecords[0]!.stored();
+	await settle();
+	t.deepEqual(started, []);
+	t.is(worker.runs.size, 0);
+
+	worker.registration = {...worker.registration, capacity: {cpuMillis: 100, memoryMegabytes: 1000, accelerators: 0}};
+	t.is(scheduler.plan({now: 20, wallNow: 20, mayStart: true}).length, 1);
+});
--- a/packages/jobs/scheduler/src/index.ts
+++ b/packages/jobs/scheduler/src/index.ts
@@ -8,6 +8,8 @@
 export * from './scheduler.js';
 export type {StartOutcome} from './start-outcomes.js';
 export type {StopOrder} from './stops.js';
-export {computeLatestLeaseExpiry, isEarlierIncarnation, minimumWorkerClockRate} from './workers.js';
+export {
+	computeLatestLeaseExpiry, isEarlierIncarnation, isWithinCapacity, minimumWorkerClockRate,
+} from './workers.js';
 export * from './waves.js';
 export * from './pools.js';
--- a/packages/jobs/scheduler/src/start-outcomes.ts
+++ b/packages/jobs/scheduler/src/start-outcomes.ts
@@ -15,7 +15,7 @@
 	= | {readonly type: 'started'}
 		| {readonly type: 'rejected'; readonly reason: 'fenced' | 'superseded' | 'late' | 'room' | 'ticket' | 'unhealthy' | 'invalid'}
 		| {readonly type: 'not-sent'}
-		/** Not sent, since the task no longer needs the run or the worker is cordoned. */
+		/** Not sent, since the task no longer needs the run, or the worker is cordoned or has become too small. */
 		| {readonly type: 'withdrawn'}
 		| {readonly type: 'unknown'};
 
--- a/packages/jobs/scheduler/src/workers.ts
+++ b/packages/jobs/scheduler/src/workers.ts
@@ -27,6 +27,9 @@
 		&& used.accelerators + required.accelerators <= capacity.accelerators;
 };
 
+/** False if the worker's capacity has shrunk below what its runs reserve. */
+export const isWithinCapacity = (worker: WorkerRow): boolean => hasCapacityFor(worker, {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0});
+
 /** A registration or a report of an earlier process may arrive after the worker has restarted; it says nothing about the current process. */
 export const isEarlierIncarnation = (incarnation: number | undefined, worker: WorkerRow): boolean =>
 	incarnation !== undefined && worker.incarnation !== undefined && incarnation < worker.incarnation;
