--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -57,6 +57,7 @@
 	StepWaiting = 8513,
 	WorkerUnreachable = 8521,
 	WorkerReachable = 8522,
+	WorkerCrashed = 8523,
 	OwnershipGained = 8531,
 	OwnershipLost = 8532,
 	OwnerSeen = 8533,
@@ -290,7 +291,7 @@
 	},
 	[LogEvent.RunChanged]: {
 		level: LogLevel.Information,
-		message: 'A run ended, was adopted or was abandoned',
+		message: 'A run ended, was adopted or was abandoned, or a job was given up',
 		action: none,
 	},
 	[LogEvent.StepWaiting]: {
@@ -308,6 +309,11 @@
 		message: 'A worker answers again',
 		action: none,
 	},
+	[LogEvent.WorkerCrashed]: {
+		level: LogLevel.Warning,
+		message: 'A worker process has ended without notice while it ran tasks',
+		action: 'Check the worker; its tasks start on other workers.',
+	},
 	[LogEvent.OwnershipGained]: {
 		level: LogLevel.Information,
 		message: 'This instance owns the jobs now',
--- a/packages/jobs/job-service/test/service.test.ts
+++ b/packages/jobs/job-service/test/service.test.ts
@@ -82,8 +82,7 @@
 };
 
 const waitUntil = async (condition: () => boolean): Promise<void> => {
-	const endsAt = performance.now() + 5000;
-	while (!condition() && performance.now() < endsAt) {
+	while (!condition()) {
 		// eslint-disable-next-line no-await-in-loop -- Polls.
 		await wait(10);
 	}
@@ -102,10 +101,9 @@
 	});
 	t.teardown(service.close);
 	await waitUntil(() => isReading);
-	t.true(isReading);
 	service.handOver();
 	release();
-	await wait(200);
+	await waitUntil(() => revokedLeases.length > 0 || events.includes('ownershipGained'));
 	t.deepEqual(revokedLeases, ['lease-1']);
 	t.false(events.includes('ownershipGained'));
 	t.is(service.owner(), undefined);
@@ -116,13 +114,11 @@
 	const {service, events, endLease, changeOwner, getRemoteOwner} = createFixture();
 	t.teardown(service.close);
 	await waitUntil(() => service.owner() !== undefined);
-	t.not(service.owner(), undefined);
 	changeOwner({
 		instance: 'i2', address: '127.0.0.1:2', epoch: 2, leaseId: 'lease-2',
 	});
 	endLease();
 	await waitUntil(() => events.includes('ownershipLost'));
-	t.true(events.includes('ownershipLost'));
 	t.is(getRemoteOwner()?.instance, 'i2');
 	service.handOver();
 });
--- a/packages/jobs/scheduler/src/index.ts
+++ b/packages/jobs/scheduler/src/index.ts
@@ -1,13 +1,15 @@
 /** Decides which task of which job runs on which worker. */
 export * from './model.js';
 export {isActive, isFinalState} from './jobs.js';
-export type {SchedulerEvent} from './reconciler.js';
+export * from './events.js';
 export type {ThrottleOrder} from './throttling.js';
 export type {AdviceOrder, StartOrder} from './placement.js';
 export * from './progress.js';
 export * from './scheduler.js';
 export type {StartOutcome} from './start-outcomes.js';
 export type {StopOrder} from './stops.js';
-export {computeLatestLeaseExpiry, isEarlierIncarnation, minimumWorkerClockRate} from './workers.js';
+export {
+	computeLatestLeaseExpiry, isEarlierIncarnation, isWithinCapacity, minimumWorkerClockRate,
+} from './workers.js';
 export * from './waves.js';
 export * from './pools.js';
--- a/packages/jobs/scheduler/src/waiting-steps.ts
+++ b/packages/jobs/scheduler/src/waiting-steps.ts
@@ -4,9 +4,9 @@
  */
 import {isActive, isStepReady} from './jobs.js';
 import type {JobRow, Policies, StepRow} from './model.js';
-import {hasCapacityFor, isSchedulable} from './placement.js';
+import {isSchedulable} from './placement.js';
 import type {WorkerTable} from './workers.js';
-import {getReservedResources} from './workers.js';
+import {getReservedResources, hasCapacityFor} from './workers.js';
 
 /** A step is reported once it has had no run for this time, and again after each further one. */
 const reportAfterMilliseconds = 3000;
