Notice a suspension wherever the owner's lease is checked

What operators of similar systems saw: a process paused for seconds acted on a permission that had run out. What callers could see here: a task started twice, or orders of two owners for a machine, after a machine was suspended. Cause: the monotonic clock does not count a suspension, which only the next tick noticed. A response that was handled first (a stored record, then the start; or a renewal, which used up the notice) found the lease valid. Ruled out: pauses of the process alone, during which the monotonic clock goes on. Change: each check of the lease compares both clocks; after a pause only renewals sent later count, and one is due.

--- a/packages/jobs/job-service/src/ownership.ts
+++ b/packages/jobs/job-service/src/ownership.ts
@@ -106,6 +106,8 @@
 	let lastReading = {monotonic: clock.now(), wall: clock.wallNow()};
 	let isEnded = false;
 	let renewalSentAt = clock.now();
+	/** Number of pauses of the process; a renewal that was sent before a pause does not count. */
+	let pauses = 0;
 
 	const renew = async (): Promise<void> => {
 		if (isEnded) {
@@ -114,6 +116,7 @@
 
 		const sentAt = clock.now();
 		renewalSentAt = sentAt;
+		const pausesBefore = pauses;
 		const renewed = await store.renewLease({leaseId: ownership.leaseId});
 		if (isEnded || renewed.isErr()) {
 			return;
@@ -125,34 +128,37 @@
 		}
 
 		// The process may have been suspended while the response was waiting to be read.
-		if (clock.now() - sentAt < ownerLeaseMilliseconds && !detectPause()) {
+		if (!detectPause() && pauses === pausesBefore && clock.now() - sentAt < ownerLeaseMilliseconds) {
 			renewedAt = Math.max(renewedAt, sentAt);
 		}
 	};
 
+	/** After a pause of the process no earlier renewal counts: the monotonic clock does not count the time of a suspension. */
 	const detectPause = (): boolean => {
 		const reading = {monotonic: clock.now(), wall: clock.wallNow()};
 		const gap = Math.abs((reading.wall - lastReading.wall) - (reading.monotonic - lastReading.monotonic));
 		lastReading = reading;
-		return gap > maximumClockGapMilliseconds;
+		const isPaused = gap > maximumClockGapMilliseconds;
+		if (isPaused) {
+			renewedAt = Number.NEGATIVE_INFINITY;
+			renewalSentAt = Number.NEGATIVE_INFINITY;
+			pauses += 1;
+		}
+
+		return isPaused;
 	};
 
 	return {
 		/** Called on every tick of the owner: renews when due and detects pauses of the process. */
 		tick(): void {
-			if (detectPause()) {
-				renewedAt = Number.NEGATIVE_INFINITY;
-				void renew();
-				return;
-			}
-
+			detectPause();
 			if (clock.now() - renewalSentAt >= renewalIntervalMilliseconds) {
 				void renew();
 			}
 		},
 		/** True while no other instance can be the owner. */
 		isValid(): boolean {
-			return !isEnded && clock.now() < renewedAt + ownerLeaseMilliseconds - safetyMarginMilliseconds;
+			return !isEnded && !detectPause() && clock.now() < renewedAt + ownerLeaseMilliseconds - safetyMarginMilliseconds;
 		},
 		/** Send time of the newest renewal that was acknowledged, on the monotonic clock. */
 		renewedAt: () => renewedAt,
