Go on with accepted jobs whose queue is no longer configured

What callers could see: an accepted job, or a later step of one, never started once a configuration no longer had its queue, however free the workers were. Cause: the placement skips jobs without a queue policy. Change: the owner keeps the last policy of queues with active jobs. Test: placement.test.ts, 'a job of a queue that was removed goes on' (not started before).

--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -100,8 +100,18 @@
 		jobs: jobs.jobs,
 		changedJobs: jobs.changedJobs,
 		workers: workers.workers,
+		/** Accepted jobs of a queue that is no longer configured go on under its last policy. */
 		setPolicies(next: Policies): void {
-			policies = next;
+			const queues = new Map(next.queues);
+			for (const job of jobs.jobs.values()) {
+				const {queue} = job.declaration;
+				const previous = policies.queues.get(queue);
+				if (previous && !queues.has(queue) && isActive(job)) {
+					queues.set(queue, previous);
+				}
+			}
+
+			policies = {...next, queues};
 		},
 		/** `isRestored`: loaded from the store by a new owner, so that the job does not count as an arrival. */
 		addJob(declaration: JobDeclaration, context: {readonly progress?: JobProgress; readonly isRestored: boolean; readonly now: number; readonly wallNow: number}): JobRow {
--- a/packages/jobs/scheduler/test/placement.test.ts
+++ b/packages/jobs/scheduler/test/placement.test.ts
@@ -313,3 +313,13 @@
 	register(3000);
 	t.is(startAll(scheduler, 30).length, 1);
 });
+
+// Guards against accepted jobs that stand still because a newer configuration no longer has their queue.
+test('a job of a queue that was removed goes on', t => {
+	const scheduler = createTestScheduler();
+	addWorker(scheduler, createRegistration('w1'));
+	addJob(scheduler, 'j', [createStep()]);
+	scheduler.setPolicies(createPolicies({queues: new Map()}));
+	scheduler.setPolicies(createPolicies({queues: new Map()}));
+	t.deepEqual(startAll(scheduler, 1), [['j.0.0.0', 'w1']]);
+});
