Keep a worker free only for a task that can fit there

Callers saw: a job with a task under which two workers had crashed could stand still, and with it all other jobs of a small pool. The emptiest worker was kept free of new runs even if it was smaller than the task or if long-running tasks held what the task needs, so the reservation was renewed on each tick without an end. Cause: reserve() looked only at the number of runs on the candidates, not at their capacity. Change: only workers are kept free on which the task fits beside their long-running tasks; those with enough free capacity now come first. Ruled out: no reservation at all; the task then never gets a worker where runs of other jobs start all the time.

--- a/packages/jobs/scheduler/src/separation.ts
+++ b/packages/jobs/scheduler/src/separation.ts
@@ -1,7 +1,7 @@
 /** Keeps tasks under which workers have crashed apart from those of other jobs, so that a further crash shows which task is the cause. */
 import {countCrashes} from './crashes.js';
 import type {JobRow, TaskRow, WorkerRow} from './model.js';
-import {hasOutlastedStart} from './workers.js';
+import {getReservedResources, hasCapacityFor, hasOutlastedStart} from './workers.js';
 
 /** From this many crashes on, a task is kept apart. */
 export const separatedCrashCount = 2;
@@ -14,6 +14,22 @@
 
 export const hasRunOf = (job: JobRow, worker: WorkerRow): boolean => [...worker.runs.values()].some(row => row.task.step.job === job);
 
+/** True if the task fits on the worker beside its long-running tasks, which need not end. */
+const fitsBesideLongRunning = (task: TaskRow, worker: WorkerRow): boolean => {
+	const needed = {...getReservedResources(task)};
+	for (const row of worker.runs.values()) {
+		if (row.task.step.declaration.longRunning) {
+			const reserved = getReservedResources(row.task);
+			needed.cpuMillis += reserved.cpuMillis;
+			needed.memoryMegabytes += reserved.memoryMegabytes;
+			needed.accelerators += reserved.accelerators;
+		}
+	}
+
+	const {capacity} = worker.registration;
+	return needed.cpuMillis <= capacity.cpuMillis && needed.memoryMegabytes <= capacity.memoryMegabytes && needed.accelerators <= capacity.accelerators;
+};
+
 export const createSeparation = (options: {readonly crashedTasks: ReadonlySet<TaskRow>}) => {
 	const {crashedTasks} = options;
 	/** Jobs with a new run of a separated task, by worker. */
@@ -66,13 +82,16 @@
 				}
 			}
 
-			const existing = candidates.find(worker => reservations.get(worker)?.job === job);
+			const existing = candidates.find(worker => reservations.get(worker)?.job === job && fitsBesideLongRunning(task, worker));
 			const maximum = Math.max(1, Math.floor(candidates.length * maximumReservedShare));
 			if (!existing && candidates.filter(worker => reservations.has(worker)).length >= maximum) {
 				return;
 			}
 
-			const [emptiest] = candidates.filter(worker => !reservations.has(worker)).toSorted((left, right) => left.runs.size - right.runs.size);
+			const required = getReservedResources(task);
+			const rankCapacity = (worker: WorkerRow): number => hasCapacityFor(worker, required) ? 0 : 1;
+			const [emptiest] = candidates.filter(worker => !reservations.has(worker) && fitsBesideLongRunning(task, worker))
+				.toSorted((left, right) => rankCapacity(left) - rankCapacity(right) || left.runs.size - right.runs.size);
 			const worker = existing ?? emptiest;
 			if (worker) {
 				reservations.set(worker, {job, until: now + reservationMilliseconds});
