Let tasks with two crashes share a worker that has outlasted one of them

Callers saw: on a pool with one usable worker, a task with two crashes waited until the run of another such task had ended, however long it was, and as it waited the worker was kept free, so that no other job of the pool started either. Cause: mayShare() refused a worker with a run of another task with two crashes even after the worker had outlasted the start of that run; docs/jobs.md says that such a task starts where the worker has outlasted the starts of all others. Change: the code does what the page says. A run that has outlasted its start is not counted beside a newer one, so a third crash still tells the cause; gangs are kept apart from other such tasks as before, until these are outlasted. Ruled out: only not keeping the worker free; the task itself would still stand still. Tests: crash-reservations.test.ts, "a task with two crashes starts beside one …", fails without the change (nothing starts).

--- a/packages/jobs/scheduler/src/separation.ts
+++ b/packages/jobs/scheduler/src/separation.ts
@@ -71,7 +71,7 @@
 
 			// A gang needs several workers at once, so it may start beside new runs.
 			const {gang} = task.step.declaration;
-			return [...worker.runs.values()].every(row => row.task.step.job === job || ((gang || hasOutlastedStart(row)) && !isSeparated(row.task)));
+			return [...worker.runs.values()].every(row => row.task.step.job === job || hasOutlastedStart(row) || (gang && !isSeparated(row.task)));
 		},
 		/** Keeps a worker free of new runs of other jobs until the task can start there. */
 		reserve(task: TaskRow, candidates: readonly WorkerRow[], now: number): void {
--- a/packages/jobs/scheduler/test/crash-reservations.test.ts
+++ b/packages/jobs/scheduler/test/crash-reservations.test.ts
@@ -33,3 +33,23 @@
 	respond(scheduler, large, 300);
 	t.deepEqual(startAll(scheduler, 301), [['a.0.0.0', 'large']]);
 });
+
+// Guards against a pool that stands still because a worker is kept free for as long as a run lasts there.
+test('a task with two crashes starts beside one of another job whose start the worker has outlasted', t => {
+	const fixture = createCrashFixture();
+	const {scheduler} = fixture;
+	const worker = fixture.addWorker('w1');
+	const addSuspect = (id: string) => {
+		fixture.addJob(id).occurrences.get(0)![0]!.tasks[0]!.crashedRuns.push(-2, -1);
+	};
+
+	addSuspect('a');
+	t.deepEqual(startAll(scheduler, 1).map(([task]) => task), ['a.0.0.0']);
+	addSuspect('b');
+	t.deepEqual(startAll(scheduler, 2), []);
+	respond(scheduler, worker, 300);
+	t.deepEqual(startAll(scheduler, 301).map(([task]) => task), ['b.0.0.0']);
+	fixture.addJob('c');
+	respond(scheduler, worker, 600);
+	t.deepEqual(startAll(scheduler, 601).map(([task]) => task), ['c.0.0.0']);
+});
