Do not count the planned end of a disconnected worker as a crash

Callers saw: a worker that the owner could not reach shut down as planned, and the next process at its address confirmed a crash under each run that it had had; three of these fail a job that did nothing wrong. Cause: whether an end is planned was only looked at when the lease expired. The store shows "draining" also if the worker announces it later, while the owner still cannot reach it. Change: a registration as draining retracts the suspicion of that process. Ruled out: retracting it for workers that are cordoned or ordered meanwhile too; the planner may choose a machine whose worker has crashed, and its crash would then not be counted. Tests: crashes.test.ts, "a suspected crash is retracted if the worker registers as draining", fails without the change.

--- a/packages/jobs/scheduler/src/crashes.ts
+++ b/packages/jobs/scheduler/src/crashes.ts
@@ -204,6 +204,11 @@
 			}));
 		},
 		recordRegistration(worker: WorkerRow): void {
+			// A process that has announced its end did not crash when its lease expired.
+			if (worker.registration.draining) {
+				retract(takeSuspicionsOf(worker));
+			}
+
 			confirmReplaced(describeProcess(worker));
 		},
 		/** The current process of the worker has reported its runs. */
--- a/packages/jobs/scheduler/test/crashes.test.ts
+++ b/packages/jobs/scheduler/test/crashes.test.ts
@@ -210,3 +210,20 @@
 	fixture.crash(worker);
 	t.deepEqual([innocent!.crashedRuns, crashing!.crashedRuns], [[], [1]]);
 });
+
+// Guards against jobs that fail because the network is cut off while a worker shuts down as planned.
+test('a suspected crash is retracted if the worker registers as draining', t => {
+	const fixture = createCrashFixture();
+	const {scheduler} = fixture;
+	const [task] = fixture.addJob('j').occurrences.get(0)![0]!.tasks;
+	const worker = fixture.addWorker('w1');
+	startAll(scheduler, 1);
+	fixture.disconnect(worker, 2);
+	t.is(task!.suspectedRuns.size, 1);
+	scheduler.registerWorker({
+		registration: {...worker.registration, draining: true}, isRegistered: true, isReconciled: true, latestLeaseExpiry: Number.NEGATIVE_INFINITY,
+	});
+	t.is(task!.suspectedRuns.size, 0);
+	fixture.addWorker('w2', 3, {address: 'w1:80'});
+	t.deepEqual(task!.crashedRuns, []);
+});
