Compare other workers only with the suspicion that is new

Cause: as a lease expired, each other worker was compared with all suspicions, so the work grew with the cube of the number of workers. The earlier suspicions had been compared already when they arose, and with each later registration. Change: only the new suspicion is compared. Ruled out: an index by name and address; the square of the number of workers is small enough. Tests: none for the duration; crashes.test.ts holds that crashes are confirmed as before.

--- a/packages/jobs/scheduler/src/crashes.ts
+++ b/packages/jobs/scheduler/src/crashes.ts
@@ -129,13 +129,17 @@
 	const takeSuspicionsOf = (worker: WorkerRow): CrashedRun[] =>
 		takeSuspicions(({id, incarnation}) => id === worker.registration.id && incarnation === worker.incarnation);
 
+	const confirmIfReplaced = (suspicion: Suspicion, process: WorkerProcess): void => {
+		const {id, address} = suspicion.process;
+		if ((id === process.id || address === process.address) && startedAfter(process, suspicion.process) && suspicions.includes(suspicion)) {
+			suspicions = suspicions.filter(other => other !== suspicion);
+			confirm(id, suspicion.runs);
+		}
+	};
+
 	const confirmReplaced = (process: WorkerProcess): void => {
 		for (const suspicion of suspicions) {
-			const {id, address} = suspicion.process;
-			if ((id === process.id || address === process.address) && startedAfter(process, suspicion.process)) {
-				suspicions = suspicions.filter(other => other !== suspicion);
-				confirm(id, suspicion.runs);
-			}
+			confirmIfReplaced(suspicion, process);
 		}
 	};
 
@@ -175,11 +179,12 @@
 				addCrash(task);
 			}
 
-			suspicions.push({process: describeProcess(worker), runs: suspects, suspectedAt: now});
+			const suspicion = {process: describeProcess(worker), runs: suspects, suspectedAt: now};
+			suspicions.push(suspicion);
 			// The next process may have registered before the lease expired.
 			for (const other of workers.workers.values()) {
 				if (other !== worker && other.isRegistered) {
-					confirmReplaced(describeProcess(other));
+					confirmIfReplaced(suspicion, describeProcess(other));
 				}
 			}
 		},
