Do not guard workers for a gang that does not start

Callers saw: while a gang under whose tasks workers had crashed twice waited for more capacity, no job behind it in the order of its pool started, however much was free. Cause: each attempt to place the gang marked the workers of the members placed so far as guarded, so that no other job starts beside them in that tick; the marks stayed when the members were taken back, and each tick made them anew. Change: the workers are marked once the starts of a job are certain. Tasks of the same job never keep each other away, so nothing changes within a job. Ruled out: the reservations; gangs make none. Tests: crash-reservations.test.ts, "a gang that does not fit keeps no worker from other jobs", fails without the change (nothing starts).

--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -123,7 +123,6 @@
 	};
 
 	const createStart = (task: TaskRow, worker: WorkerRow, now: number, run?: number): StartOrder => {
-		separation.recordStart(task, worker);
 		const row = workers.addRun({
 			task, worker, run: run ?? Math.max(task.lastRun + 1, getFirstRunOfEpoch()), phase: RunPhase.Starting, now,
 		});
@@ -285,9 +284,11 @@
 				}
 
 				for (const {job, queue} of list.toSorted((left, right) => left.rank - right.rank || left.job.deadline - right.job.deadline)) {
-					orders.push(...placeJob({
+					const placed = placeJob({
 						job, queue, usable, now,
-					}));
+					});
+					separation.recordStarts(placed.flatMap(order => order.type === 'start' ? [order.row] : []));
+					orders.push(...placed);
 				}
 			}
 
--- a/packages/jobs/scheduler/src/separation.ts
+++ b/packages/jobs/scheduler/src/separation.ts
@@ -1,6 +1,8 @@
 /** Keeps tasks under which workers have crashed apart from those of other jobs, so that a further crash shows which task is the cause. */
 import {countCrashes} from './crashes.js';
-import type {JobRow, TaskRow, WorkerRow} from './model.js';
+import type {
+	JobRow, RunRow, TaskRow, WorkerRow,
+} from './model.js';
 import {getReservedResources, hasCapacityFor, hasOutlastedStart} from './workers.js';
 
 /** From this many crashes on, a task is kept apart. */
@@ -55,7 +57,12 @@
 				}
 			}
 		},
-		recordStart,
+		/** Called once it is certain that the runs of a job start: a gang may be placed in part and then not start. */
+		recordStarts(rows: Iterable<RunRow>): void {
+			for (const {task, worker} of rows) {
+				recordStart(task, worker);
+			}
+		},
 		/** True if a run of the task may start beside the runs on the worker. */
 		mayShare(task: TaskRow, worker: WorkerRow, now: number): boolean {
 			const {job} = task.step;
--- a/packages/jobs/scheduler/test/crash-reservations.test.ts
+++ b/packages/jobs/scheduler/test/crash-reservations.test.ts
@@ -53,3 +53,17 @@
 	respond(scheduler, worker, 600);
 	t.deepEqual(startAll(scheduler, 601).map(([task]) => task), ['c.0.0.0']);
 });
+
+// Guards against a pool that stands still because a gang under which workers have crashed waits for more workers.
+test('a gang that does not fit keeps no worker from other jobs', t => {
+	const fixture = createCrashFixture();
+	const {scheduler} = fixture;
+	fixture.addWorker('w1');
+	fixture.addWorker('w2');
+	for (const task of fixture.addJob('gang', {gang: true, taskCount: 3, resources: createResources(3000)}).occurrences.get(0)![0]!.tasks) {
+		task.crashedRuns.push(-2, -1);
+	}
+
+	fixture.addJob('b', {taskCount: 2, resources: createResources(500)});
+	t.deepEqual(startAll(scheduler, 1).map(([task]) => task), ['b.0.0.0', 'b.0.0.1']);
+});
