Do not count runs that are known to have failed as crashed

Callers saw: nothing so far; after a change of the owner a run that had ended as failed could count as a crash too. Cause: a stored record of runs lists them all until the last one has ended or the record is merged with others. If the worker meanwhile starts again under its name, the next owner counts a crash under each listed run of a task that is not done. Change: runs that the job's progress names as failed are left out. Ruled out: leaving out all but the newest run of each task; crashes that the previous owner had only suspected would then be lost. Runs that ended as stopped, lapsed or broken can still be counted once each; no record tells them apart. Tests: crashes.test.ts, "a run of a previous owner that is known to have failed …", fails without the change.

--- a/packages/jobs/scheduler/src/crashes.ts
+++ b/packages/jobs/scheduler/src/crashes.ts
@@ -205,7 +205,7 @@
 		recordPreviousRuns(worker: WorkerRow, runs: ReadonlyArray<readonly [task: string, run: number]>): void {
 			confirm(worker.registration.id, runs.flatMap(([name, run]) => {
 				const task = jobs.findTask(name);
-				return task && !task.step.declaration.longRunning ? [{task, run}] : [];
+				return task && !task.step.declaration.longRunning && !task.failedRuns.includes(run) ? [{task, run}] : [];
 			}));
 		},
 		recordRegistration(worker: WorkerRow): void {
--- a/packages/jobs/scheduler/test/crashes.test.ts
+++ b/packages/jobs/scheduler/test/crashes.test.ts
@@ -227,3 +227,13 @@
 	fixture.addWorker('w2', 3, {address: 'w1:80'});
 	t.deepEqual(task!.crashedRuns, []);
 });
+
+// Guards against runs that are blamed for a crash after their end: stored run records may list them for some seconds longer.
+test('a run of a previous owner that is known to have failed is not counted as crashed', t => {
+	const {scheduler, addJob} = createCrashFixture(2);
+	const [task] = addJob('j').occurrences.get(0)![0]!.tasks;
+	task!.failedRuns.push(1);
+	const worker = addWorker(scheduler, createRegistration('w1', {incarnation: 5}));
+	scheduler.recordPreviousRuns(worker, [['j.0.0.0', 1], ['j.0.0.0', 2]]);
+	t.deepEqual(task!.crashedRuns, [2]);
+});
