Do not count runs whose start has not been sent as crashed

Callers saw: a task that had been assigned to a worker, but whose start still waited for its record in the store, was blamed when that worker crashed; and since it counted as the newest run there, a run whose start the worker had outlasted and that was the cause went uncounted. With a slow or unavailable store this affects each task that waits. Cause: a run is in the tables from its placement on, and listSuspects() took it for a started one. Change: the run row says whether its start may have reached the worker; the executor sets it directly before the call. Ruled out: leaving out all runs in phase Starting; a worker may crash before it has answered the start. Tests: crashes.test.ts, "a run whose start has not been sent …", fails without the change (counted under both tasks). The test of retired workers in owned-workers.test.ts planned starts that nobody sent and expected a crash; it now confirms both starts and expects the same counts.

--- a/packages/jobs/job-service/src/order-executor.ts
+++ b/packages/jobs/job-service/src/order-executor.ts
@@ -61,6 +61,7 @@
 		}
 
 		const fencingToken = fencingTokens.get(worker);
+		row.isSent = true;
 		const started = await workerClient.start({
 			worker: toTarget(row.worker), task: row.task.name, run: row.run, payload: row.task.step.job.declaration.payload,
 			leaseExpiresAt, fencingToken, checkpoint: row.task.checkpoint, ticket,
--- a/packages/jobs/job-service/test/owned-workers.test.ts
+++ b/packages/jobs/job-service/test/owned-workers.test.ts
@@ -58,7 +58,14 @@
 // Guards against jobs that fail because machines are moved or maintained.
 test('the end of a worker whose machine was moved or maintained is not a crash, the end of any other is', t => {
 	const {scheduler, worker, ownedWorkers, task} = createFixture();
-	t.is(scheduler.plan({now: 1, wallNow: 1, mayStart: true}).length, 1);
+	const startTask = (now: number): void => {
+		t.is(scheduler.plan({now, wallNow: now, mayStart: true}).length, 1);
+		for (const row of task.runs.values()) {
+			scheduler.recordStartOutcome(row, {type: 'started'}, now);
+		}
+	};
+
+	startTask(1);
 	ownedWorkers.retire(worker);
 	t.deepEqual(task.crashedRuns, []);
 
@@ -70,7 +77,7 @@
 			incarnation: 7, running: [], ended: [], hasMoreEnded: false,
 		},
 	});
-	t.is(scheduler.plan({now: 3, wallNow: 3, mayStart: true}).length, 1);
+	startTask(3);
 	ownedWorkers.removeLost(next);
 	t.is(task.crashedRuns.length, 1);
 });
--- a/packages/jobs/scheduler/src/crashes.ts
+++ b/packages/jobs/scheduler/src/crashes.ts
@@ -72,7 +72,7 @@
 
 	/** The runs that may have caused a crash of the worker: the newest ones, or all if the worker has outlasted the start of each. */
 	const listSuspects = (worker: WorkerRow): CrashedRun[] => {
-		const rows = [...worker.runs.values()];
+		const rows = [...worker.runs.values()].filter(row => row.isSent || row.phase !== RunPhase.Starting);
 		const newRows = rows.filter(row => !hasOutlastedStart(row));
 		return (newRows.length > 0 ? newRows : rows).filter(row => isCountable(row) && !mayHaveBeenAtWork(row));
 	};
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -127,6 +127,8 @@
 	readonly run: number;
 	readonly worker: WorkerRow;
 	phase: RunPhase;
+	/** The start request may have reached the worker. */
+	isSent: boolean;
 	readonly startedAt: number;
 	/** When the run was first confirmed to have started. */
 	confirmedAt: number | undefined;
--- a/packages/jobs/scheduler/test/crashes.test.ts
+++ b/packages/jobs/scheduler/test/crashes.test.ts
@@ -237,3 +237,15 @@
 	scheduler.recordPreviousRuns(worker, [['j.0.0.0', 1], ['j.0.0.0', 2]]);
 	t.deepEqual(task!.crashedRuns, [2]);
 });
+
+// Guards against tasks that are blamed for a crash although their start was still being recorded.
+test('a run whose start has not been sent is not counted as crashed', t => {
+	const fixture = createCrashFixture();
+	const {scheduler} = fixture;
+	const tasks = ['a', 'b'].map(id => fixture.addJob(id).occurrences.get(0)![0]!.tasks[0]!);
+	const worker = fixture.addWorker('w1');
+	t.is(scheduler.plan({now: 1, wallNow: 1, mayStart: true}).length, 2);
+	tasks[1]!.runs.get(1)!.isSent = true;
+	fixture.crash(worker);
+	t.deepEqual(tasks.map(({crashedRuns}) => crashedRuns), [[], [1]]);
+});
