--- a/packages/jobs/scheduler/src/crashes.ts
+++ b/packages/jobs/scheduler/src/crashes.ts
@@ -72,7 +72,7 @@
 
 	/** The runs that may have caused a crash of the worker: the newest ones, or all if the worker has outlasted the start of each. */
 	const listSuspects = (worker: WorkerRow): CrashedRun[] => {
-		const rows = [...worker.runs.values()];
+		const rows = [...worker.runs.values()].filter(row => row.isSent || row.phase !== RunPhase.Starting);
 		const newRows = rows.filter(row => !hasOutlastedStart(row));
 		return (newRows.length > 0 ? newRows : rows).filter(row => isCountable(row) && !mayHaveBeenAtWork(row));
 	};
@@ -129,13 +129,17 @@
 	const takeSuspicionsOf = (worker: WorkerRow): CrashedRun[] =>
 		takeSuspicions(({id, incarnation}) => id === worker.registration.id && incarnation === worker.incarnation);
 
+	const confirmIfReplaced = (suspicion: Suspicion, process: WorkerProcess): void => {
+		const {id, address} = suspicion.process;
+		if ((id === process.id || address === process.address) && startedAfter(process, suspicion.process) && suspicions.includes(suspicion)) {
+			suspicions = suspicions.filter(other => other !== suspicion);
+			confirm(id, suspicion.runs);
+		}
+	};
+
 	const confirmReplaced = (process: WorkerProcess): void => {
 		for (const suspicion of suspicions) {
-			const {id, address} = suspicion.process;
-			if ((id === process.id || address === process.address) && startedAfter(process, suspicion.process)) {
-				suspicions = suspicions.filter(other => other !== suspicion);
-				confirm(id, suspicion.runs);
-			}
+			confirmIfReplaced(suspicion, process);
 		}
 	};
 
@@ -175,11 +179,12 @@
 				addCrash(task);
 			}
 
-			suspicions.push({process: describeProcess(worker), runs: suspects, suspectedAt: now});
+			const suspicion = {process: describeProcess(worker), runs: suspects, suspectedAt: now};
+			suspicions.push(suspicion);
 			// The next process may have registered before the lease expired.
 			for (const other of workers.workers.values()) {
 				if (other !== worker && other.isRegistered) {
-					confirmReplaced(describeProcess(other));
+					confirmIfReplaced(suspicion, describeProcess(other));
 				}
 			}
 		},
@@ -200,10 +205,15 @@
 		recordPreviousRuns(worker: WorkerRow, runs: ReadonlyArray<readonly [task: string, run: number]>): void {
 			confirm(worker.registration.id, runs.flatMap(([name, run]) => {
 				const task = jobs.findTask(name);
-				return task && !task.step.declaration.longRunning ? [{task, run}] : [];
+				return task && !task.step.declaration.longRunning && !task.failedRuns.includes(run) ? [{task, run}] : [];
 			}));
 		},
 		recordRegistration(worker: WorkerRow): void {
+			// A process that has announced its end did not crash when its lease expired.
+			if (worker.registration.draining) {
+				retract(takeSuspicionsOf(worker));
+			}
+
 			confirmReplaced(describeProcess(worker));
 		},
 		/** The current process of the worker has reported its runs. */
--- a/packages/jobs/scheduler/test/crashes.test.ts
+++ b/packages/jobs/scheduler/test/crashes.test.ts
@@ -210,3 +210,42 @@
 	fixture.crash(worker);
 	t.deepEqual([innocent!.crashedRuns, crashing!.crashedRuns], [[], [1]]);
 });
+
+// Guards against jobs that fail because the network is cut off while a worker shuts down as planned.
+test('a suspected crash is retracted if the worker registers as draining', t => {
+	const fixture = createCrashFixture();
+	const {scheduler} = fixture;
+	const [task] = fixture.addJob('j').occurrences.get(0)![0]!.tasks;
+	const worker = fixture.addWorker('w1');
+	startAll(scheduler, 1);
+	fixture.disconnect(worker, 2);
+	t.is(task!.suspectedRuns.size, 1);
+	scheduler.registerWorker({
+		registration: {...worker.registration, draining: true}, isRegistered: true, isReconciled: true, latestLeaseExpiry: Number.NEGATIVE_INFINITY,
+	});
+	t.is(task!.suspectedRuns.size, 0);
+	fixture.addWorker('w2', 3, {address: 'w1:80'});
+	t.deepEqual(task!.crashedRuns, []);
+});
+
+// Guards against runs that are blamed for a crash after their end: stored run records may list them for some seconds longer.
+test('a run of a previous owner that is known to have failed is not counted as crashed', t => {
+	const {scheduler, addJob} = createCrashFixture(2);
+	const [task] = addJob('j').occurrences.get(0)![0]!.tasks;
+	task!.failedRuns.push(1);
+	const worker = addWorker(scheduler, createRegistration('w1', {incarnation: 5}));
+	scheduler.recordPreviousRuns(worker, [['j.0.0.0', 1], ['j.0.0.0', 2]]);
+	t.deepEqual(task!.crashedRuns, [2]);
+});
+
+// Guards against tasks that are blamed for a crash although their start was still being recorded.
+test('a run whose start has not been sent is not counted as crashed', t => {
+	const fixture = createCrashFixture();
+	const {scheduler} = fixture;
+	const tasks = ['a', 'b'].map(id => fixture.addJob(id).occurrences.get(0)![0]!.tasks[0]!);
+	const worker = fixture.addWorker('w1');
+	t.is(scheduler.plan({now: 1, wallNow: 1, mayStart: true}).length, 2);
+	tasks[1]!.runs.get(1)!.isSent = true;
+	fixture.crash(worker);
+	t.deepEqual(tasks.map(({crashedRuns}) => crashedRuns), [[], [1]]);
+});
