Move the ownership to a larger instance

Class: a choice made under a fault that is kept after the fault. Change: the owner's record names its cores. An instance of twice as many that has reached the store for 3 s asks the owner for the ownership; the owner hands over as at a planned stop, at the earliest 5 s after its takeover. Tests: ownership-transfer.test.ts, service.test.ts.

--- a/packages/jobs/job-service/src/owner-client.ts
+++ b/packages/jobs/job-service/src/owner-client.ts
@@ -11,6 +11,8 @@
 
 /** The store is read instead if the owner does not respond within this time. */
 const peerTimeoutMilliseconds = 300;
+/** A transfer is requested from owners that answer late. */
+const transferTimeoutMilliseconds = 2000;
 const okStatus = 200;
 
 const stateResponse = z.object({state: z.enum(JobState)});
@@ -23,6 +25,8 @@
 	/** Undefined if the owner does not know the job, cannot be reached or has not answered recent calls in time. */
 	getJobState(id: string): Promise<JobState | undefined>;
 	countPending(queue: string): Promise<number | undefined>;
+	/** Asks the owner of this epoch to give up the ownership, so that this instance can take over. */
+	requestTransfer(epoch: number): void;
 };
 
 export const createOwnerClient = (options: {
@@ -88,5 +92,17 @@
 			const parsed = pendingResponse.safeParse(await call('GET', `/queues/${encodeURIComponent(queue)}/pending`));
 			return parsed.success ? parsed.data.pending : undefined;
 		},
+		requestTransfer(epoch) {
+			const address = getRemoteOwner()?.address;
+			if (address !== undefined) {
+				void client.call({
+					address, method: 'POST', path: `/transfers/${epoch}`, body: '{}', timeoutMilliseconds: transferTimeoutMilliseconds,
+				}).then(response => {
+					if (response.isErr()) {
+						onFailure(address, response.error.message);
+					}
+				});
+			}
+		},
 	};
 };
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -268,6 +268,7 @@
 	requestTick();
 
 	return {
+		epoch: ownership.epoch,
 		end,
 		setConfiguration(next: Configuration): void {
 			scheduler.setPolicies(next);
--- a/packages/jobs/job-service/src/ownership.ts
+++ b/packages/jobs/job-service/src/ownership.ts
@@ -35,8 +35,8 @@
 		| {readonly type: 'unavailable'; readonly message: string};
 
 /** Makes one attempt to become the owner. */
-export const acquireOwnership = async (options: {readonly store: KeyValueStore; readonly instance: string; readonly address: string; readonly clock: Clock}): Promise<AcquireOutcome> => {
-	const {store, instance, address, clock} = options;
+export const acquireOwnership = async (options: {readonly store: KeyValueStore; readonly instance: string; readonly address: string; readonly cores: number; readonly clock: Clock}): Promise<AcquireOutcome> => {
+	const {store, instance, address, cores, clock} = options;
 	const owner = await store.read({key: ownerKey});
 	if (owner.isErr()) {
 		return {type: 'unavailable', message: owner.error.message};
@@ -67,7 +67,7 @@
 	const epoch = previous.epoch + 1;
 	const {leaseId} = lease.value;
 	const record: OwnerRecord = {
-		instance, address, epoch, leaseId,
+		instance, address, epoch, leaseId, cores,
 	};
 	const taken = await store.transact({
 		conditions: [{key: ownerKey, modifiedRevision: 0}, {key: commitKey, modifiedRevision: commit.value?.modifiedRevision ?? 0}],
--- a/packages/jobs/job-service/src/peer-server.ts
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -48,9 +48,11 @@
 	readonly host: string;
 	readonly port: number;
 	readonly getLocalOwner: () => NonNullable<Owner> | undefined;
+	/** Called when a larger instance asks for the ownership. */
+	readonly onTransferRequested: (epoch: number) => void;
 	readonly renderMetrics: () => string;
 }): Server => {
-	const {host, port, getLocalOwner, renderMetrics} = options;
+	const {host, port, getLocalOwner, onTransferRequested, renderMetrics} = options;
 	const server = createServer();
 	const withOwner = (response: ServerResponse, handle: (owner: NonNullable<Owner>) => void): void => {
 		const owner = getLocalOwner();
@@ -106,6 +108,10 @@
 				respond(response, okStatus, {});
 			});
 		})
+		.post('/transfers/:epoch', (request, response) => {
+			onTransferRequested(Number(request.params.epoch));
+			respond(response, okStatus, {});
+		})
 		.get('/metrics', (_, response) => {
 			response.writeHead(okStatus, {'content-type': 'text/plain; version=0.0.4'});
 			response.end(renderMetrics());
--- a/packages/jobs/job-service/src/peer-transport.ts
+++ b/packages/jobs/job-service/src/peer-transport.ts
@@ -19,7 +19,7 @@
 		readonly getRemoteOwner: () => OwnerRecord | undefined;
 		readonly onFailure: (address: string, message: string) => void;
 	}): OwnerClient;
-	serve(getLocalOwner: GetLocalOwner): void;
+	serve(options: {readonly getLocalOwner: GetLocalOwner; readonly onTransferRequested: (epoch: number) => void}): void;
 	close(): void;
 };
 
@@ -34,9 +34,9 @@
 	return {
 		address: `${host}:${port}`,
 		createOwnerClient: ownerClientOptions => createOwnerClient({client, ...ownerClientOptions}),
-		serve(getLocalOwner) {
+		serve(serveOptions) {
 			server = createPeerServer({
-				host, port, getLocalOwner, renderMetrics,
+				host, port, renderMetrics, ...serveOptions,
 			});
 		},
 		close() {
--- a/packages/jobs/job-service/src/records.ts
+++ b/packages/jobs/job-service/src/records.ts
@@ -27,6 +27,8 @@
 	readonly epoch: number;
 	/** Lease of the owner key. */
 	readonly leaseId: string;
+	/** Processor cores that the owner may use; missing in records of older builds. */
+	readonly cores?: number;
 };
 
 export type CommitRecord = {readonly epoch: number; readonly sequence: number};
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -10,6 +10,7 @@
 import type {
 	AdviceClient, Clock, Configuration, JobStore, MachineClient, PlatformRecordCodec, WorkerClient,
 } from './ports.js';
+import {createTransferRequester, minimumTenureMilliseconds} from './ownership-transfer.js';
 import type {OwnerRecord} from './records.js';
 import {ownerKey, parseOwner} from './records.js';
 import {chooseRetryAfterSeconds} from './retry-after.js';
@@ -19,6 +20,10 @@
 
 /** Delay after a failed attempt, and after ownership was lost. */
 const electionRetryMilliseconds = 300;
+/** Interval of the check whether this instance should ask for the ownership. */
+const transferCheckMilliseconds = 1000;
+/** The configuration is confirmed every 0.8 s while the store can be reached. */
+const reachableAgeMilliseconds = 1500;
 
 export type ServiceLog = OwnerLog & {
 	ownershipGained(epoch: number): void;
@@ -54,7 +59,9 @@
 	let isAcquiring = false;
 	let isStopping = false;
 	let electionTimer: NodeJS.Timeout | undefined;
-	let handOverOwnership: (() => void) | undefined;
+	/** Ends the ownership at once, so that another instance can take over; undefined if this instance was never the owner. */
+	let handOverOwnership: ((reason: string) => void) | undefined;
+	let ownedSince = 0;
 
 	const revisionTimes = createRevisionTimes();
 	const configuration = createConfigurationSource({
@@ -85,7 +92,7 @@
 
 		isAcquiring = true;
 		const acquired = await acquireOwnership({
-			store, instance, address, clock,
+			store, instance, address, cores, clock,
 		});
 		if (acquired.type !== 'acquired') {
 			isAcquiring = false;
@@ -102,6 +109,7 @@
 		}
 
 		log.ownershipGained(ownership.epoch);
+		ownedSince = clock.now();
 		let isLost = false;
 		const endOwnership = (reason: string, isHandover: boolean): void => {
 			if (isLost) {
@@ -129,8 +137,8 @@
 		const leaseRenewal = createLeaseRenewal({
 			store, clock, ownership, renewedAt: acquired.renewedAt, onLost,
 		});
-		handOverOwnership = () => {
-			endOwnership('this instance is stopping', true);
+		handOverOwnership = reason => {
+			endOwnership(reason, true);
 		};
 
 		const created = await createOwner({
@@ -192,7 +200,23 @@
 		getRemoteOwner: () => knownOwner?.instance === instance ? undefined : knownOwner,
 		onFailure: log.peerCallFailed,
 	});
-	peers.serve(() => owner);
+	/** Gives the ownership to a larger instance. Ignored shortly after a takeover, and while the jobs are being read. */
+	const yieldOwnership = (epoch: number): void => {
+		if (owner?.epoch === epoch && clock.now() - ownedSince >= minimumTenureMilliseconds) {
+			handOverOwnership?.('a larger instance takes over');
+		}
+	};
+
+	peers.serve({getLocalOwner: () => owner, onTransferRequested: yieldOwnership});
+
+	const transferRequester = createTransferRequester({cores, now: clock.now});
+	const transferTimer = setInterval(() => {
+		const isReachable = configuration.age() < reachableAgeMilliseconds;
+		const remoteOwner = knownOwner?.instance === instance ? undefined : knownOwner;
+		if (transferRequester.shouldRequest(remoteOwner, isReachable) && remoteOwner && !isStopping) {
+			ownerClient.requestTransfer(remoteOwner.epoch);
+		}
+	}, transferCheckMilliseconds);
 
 	return {
 		jobs: createJobOperations({
@@ -202,15 +226,17 @@
 		/** Milliseconds since the configuration was last confirmed as the newest. */
 		configurationAge: () => configuration.age(),
 		owner: () => owner,
+		yieldOwnership,
 		/** Seconds after which a caller whose request is rejected now should retry. */
 		retryAfterSeconds: () => chooseRetryAfterSeconds({outageMilliseconds: health.unavailableMilliseconds() ?? 0, random}),
 		/** Gives up ownership at once, if this instance is the owner. Callers are served until the process ends. */
 		handOver(): void {
 			isStopping = true;
 			clearTimeout(electionTimer);
-			handOverOwnership?.();
+			handOverOwnership?.('this instance is stopping');
 		},
 		close(): void {
+			clearInterval(transferTimer);
 			configuration.stop();
 			ownerWatch.stop();
 			peers.close();
--- a/packages/jobs/job-service/test/service.test.ts
+++ b/packages/jobs/job-service/test/service.test.ts
@@ -20,6 +20,8 @@
 	const revokedLeases: string[] = [];
 	const events: string[] = [];
 	let isLeaseValid = true;
+	let elapsed = 0;
+	let requestTransfer: (epoch: number) => void = () => undefined;
 	let getRemoteOwner: () => OwnerRecord | undefined = () => undefined;
 	let changeOwner: ((entries: readonly StoredEntry[]) => void) | undefined;
 	const store: JobStore = {
@@ -56,16 +58,18 @@
 		instance: 'i1', store, workerLeaseMilliseconds: 3500, cores: 100, random: () => 0, adviceClient: undefined, machineClient: undefined,
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Only the members that the service uses without workers and waves.
 		recordCodec: recordCodec as PlatformRecordCodec, workerClient: workerClient as WorkerClient,
-		clock: {now: () => performance.now(), wallNow: () => Date.now()},
+		clock: {now: () => performance.now() + elapsed, wallNow: () => Date.now() + elapsed},
 		peers: {
 			address: '127.0.0.1:1',
 			createOwnerClient(options) {
 				({getRemoteOwner} = options);
 				return {
-					notifyJobStored: () => undefined, notifyJobCancelled: () => undefined, getJobState: async () => undefined, countPending: async () => undefined,
+					notifyJobStored: () => undefined, notifyJobCancelled: () => undefined, getJobState: async () => undefined, countPending: async () => undefined, requestTransfer: () => undefined,
 				};
 			},
-			serve: () => undefined,
+			serve(options) {
+				requestTransfer = options.onTransferRequested;
+			},
 			close: () => undefined,
 		},
 	});
@@ -75,6 +79,12 @@
 		changeOwner(record: OwnerRecord): void {
 			changeOwner?.([{key: ownerKey, value: JSON.stringify(record), modifiedRevision: 3}]);
 		},
+		advance(milliseconds: number): void {
+			elapsed += milliseconds;
+		},
+		requestTransfer(epoch: number): void {
+			requestTransfer(epoch);
+		},
 		endLease(): void {
 			isLeaseValid = false;
 		},
@@ -122,3 +132,19 @@
 	t.is(getRemoteOwner()?.instance, 'i2');
 	service.handOver();
 });
+
+// Guards against a small owner that stays although a larger instance is available, and against one that yields to a late request for an earlier period.
+test('an owner yields to a larger instance that asks for its epoch, but not shortly after a takeover', async t => {
+	const {service, revokedLeases, advance, requestTransfer} = createFixture();
+	t.teardown(service.close);
+	await waitUntil(() => service.owner() !== undefined);
+	requestTransfer(1);
+	t.not(service.owner(), undefined);
+	advance(5000);
+	requestTransfer(2);
+	t.not(service.owner(), undefined);
+	requestTransfer(1);
+	t.is(service.owner(), undefined);
+	t.deepEqual(revokedLeases, ['lease-1']);
+	service.handOver();
+});
--- a/packages/tools/experiment/src/simulated-peers.ts
+++ b/packages/tools/experiment/src/simulated-peers.ts
@@ -18,7 +18,7 @@
 	readonly findInstance: (name: string) => SimulatedInstance | undefined;
 }): PeerTransport => {
 	const {name, network, time, findInstance} = options;
-	const callOwner = async <Answer>(address: string | undefined, operation: (owner: NonNullable<ReturnType<JobService['owner']>>) => Answer): Promise<Answer | undefined> => {
+	const callInstance = async <Answer>(address: string | undefined, operation: (service: JobService) => Answer): Promise<Answer | undefined> => {
 		if (address === undefined) {
 			return undefined;
 		}
@@ -29,8 +29,7 @@
 				const callee = findInstance(address);
 				if (callee) {
 					time.runInProcess(callee.process, () => {
-						const owner = callee.service.owner();
-						respond(owner && operation(owner));
+						respond(operation(callee.service));
 					});
 				}
 			},
@@ -38,6 +37,12 @@
 		return outcome.type === 'answered' ? outcome.response : undefined;
 	};
 
+	const callOwner = async <Answer>(address: string | undefined, operation: (owner: NonNullable<ReturnType<JobService['owner']>>) => Answer): Promise<Answer | undefined> =>
+		callInstance(address, service => {
+			const owner = service.owner();
+			return owner && operation(owner);
+		});
+
 	return {
 		address: name,
 		createOwnerClient: ({getLocalOwner, getRemoteOwner}) => ({
@@ -63,6 +68,11 @@
 			},
 			getJobState: async id => getLocalOwner()?.getJobState(id) ?? callOwner(getRemoteOwner()?.address, remoteOwner => remoteOwner.getJobState(id)),
 			countPending: async queue => getLocalOwner()?.countPending(queue) ?? callOwner(getRemoteOwner()?.address, remoteOwner => remoteOwner.countPending(queue)),
+			requestTransfer(epoch) {
+				void callInstance(getRemoteOwner()?.address, service => {
+					service.yieldOwnership(epoch);
+				});
+			},
 		}),
 		serve: () => undefined,
 		close: () => undefined,
