Learn the run times of tasks by queue and image

Declared run times are off by up to 0.9 of their value on the new deployments, and the scheduler has used nothing else. Nothing uses the estimates yet.

--- a/packages/jobs/scheduler/src/index.ts
+++ b/packages/jobs/scheduler/src/index.ts
@@ -13,3 +13,4 @@
 } from './workers.js';
 export * from './waves.js';
 export * from './pools.js';
+export type {DurationEstimator, DurationKey} from './durations.js';
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -130,6 +130,8 @@
 	/** The start request may have reached the worker. */
 	isSent: boolean;
 	readonly startedAt: number;
+	/** Started from a checkpoint, so that it does less than the whole task. */
+	readonly isResumed: boolean;
 	/** When the run was first confirmed to have started. */
 	confirmedAt: number | undefined;
 	/** Since when it is unknown whether the run has started; undefined if its start request was answered. */
--- a/packages/jobs/scheduler/src/reconciler.ts
+++ b/packages/jobs/scheduler/src/reconciler.ts
@@ -1,5 +1,6 @@
 /** Reconciles the tables with the workers' reports of their running and ended runs. */
 import type {CrashTracker} from './crashes.js';
+import type {DurationEstimator} from './durations.js';
 import type {SchedulerEvent} from './events.js';
 import {JobFailureCause} from './events.js';
 import type {FailJob} from './job-failures.js';
@@ -23,12 +24,13 @@
 	readonly workers: WorkerTable;
 	readonly crashes: CrashTracker;
 	readonly failJob: FailJob;
+	readonly durations: DurationEstimator;
 	/** Runs with lower numbers were started by previous owners. */
 	readonly firstRunOfEpoch: number;
 	readonly getPolicy: (queue: string) => QueuePolicy | undefined;
 	readonly emit: (event: SchedulerEvent) => void;
 }) => {
-	const {jobs, workers, crashes, failJob, firstRunOfEpoch, getPolicy, emit} = options;
+	const {jobs, workers, crashes, failJob, durations, firstRunOfEpoch, getPolicy, emit} = options;
 	const unwantedRuns: UnwantedRun[] = [];
 
 	const dropRun = (row: RunRow, reason: EndReason | 'lost' | 'not-run'): void => {
@@ -63,7 +65,7 @@
 		}
 	};
 
-	const applyEndedRun = (worker: WorkerRow, entry: EndedEntry): void => {
+	const applyEndedRun = (worker: WorkerRow, entry: EndedEntry, now: number): void => {
 		const row = worker.runs.get(formatRunKey(entry.task, entry.run));
 		const task = row?.task ?? jobs.findTask(entry.task);
 		if (row) {
@@ -89,6 +91,10 @@
 		switch (entry.reason) {
 			case EndReason.Done: {
 				worker.recentSuccesses += 1;
+				if (row) {
+					durations.recordRun(row, now);
+				}
+
 				markDone(task);
 				break;
 			}
@@ -168,7 +174,7 @@
 			for (const entry of report.ended) {
 				if (entry.sequence > worker.lastAppliedSequence) {
 					worker.lastAppliedSequence = entry.sequence;
-					applyEndedRun(worker, entry);
+					applyEndedRun(worker, entry, now);
 				}
 			}
 
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -6,6 +6,7 @@
  */
 import {createCrashTracker} from './crashes.js';
 import {createDemandEstimator} from './demand.js';
+import {createDurationEstimator} from './durations.js';
 import type {SchedulerEvent} from './events.js';
 import {createFailJob} from './job-failures.js';
 import {createJobTable, isActive} from './jobs.js';
@@ -57,8 +58,9 @@
 	const crashes = createCrashTracker({
 		jobs, workers, firstRunOfEpoch, failJob, emit,
 	});
+	const durations = createDurationEstimator();
 	const reconciler = createReconciler({
-		jobs, workers, crashes, failJob, firstRunOfEpoch, getPolicy: queue => policies.queues.get(queue), emit,
+		jobs, workers, crashes, failJob, durations, firstRunOfEpoch, getPolicy: queue => policies.queues.get(queue), emit,
 	});
 	const placement = createPlacement({
 		workers, getPolicies: () => policies, getFirstRunOfEpoch: () => firstRunOfEpoch, crashedTasks: crashes.crashedTasks,
@@ -97,6 +99,7 @@
 	return {
 		measurePoolDemands: (now: number) => demandEstimator.measure(jobs.jobs.values(), policies.queues, now),
 		policies: () => policies,
+		durations,
 		jobs: jobs.jobs,
 		changedJobs: jobs.changedJobs,
 		workers: workers.workers,
--- a/packages/jobs/scheduler/src/workers.ts
+++ b/packages/jobs/scheduler/src/workers.ts
@@ -80,7 +80,7 @@
 		addRun(options: {readonly task: TaskRow; readonly worker: WorkerRow; readonly run: number; readonly phase: RunPhase; readonly now: number}): RunRow {
 			const {task, worker, run, phase, now} = options;
 			const row: RunRow = {
-				task, worker, run, phase, isSent: phase !== RunPhase.Starting, startedAt: now, progressedAt: now,
+				task, worker, run, phase, isSent: phase !== RunPhase.Starting, startedAt: now, isResumed: task.checkpoint !== '', progressedAt: now,
 				confirmedAt: phase === RunPhase.Running ? now : undefined, unconfirmedAt: phase === RunPhase.Unconfirmed ? now : undefined,
 				stopSentAt: undefined, stopAcknowledgedAt: undefined, stopInFlight: false,
 				percent: 0, latencyOrCpuUsage: 0, speedLimitPercent: 100, throttleInFlight: false, isEvacuating: false,
