Store the policy of the queue with each accepted job

The accepting instance now stores the policy with the job; it applies while no configured queue has the name. A record of the queue written by the owner was ruled out: it is lost if the owner dies between the change and the write.

The new test failed before the change of scheduler.ts. 47 tests of placement and platform pass.

--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -53,6 +53,11 @@
 	readonly intervalMilliseconds: number;
 	/** Unix time in milliseconds, by the clock of the instance that accepted the job. */
 	readonly submittedAt: number;
+	/**
+	 * Policy of the queue when the job was accepted. Applies if the queue is not configured any more
+	 * when an owner loads the job; undefined in records of older builds.
+	 */
+	readonly acceptedPolicy?: QueuePolicy;
 };
 
 /** Time that the advice service takes for each request, and in addition for each worker named in it. */
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -103,7 +103,7 @@
 		jobs: jobs.jobs,
 		changedJobs: jobs.changedJobs,
 		workers: workers.workers,
-		/** Accepted jobs of a queue that is no longer configured go on under its last policy. */
+		/** Accepted jobs of a queue that is no longer configured go on under its last known policy. */
 		setPolicies(next: Policies): void {
 			const queues = new Map(next.queues);
 			for (const job of jobs.jobs.values()) {
@@ -118,6 +118,11 @@
 		},
 		/** `isRestored`: loaded from the store by a new owner, so that the job does not count as an arrival. */
 		addJob(declaration: JobDeclaration, context: {readonly progress?: JobProgress; readonly isRestored: boolean; readonly now: number; readonly wallNow: number}): JobRow {
+			const {queue, acceptedPolicy} = declaration;
+			if (acceptedPolicy && !policies.queues.has(queue)) {
+				policies = {...policies, queues: new Map([...policies.queues, [queue, acceptedPolicy]])};
+			}
+
 			if (!context.isRestored && !jobs.jobs.has(declaration.id)) {
 				demandEstimator.recordArrival(declaration, policies.queues.get(declaration.queue), context.now);
 			}
--- a/packages/jobs/scheduler/test/placement.test.ts
+++ b/packages/jobs/scheduler/test/placement.test.ts
@@ -279,3 +279,14 @@
 	scheduler.setPolicies(createPolicies({queues: new Map()}));
 	t.deepEqual(startAll(scheduler, 1), [['j.0.0.0', 'w1']]);
 });
+
+// Guards against accepted jobs that stand still because the owner changed after their queue was removed.
+test('a new owner goes on with a job of a queue that was removed before its takeover', t => {
+	const scheduler = createTestScheduler(createPolicies({queues: new Map()}), 2);
+	addWorker(scheduler, createRegistration('w1'));
+	const acceptedPolicy = createPolicies().queues.get(queue)!;
+	scheduler.addJob(createJob('j', [createStep()], {acceptedPolicy}), {isRestored: true, now: 0, wallNow: 0});
+	t.deepEqual(startAll(scheduler, 1), [['j.0.0.0', 'w1']]);
+	scheduler.setPolicies(createPolicies({queues: new Map()}));
+	t.is(scheduler.policies().queues.get(queue), acceptedPolicy);
+});
