Plan waves and assess workers less often, and pace ticks by their duration

With an open wave each tick listed all machines, measured all pools and planned the wave, up to 250 times a second; it now does so every 50 ms, worker health every 100 ms, and a tick is followed by a pause of twice its duration, so that planning cannot take more than a third of the processor.

--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -14,6 +14,8 @@
 
 /** Delay before a failed order for a machine is sent again. */
 const retryMilliseconds = 500;
+/** Planning a wave reads all machines, jobs and workers, so it is not done on each tick of a busy owner. */
+const planIntervalMilliseconds = 50;
 
 export type MaintenanceLog = {
 	waveProgressed(wave: number, machine: string | undefined, outcome: string): void;
@@ -51,6 +53,7 @@
 	const restoredProgress = new Map<number, WaveProgress>();
 	/** Machines for which an earlier order may have been executed. Acceptance of a repeated order then does not mean that the current worker has ended. */
 	const uncertainMachines = new Set<string>();
+	let plannedAt = Number.NEGATIVE_INFINITY;
 
 	const writeStatus = async (wave: WaveRow, isCompleted: boolean): Promise<void> => {
 		const progress: WaveProgress = {begun: [...wave.begun], ordered: [...wave.ordered]};
@@ -216,10 +219,12 @@
 		tick(): void {
 			const openWaves = [...waves.values()].filter(wave => !completed.has(wave.wave) || wave.down.size > 0);
 			const now = clock.now();
-			if (openWaves.length === 0 || !orderGuard.isTakeoverCooldownOver() || !mayOrder()) {
+			if (openWaves.length === 0 || now - plannedAt < planIntervalMilliseconds || !orderGuard.isTakeoverCooldownOver() || !mayOrder()) {
 				return;
 			}
 
+			plannedAt = now;
+
 			machineList.refresh();
 			if (machineList.records().length > 0) {
 				for (const wave of openWaves) {
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -27,6 +27,8 @@
 const tickIntervalMilliseconds = 50;
 /** Responses that arrive within this time are handled in one tick. */
 const tickCoalescingMilliseconds = 4;
+/** The time between two ticks is at least this many times the duration of the latest tick, so that planning leaves processor time for the calls of the responses. */
+const tickRestFactor = 2;
 /** A longer time between two ticks is logged: meanwhile no task was started. */
 const delayedTickMilliseconds = 500;
 
@@ -90,11 +92,12 @@
 	};
 
 	let pendingTick: NodeJS.Timeout | undefined;
+	let tickMilliseconds = 0;
 	const requestTick = (): void => {
 		pendingTick ??= setTimeout(() => {
 			pendingTick = undefined;
 			tick();
-		}, tickCoalescingMilliseconds);
+		}, Math.min(tickIntervalMilliseconds, Math.max(tickCoalescingMilliseconds, tickRestFactor * tickMilliseconds)));
 	};
 
 	const jobs = createOwnedJobs({
@@ -163,6 +166,7 @@
 		jobs.tick(now);
 		maintenance?.tick();
 		poolMoves?.tick();
+		tickMilliseconds = clock.now() - now;
 	};
 
 	const storedState = createStoredState({
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -36,6 +36,8 @@
 const failingWorkerPauseMilliseconds = 4000;
 /** A worker counts as failing after this many recent failures, if they outnumber the successes. */
 const failingRunThreshold = 3;
+/** Stalls and failures show over seconds, so the health of workers is not assessed on each tick. */
+const healthCheckIntervalMilliseconds = 100;
 /** Counts of successes and failures are halved at this interval, so that only recent ones matter. */
 const countHalvingMilliseconds = 3000;
 
@@ -51,6 +53,7 @@
 	const {epoch, emit} = options;
 	let policies: Policies = {queues: new Map(), pools: new Map(), workspaces: new Map()};
 	let countsHalvedAt = Number.NEGATIVE_INFINITY;
+	let healthCheckedAt = Number.NEGATIVE_INFINITY;
 	const jobs = createJobTable();
 	const workers = createWorkerTable();
 	const firstRunOfEpoch = ((epoch - 1) * runsPerEpoch) + 1;
@@ -73,6 +76,11 @@
 	const demandEstimator = createDemandEstimator();
 
 	const updateWorkerHealth = (now: number): void => {
+		if (now - healthCheckedAt < healthCheckIntervalMilliseconds) {
+			return;
+		}
+
+		healthCheckedAt = now;
 		speedEstimator.update(workers.workers.values(), now);
 		const isHalving = now - countsHalvedAt > countHalvingMilliseconds;
 		for (const worker of workers.workers.values()) {
