Call the workers of large fleets through other instances

Cause: the owner makes every call to every worker itself and is short of processor time while the other instances are idle (docs/load-and-placement.md, part B).

Change: each instance that is not the owner registers with it every second (POST /dispatchers). The experiment tool gets a simulated counterpart of the channel.

--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -66,6 +66,9 @@
 	MachineMoved = 8536,
 	RecordUnreadable = 8541,
 	SettingsReloaded = 8542,
+	DispatcherGained = 8561,
+	DispatcherLost = 8562,
+	DispatchEnded = 8563,
 	InternalError = 9001,
 }
 
@@ -354,6 +357,21 @@
 		message: 'SIGHUP was received; the settings file is read only when the process starts',
 		action: none,
 	},
+	[LogEvent.DispatcherGained]: {
+		level: LogLevel.Information,
+		message: 'The owner of the jobs calls workers through another instance',
+		action: none,
+	},
+	[LogEvent.DispatcherLost]: {
+		level: LogLevel.Warning,
+		message: 'The owner of the jobs does not call workers through an instance any more',
+		action: 'None if the instance is stopping or not needed. Otherwise look at the reason, and at the processor time and the link of that instance.',
+	},
+	[LogEvent.DispatchEnded]: {
+		level: LogLevel.Information,
+		message: 'This instance does not call workers for an owner of the jobs any more',
+		action: none,
+	},
 	[LogEvent.InternalError]: {
 		level: LogLevel.Error,
 		message: 'An internal error of the daemon',
--- a/packages/jobs/job-service/src/index.ts
+++ b/packages/jobs/job-service/src/index.ts
@@ -3,6 +3,11 @@
 export type {
 	CancelOutcome, JobOperations, JobStateOutcome, SubmitOutcome,
 } from './job-operations.js';
+export type {
+	AcceptDispatchChannel, ChannelHandlers, DispatchChannel, OpenDispatchChannel,
+} from './dispatch-channel.js';
+export type {CallRoute} from './dispatched-worker-client.js';
+export type {DispatcherRegistration} from './dispatcher-directory.js';
 export type {OwnerClient} from './owner-client.js';
 export type {OwnerLog} from './owner-log.js';
 export type {GetLocalOwner, PeerTransport} from './peer-transport.js';
--- a/packages/jobs/job-service/src/owner-client.ts
+++ b/packages/jobs/job-service/src/owner-client.ts
@@ -4,6 +4,7 @@
 import type {JobDeclaration} from '@turmericbay/scheduler';
 import {JobState} from '@turmericbay/scheduler';
 import {z} from 'zod';
+import type {DispatcherRegistration} from './dispatcher-directory.js';
 import {createOwnerBreaker} from './owner-breaker.js';
 import type {Owner} from './owner.js';
 import type {Clock} from './ports.js';
@@ -25,6 +26,8 @@
 	/** Undefined if the owner does not know the job, cannot be reached or has not answered recent calls in time. */
 	getJobState(id: string): Promise<JobState | undefined>;
 	countPending(queue: string): Promise<number | undefined>;
+	/** Offers this instance to the owner as a dispatcher. Valid for a few seconds. */
+	registerDispatcher(registration: DispatcherRegistration): void;
 	/** Asks the owner of this epoch to give up the ownership, so that this instance can take over. */
 	requestTransfer(epoch: number): void;
 };
@@ -92,6 +95,9 @@
 			const parsed = pendingResponse.safeParse(await call('GET', `/queues/${encodeURIComponent(queue)}/pending`));
 			return parsed.success ? parsed.data.pending : undefined;
 		},
+		registerDispatcher(registration) {
+			void call('POST', '/dispatchers', JSON.stringify(registration));
+		},
 		requestTransfer(epoch) {
 			const address = getRemoteOwner()?.address;
 			if (address !== undefined) {
--- a/packages/jobs/job-service/src/owner-log.ts
+++ b/packages/jobs/job-service/src/owner-log.ts
@@ -2,10 +2,11 @@
 import type {
 	JobRow, SchedulerEvent, StartOrder, WorkerRow,
 } from '@turmericbay/scheduler';
+import type {DispatchLog} from './owner-dispatch.js';
 import type {MaintenanceLog} from './maintenance.js';
 import type {PoolMoveLog} from './pool-moves.js';
 
-export type OwnerLog = MaintenanceLog & PoolMoveLog & {
+export type OwnerLog = MaintenanceLog & PoolMoveLog & DispatchLog & {
 	schedulerEvent(event: SchedulerEvent): void;
 	startAttempted(order: StartOrder, outcome: string): void;
 	workerCallFailed(worker: WorkerRow, message: string): void;
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -9,6 +9,8 @@
 import {createOwnedJobs} from './owned-jobs.js';
 import type {OwnedWorkers} from './owned-workers.js';
 import {createOwnedWorkers, handoverExtensionMilliseconds, leaseExtensionMilliseconds} from './owned-workers.js';
+import type {OpenDispatchChannel} from './dispatch-channel.js';
+import {createOwnerDispatch} from './owner-dispatch.js';
 import type {OwnerLog} from './owner-log.js';
 import type {LeaseRenewal, Ownership} from './ownership.js';
 import type {
@@ -37,7 +39,9 @@
 	readonly recordCodec: PlatformRecordCodec;
 	readonly ownership: Ownership;
 	readonly leaseRenewal: LeaseRenewal;
+	/** Calls workers from this instance. */
 	readonly workerClient: WorkerClient;
+	readonly openDispatchChannel: OpenDispatchChannel;
 	readonly adviceClient: AdviceClient | undefined;
 	/** Undefined where the platform has no machine service. */
 	readonly machineClient: MachineClient | undefined;
@@ -53,7 +57,7 @@
 
 /** Returns undefined if the ownership was lost while the stored jobs were being read. */
 export const createOwner = async (options: OwnerOptions) => {
-	const {store, recordCodec, ownership, leaseRenewal, workerClient, adviceClient, machineClient, instance, clock, configuration, workerLeaseMilliseconds, getReachedTime, onLost, log} = options;
+	const {store, recordCodec, ownership, leaseRenewal, adviceClient, machineClient, instance, clock, configuration, workerLeaseMilliseconds, getReachedTime, onLost, log} = options;
 	const tookOverAt = clock.now();
 	let isEnded = false;
 	let isLoaded = false;
@@ -65,6 +69,7 @@
 			log.schedulerEvent(event);
 		},
 	});
+	const {workerClient, ...dispatch} = createOwnerDispatch({...options, epoch: ownership.epoch, workers: scheduler.workers});
 	const fencingTokens = createFencingTokens({epoch: ownership.epoch, scheduler});
 	const loseOwnership = (reason: string): void => {
 		if (!isEnded) {
@@ -241,6 +246,11 @@
 		return true;
 	};
 
+	const endWorkerCalls = (): void => {
+		workers.end();
+		dispatch.end();
+	};
+
 	/** Stops starting tasks and writing. At a handover the leases of workers are extended until the new owner does so. */
 	const end = (isHandover = false): void => {
 		isEnded = true;
@@ -250,12 +260,11 @@
 		commitQueue.end();
 		storedState.stop();
 
+		handoverEndsAt = isHandover ? clock.now() + handoverExtensionMilliseconds : Number.NEGATIVE_INFINITY;
 		if (isHandover) {
-			handoverEndsAt = clock.now() + handoverExtensionMilliseconds;
-			setTimeout(workers.end, handoverExtensionMilliseconds);
+			setTimeout(endWorkerCalls, handoverExtensionMilliseconds);
 		} else {
-			handoverEndsAt = Number.NEGATIVE_INFINITY;
-			workers.end();
+			endWorkerCalls();
 		}
 	};
 
@@ -283,6 +292,7 @@
 				jobs.add(declaration, false);
 			}
 		},
+		registerDispatcher: dispatch.register,
 		cancel: jobs.cancel,
 		getJobState: (id: string): JobState | undefined => jobs.getState(id),
 		countPending: (queue: string): number => jobs.countPending(queue),
--- a/packages/jobs/job-service/src/ownership.ts
+++ b/packages/jobs/job-service/src/ownership.ts
@@ -18,7 +18,7 @@
 /** The owner stops this long before its lease expires, since a request in flight may reach a worker later. */
 const safetyMarginMilliseconds = 300;
 /** A larger difference between the progress of the wall clock and of the monotonic clock means that the process was suspended. */
-const maximumClockGapMilliseconds = 150;
+export const maximumClockGapMilliseconds = 150;
 
 /** One period of ownership by one instance. */
 export type Ownership = {
--- a/packages/jobs/job-service/src/peer-server.ts
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -3,6 +3,10 @@
 import type {Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import polka from 'polka';
+import {z} from 'zod';
+import {parseJson} from '@turmericbay/http-client';
+import type {AcceptDispatchChannel} from './dispatch-channel.js';
+import {serveHttpDispatchChannel} from './dispatch-channel.js';
 import type {Owner} from './owner.js';
 import {jobPrefix, parseJob} from './records.js';
 
@@ -14,6 +18,10 @@
 /** Has to exceed the body limit of the caller server. A larger declaration is rejected, and the owner finds the job in the store. */
 const maximumBodyBytes = 1_048_576;
 
+const registrationSchema = z.object({
+	name: z.string(), address: z.string(), zone: z.string(), cores: z.number().positive(), startedAt: z.number(),
+});
+
 const respond = (response: ServerResponse, status: number, body: unknown): void => {
 	const text = JSON.stringify(body);
 	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)});
@@ -50,10 +58,14 @@
 	readonly getLocalOwner: () => NonNullable<Owner> | undefined;
 	/** Called when a larger instance asks for the ownership. */
 	readonly onTransferRequested: (epoch: number) => void;
+	/** Called when an owner offers worker calls. */
+	readonly acceptDispatchChannel: AcceptDispatchChannel;
 	readonly renderMetrics: () => string;
 }): Server => {
-	const {host, port, getLocalOwner, onTransferRequested, renderMetrics} = options;
+	const {host, port, getLocalOwner, onTransferRequested, acceptDispatchChannel, renderMetrics} = options;
 	const server = createServer();
+	// The request with the worker calls lasts as long as the ownership; the default ends it after 300 s.
+	server.requestTimeout = 0;
 	const withOwner = (response: ServerResponse, handle: (owner: NonNullable<Owner>) => void): void => {
 		const owner = getLocalOwner();
 		if (owner) {
@@ -108,6 +120,30 @@
 				respond(response, okStatus, {});
 			});
 		})
+		.post('/dispatchers', async (request, response) => {
+			let body: string | undefined;
+			try {
+				body = await readBody(request);
+			} catch {
+				// The other instance closed the connection and registers again.
+				response.destroy();
+				return;
+			}
+
+			withOwner(response, owner => {
+				const registration = registrationSchema.safeParse(parseJson(body ?? ''));
+				if (registration.success) {
+					owner.registerDispatcher(registration.data);
+				}
+
+				respond(response, registration.success ? okStatus : badRequestStatus, {});
+			});
+		})
+		.post('/worker-calls', (request, response) => {
+			serveHttpDispatchChannel({
+				request, response, epoch: Number(request.query.epoch), refusedStatus: misdirectedStatus, accept: acceptDispatchChannel,
+			});
+		})
 		.post('/transfers/:epoch', (request, response) => {
 			onTransferRequested(Number(request.params.epoch));
 			respond(response, okStatus, {});
--- a/packages/jobs/job-service/src/peer-transport.ts
+++ b/packages/jobs/job-service/src/peer-transport.ts
@@ -1,6 +1,8 @@
 /** Communication between instances: every instance calls the owner, over HTTP. */
 import type {Server} from 'node:http';
 import type {HttpClient} from '@turmericbay/http-client';
+import type {AcceptDispatchChannel, OpenDispatchChannel} from './dispatch-channel.js';
+import {openHttpDispatchChannel} from './dispatch-channel.js';
 import type {OwnerClient} from './owner-client.js';
 import {createOwnerClient} from './owner-client.js';
 import type {Owner} from './owner.js';
@@ -13,13 +15,18 @@
 export type PeerTransport = {
 	/** Address at which other instances reach this one. */
 	readonly address: string;
+	readonly openDispatchChannel: OpenDispatchChannel;
 	createOwnerClient(options: {
 		readonly clock: Clock;
 		readonly getLocalOwner: GetLocalOwner;
 		readonly getRemoteOwner: () => OwnerRecord | undefined;
 		readonly onFailure: (address: string, message: string) => void;
 	}): OwnerClient;
-	serve(options: {readonly getLocalOwner: GetLocalOwner; readonly onTransferRequested: (epoch: number) => void}): void;
+	serve(options: {
+		readonly getLocalOwner: GetLocalOwner;
+		readonly onTransferRequested: (epoch: number) => void;
+		readonly acceptDispatchChannel: AcceptDispatchChannel;
+	}): void;
 	close(): void;
 };
 
@@ -34,6 +41,7 @@
 	return {
 		address: `${host}:${port}`,
 		createOwnerClient: ownerClientOptions => createOwnerClient({client, ...ownerClientOptions}),
+		openDispatchChannel: openHttpDispatchChannel,
 		serve(serveOptions) {
 			server = createPeerServer({
 				host, port, renderMetrics, ...serveOptions,
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -1,6 +1,7 @@
 /** The job service of one instance. Serves callers at all times, and becomes the owner of the jobs when there is none. */
 import {createConfigurationSource} from './configuration-source.js';
 import {chooseElectionDelay} from './election-delay.js';
+import {createDispatchServer} from './dispatch-server.js';
 import {createJobOperations} from './job-operations.js';
 import type {OwnerLog} from './owner-log.js';
 import type {Owner} from './owner.js';
@@ -22,6 +23,8 @@
 const electionRetryMilliseconds = 300;
 /** Interval of the check whether this instance should ask for the ownership. */
 const transferCheckMilliseconds = 1000;
+/** Interval at which an instance offers itself to the owner as a dispatcher. */
+const dispatcherRegistrationMilliseconds = 1000;
 /** The configuration is confirmed every 0.8 s while the store can be reached. */
 const reachableAgeMilliseconds = 1500;
 
@@ -32,12 +35,16 @@
 	configurationApplied(version: number): void;
 	configurationUnreadable(key: string): void;
 	peerCallFailed(address: string, message: string): void;
+	/** This instance does not call workers for an owner any more. */
+	dispatchEnded(reason: string): void;
 };
 
 export type JobService = ReturnType<typeof createJobService>;
 
 export const createJobService = (options: {
 	readonly instance: string;
+	/** Zone in which this instance runs; it calls workers of that zone for the owner. */
+	readonly zone: string;
 	readonly peers: PeerTransport;
 	readonly store: JobStore;
 	readonly recordCodec: PlatformRecordCodec;
@@ -51,7 +58,7 @@
 	readonly workerLeaseMilliseconds: number;
 	readonly log: ServiceLog;
 }) => {
-	const {instance, peers, recordCodec, workerClient, adviceClient, machineClient, clock, random, cores, workerLeaseMilliseconds, log} = options;
+	const {instance, zone, peers, recordCodec, workerClient, adviceClient, machineClient, clock, random, cores, workerLeaseMilliseconds, log} = options;
 	const {address} = peers;
 	const {store, health} = monitorStore(options);
 	let owner: NonNullable<Owner> | undefined;
@@ -63,6 +70,8 @@
 	let handOverOwnership: ((reason: string) => void) | undefined;
 	let ownedSince = 0;
 
+	const dispatchServer = createDispatchServer({workerClient, clock, onConnectionClosed: log.dispatchEnded});
+	const startedAt = clock.wallNow();
 	const revisionTimes = createRevisionTimes();
 	const configuration = createConfigurationSource({
 		store, recordCodec, clock,
@@ -110,6 +119,7 @@
 
 		log.ownershipGained(ownership.epoch);
 		ownedSince = clock.now();
+		dispatchServer.observeEpoch(ownership.epoch);
 		let isLost = false;
 		const endOwnership = (reason: string, isHandover: boolean): void => {
 			if (isLost) {
@@ -142,7 +152,7 @@
 		};
 
 		const created = await createOwner({
-			store, recordCodec, ownership, leaseRenewal, workerClient, adviceClient, machineClient, instance, clock,
+			store, recordCodec, ownership, leaseRenewal, workerClient, openDispatchChannel: peers.openDispatchChannel, adviceClient, machineClient, instance, clock,
 			configuration: () => configuration.current() ?? current,
 			workerLeaseMilliseconds, getReachedTime: revisionTimes.getReachedTime, onLost, log,
 		});
@@ -172,6 +182,7 @@
 		}
 
 		knownOwner = next;
+		dispatchServer.observeEpoch(next?.epoch ?? 0);
 		// An owner with this name that is not this process is an earlier incarnation of it.
 		if (next === undefined || (next.instance === instance && !owner)) {
 			scheduleElection(0);
@@ -207,7 +218,15 @@
 		}
 	};
 
-	peers.serve({getLocalOwner: () => owner, onTransferRequested: yieldOwnership});
+	peers.serve({getLocalOwner: () => owner, onTransferRequested: yieldOwnership, acceptDispatchChannel: dispatchServer.accept});
+
+	const registrationTimer = setInterval(() => {
+		if (!owner && !isStopping) {
+			ownerClient.registerDispatcher({
+				name: instance, address, zone, cores, startedAt,
+			});
+		}
+	}, dispatcherRegistrationMilliseconds);
 
 	const transferRequester = createTransferRequester({cores, now: clock.now});
 	const transferTimer = setInterval(() => {
@@ -227,6 +246,7 @@
 		configurationAge: () => configuration.age(),
 		owner: () => owner,
 		yieldOwnership,
+		acceptDispatchChannel: dispatchServer.accept,
 		/** Seconds after which a caller whose request is rejected now should retry. */
 		retryAfterSeconds: () => chooseRetryAfterSeconds({outageMilliseconds: health.unavailableMilliseconds() ?? 0, random}),
 		/** Gives up ownership at once, if this instance is the owner. Callers are served until the process ends. */
@@ -237,6 +257,8 @@
 		},
 		close(): void {
 			clearInterval(transferTimer);
+			clearInterval(registrationTimer);
+			dispatchServer.close();
 			configuration.stop();
 			ownerWatch.stop();
 			peers.close();
--- a/packages/jobs/job-service/test/job-operations.test.ts
+++ b/packages/jobs/job-service/test/job-operations.test.ts
@@ -29,6 +29,7 @@
 	});
 	const ownerClient = {
 		notifyJobStored: () => undefined, notifyJobCancelled: () => undefined, getJobState: async () => undefined, countPending: async () => undefined, requestTransfer: () => undefined,
+		registerDispatcher: () => undefined,
 	};
 	const operations = createJobOperations({
 		store, health, ownerClient, clock, onUnreadable: () => undefined,
--- a/packages/jobs/job-service/test/owned-workers.test.ts
+++ b/packages/jobs/job-service/test/owned-workers.test.ts
@@ -29,6 +29,7 @@
 		log: {
 			schedulerEvent: unused, startAttempted: unused, workerCallFailed: unused, workerRecovered: unused, jobFinished: unused, storeCallFailed: unused,
 			jobsLoaded: unused, ownerDelayed: unused, recordUnreadable: unused, waveProgressed: unused, moveAttempted: unused,
+			dispatcherGained: unused, dispatcherLost: unused, workerCallsCounted: unused, dispatchersCounted: unused,
 		},
 	});
 	const job = scheduler.addJob(createDeclaration('job'), {isRestored: true, now: 0, wallNow: 0});
--- a/packages/jobs/job-service/test/peer-server.test.ts
+++ b/packages/jobs/job-service/test/peer-server.test.ts
@@ -8,7 +8,7 @@
 const serve = async (t: ExecutionContext, owner: Partial<NonNullable<Owner>>): Promise<string> => {
 	const server = createPeerServer({
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Only the members that are used.
-		host: '127.0.0.1', port: 0, getLocalOwner: () => owner as NonNullable<Owner>, renderMetrics: () => '', onTransferRequested: () => undefined,
+		host: '127.0.0.1', port: 0, getLocalOwner: () => owner as NonNullable<Owner>, renderMetrics: () => '', acceptDispatchChannel: () => undefined, onTransferRequested: () => undefined,
 	});
 	t.teardown(() => {
 		server.closeAllConnections();
--- a/packages/tools/experiment/src/simulated-cluster.ts
+++ b/packages/tools/experiment/src/simulated-cluster.ts
@@ -184,7 +184,7 @@
 		const process = time.createProcess(name);
 		time.runInProcess(process, () => {
 			const service = createJobService({
-				instance: name, store: createRemoteStore({
+				instance: name, zone: 'zone', store: createRemoteStore({
 					engine, network, time, listingBytesPerSecond: options.listingBytesPerSecond,
 				}), recordCodec: createRecordCodec(getConfiguration),
 				peers: createSimulatedPeers({
--- a/packages/tools/experiment/src/simulated-peers.ts
+++ b/packages/tools/experiment/src/simulated-peers.ts
@@ -2,6 +2,7 @@
 import type {JobService, PeerTransport} from '@turmericbay/job-service';
 import type {Network} from './network.js';
 import {Service} from './network.js';
+import {createSimulatedDispatchChannels} from './simulated-dispatch-channel.js';
 import type {SimulatedProcess, VirtualTime} from './virtual-time.js';
 
 /** Latency in one direction between availability zones. */
@@ -68,12 +69,20 @@
 			},
 			getJobState: async id => getLocalOwner()?.getJobState(id) ?? callOwner(getRemoteOwner()?.address, remoteOwner => remoteOwner.getJobState(id)),
 			countPending: async queue => getLocalOwner()?.countPending(queue) ?? callOwner(getRemoteOwner()?.address, remoteOwner => remoteOwner.countPending(queue)),
+			registerDispatcher(registration) {
+				void callOwner(getRemoteOwner()?.address, remoteOwner => {
+					remoteOwner.registerDispatcher(registration);
+				});
+			},
 			requestTransfer(epoch) {
 				void callInstance(getRemoteOwner()?.address, service => {
 					service.yieldOwnership(epoch);
 				});
 			},
 		}),
+		openDispatchChannel: createSimulatedDispatchChannels({
+			name, network, time, findInstance, latencyMilliseconds: peerLatencyMilliseconds,
+		}),
 		serve: () => undefined,
 		close: () => undefined,
 	};
--- a/packages/tools/experiment/src/simulation-log.ts
+++ b/packages/tools/experiment/src/simulation-log.ts
@@ -40,6 +40,17 @@
 		recordUnreadable(key) {
 			write('unreadable', key);
 		},
+		dispatcherGained(name) {
+			write('dispatcher-gained', name);
+		},
+		dispatcherLost(name, reason) {
+			write('dispatcher-lost', `${name} ${reason}`);
+		},
+		workerCallsCounted: () => undefined,
+		dispatchersCounted: () => undefined,
+		dispatchEnded(reason) {
+			write('dispatch-ended', reason);
+		},
 		ownershipGained(epoch) {
 			write('ownership-gained', String(epoch));
 		},
