--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -9,6 +9,8 @@
 import {createOwnedJobs} from './owned-jobs.js';
 import type {OwnedWorkers} from './owned-workers.js';
 import {createOwnedWorkers, handoverExtensionMilliseconds, leaseExtensionMilliseconds} from './owned-workers.js';
+import type {OpenDispatchChannel} from './dispatch-channel.js';
+import {createOwnerDispatch} from './owner-dispatch.js';
 import type {OwnerLog} from './owner-log.js';
 import type {LeaseRenewal, Ownership} from './ownership.js';
 import type {
@@ -39,7 +41,9 @@
 	readonly recordCodec: PlatformRecordCodec;
 	readonly ownership: Ownership;
 	readonly leaseRenewal: LeaseRenewal;
+	/** Calls workers from this instance. */
 	readonly workerClient: WorkerClient;
+	readonly openDispatchChannel: OpenDispatchChannel;
 	readonly adviceClient: AdviceClient | undefined;
 	/** Undefined where the platform has no machine service. */
 	readonly machineClient: MachineClient | undefined;
@@ -55,7 +59,7 @@
 
 /** Returns undefined if the ownership was lost while the stored jobs were being read. */
 export const createOwner = async (options: OwnerOptions) => {
-	const {store, recordCodec, ownership, leaseRenewal, workerClient, adviceClient, machineClient, instance, clock, configuration, workerLeaseMilliseconds, getReachedTime, onLost, log} = options;
+	const {store, recordCodec, ownership, leaseRenewal, adviceClient, machineClient, instance, clock, configuration, workerLeaseMilliseconds, getReachedTime, onLost, log} = options;
 	const tookOverAt = clock.now();
 	let isEnded = false;
 	let isLoaded = false;
@@ -67,6 +71,7 @@
 			log.schedulerEvent(event);
 		},
 	});
+	const {workerClient, ...dispatch} = createOwnerDispatch({...options, epoch: ownership.epoch, workers: scheduler.workers});
 	const fencingTokens = createFencingTokens({epoch: ownership.epoch, scheduler});
 	const loseOwnership = (reason: string): void => {
 		if (!isEnded) {
@@ -245,6 +250,11 @@
 		return true;
 	};
 
+	const endWorkerCalls = (): void => {
+		workers.end();
+		dispatch.end();
+	};
+
 	/** Stops starting tasks and writing. At a handover the leases of workers are extended until the new owner does so. */
 	const end = (isHandover = false): void => {
 		isEnded = true;
@@ -254,12 +264,11 @@
 		commitQueue.end();
 		storedState.stop();
 
+		handoverEndsAt = isHandover ? clock.now() + handoverExtensionMilliseconds : Number.NEGATIVE_INFINITY;
 		if (isHandover) {
-			handoverEndsAt = clock.now() + handoverExtensionMilliseconds;
-			setTimeout(workers.end, handoverExtensionMilliseconds);
+			setTimeout(endWorkerCalls, handoverExtensionMilliseconds);
 		} else {
-			handoverEndsAt = Number.NEGATIVE_INFINITY;
-			workers.end();
+			endWorkerCalls();
 		}
 	};
 
@@ -287,6 +296,7 @@
 				jobs.add(declaration, false);
 			}
 		},
+		registerDispatcher: dispatch.register,
 		cancel: jobs.cancel,
 		getJobState: (id: string): JobState | undefined => jobs.getState(id),
 		countPending: (queue: string): number => jobs.countPending(queue),
