Add log events for the evacuation of zones

Cause: operators need to see when an evacuation begins, when a zone is empty and when the evacuation is cancelled.

--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -66,6 +66,9 @@
 	MachineMoved = 8536,
 	RecordUnreadable = 8541,
 	SettingsReloaded = 8542,
+	ZoneEvacuationBegun = 8551,
+	ZoneEvacuationCancelled = 8552,
+	ZoneEmptied = 8553,
 	InternalError = 9001,
 }
 
@@ -354,6 +357,21 @@
 		message: 'SIGHUP was received; the settings file is read only when the process starts',
 		action: none,
 	},
+	[LogEvent.ZoneEvacuationBegun]: {
+		level: LogLevel.Warning,
+		message: 'The operator has evacuated a zone; its workers get no new runs',
+		action: 'None; event 8553 follows once no run is left there.',
+	},
+	[LogEvent.ZoneEvacuationCancelled]: {
+		level: LogLevel.Information,
+		message: 'The evacuation of a zone was cancelled; its workers get runs again',
+		action: none,
+	},
+	[LogEvent.ZoneEmptied]: {
+		level: LogLevel.Information,
+		message: 'No run is left in an evacuated zone',
+		action: none,
+	},
 	[LogEvent.InternalError]: {
 		level: LogLevel.Error,
 		message: 'An internal error of the daemon',
