Evacuate zones at the operator's request

Cause: an operator's request to evacuate a zone was not read, so tasks kept starting there. Workers of an evacuated zone get no new runs of any kind, which is checked again directly before each start. Pool moves leave out the machines of the zone. The request for advice moves from placement.ts to advice.ts, since evacuation uses it too. Also decoded: the time for which a worker is slow after its start; such a worker gets runs only if no other has capacity.

--- a/packages/jobs/job-service/src/machine-management.ts
+++ b/packages/jobs/job-service/src/machine-management.ts
@@ -21,6 +21,8 @@
 	/** Time by which the store had reached the revision; undefined if no response has shown it. */
 	readonly getReachedTime: (revision: number) => number | undefined;
 	readonly mayOrder: () => boolean;
+	/** False also while it is not known which zones are evacuated; maintenance goes on meanwhile. */
+	readonly mayMove: () => boolean;
 	readonly commit: (operations: readonly StoreOperation[]) => Promise<void>;
 	/** Called when the platform has ended a worker process in order to move or maintain its machine. */
 	readonly retire: (worker: WorkerRow) => void;
@@ -28,5 +30,5 @@
 }) => {
 	const shared = {...options, machineList: createMachineList(options), orderGuard: createMachineOrderGuard(options)};
 	const maintenance = createMaintenance(shared);
-	return {orderGuard: shared.orderGuard, maintenance, poolMoves: createPoolMoves({...shared, isReserved: maintenance.isReserved})};
+	return {orderGuard: shared.orderGuard, maintenance, poolMoves: createPoolMoves({...shared, mayOrder: options.mayMove, isReserved: maintenance.isReserved})};
 };
--- a/packages/jobs/job-service/src/order-executor.ts
+++ b/packages/jobs/job-service/src/order-executor.ts
@@ -13,10 +13,11 @@
 /** Delay before advice is requested again after a failure; the service rejects requests while too many are waiting. */
 const adviceRetryMilliseconds = 200;
 
-/** False if the run was dropped, its task no longer needs it, or its worker is about to end. */
-const isWanted = (row: RunRow): boolean => {
+/** False if the run was dropped, its task no longer needs it, its worker is about to end, or the zone of the worker has been evacuated. */
+const isWanted = (row: RunRow, scheduler: Scheduler): boolean => {
 	const {worker, task} = row;
-	return worker.runs.get(formatRunKey(task.name, row.run)) === row && isActive(task.step.job) && !task.done && !worker.isCordoned;
+	return worker.runs.get(formatRunKey(task.name, row.run)) === row && isActive(task.step.job) && !task.done && !worker.isCordoned
+		&& !scheduler.isEvacuated(worker.registration.zone);
 };
 
 export const createOrderExecutor = (options: {
@@ -47,7 +48,7 @@
 		const {row, ticket} = order;
 		await recordRun(row);
 		const {worker, task} = row;
-		if (!isWanted(row) || !isWithinCapacity(worker)) {
+		if (!isWanted(row, scheduler) || !isWithinCapacity(worker)) {
 			scheduler.recordStartOutcome(row, {type: 'withdrawn'}, clock.now());
 			onChange();
 			return;
--- a/packages/jobs/job-service/src/owned-workers.ts
+++ b/packages/jobs/job-service/src/owned-workers.ts
@@ -112,7 +112,7 @@
 				if (!scheduler.workers.has(id)) {
 					openSession(scheduler.registerWorker({
 						registration: {
-							id, address, pool, incarnation: bornAt, zone: '', draining: true, capacity: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0}, labels: [],
+							id, address, pool, incarnation: bornAt, zone: '', draining: true, capacity: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0}, labels: [], slowStartMilliseconds: 0,
 						},
 						isRegistered: false, isReconciled: false, latestLeaseExpiry: restoredLeaseExpiry,
 					}));
--- a/packages/jobs/job-service/src/owner-log.ts
+++ b/packages/jobs/job-service/src/owner-log.ts
@@ -1,6 +1,6 @@
 /** Events that the owner reports to logs and metrics. */
 import type {
-	JobRow, SchedulerEvent, StartOrder, WorkerRow,
+	JobRow, SchedulerEvent, StartOrder, WorkerRow, ZoneEvacuationStatus,
 } from '@turmericbay/scheduler';
 import type {MaintenanceLog} from './maintenance.js';
 import type {PoolMoveLog} from './pool-moves.js';
@@ -16,4 +16,6 @@
 	ownerDelayed(milliseconds: number): void;
 	jobsLoaded(summary: {jobs: number; workers: number; milliseconds: number}): void;
 	recordUnreadable(key: string): void;
+	/** State of the evacuated zones; empty once none is left. */
+	evacuationsMeasured(zones: readonly ZoneEvacuationStatus[]): void;
 };
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -6,6 +6,7 @@
 import {createFencingTokens} from './fencing-tokens.js';
 import {createMachineManagement} from './machine-management.js';
 import {createOrderExecutor} from './order-executor.js';
+import {createOwnedEvacuations} from './owned-evacuations.js';
 import {createOwnedJobs} from './owned-jobs.js';
 import type {OwnedWorkers} from './owned-workers.js';
 import {createOwnedWorkers, handoverExtensionMilliseconds, leaseExtensionMilliseconds} from './owned-workers.js';
@@ -45,6 +46,8 @@
 	readonly clock: Clock;
 	readonly configuration: () => Configuration;
 	readonly workerLeaseMilliseconds: number;
+	/** Time after which no task may start in a zone that the operator evacuates; undefined where zones are not evacuated. */
+	readonly evacuationMilliseconds: number | undefined;
 	/** Time by which the store had reached the revision; undefined if no response has shown it. */
 	readonly getReachedTime: (revision: number) => number | undefined;
 	readonly onLost: (reason: string) => void;
@@ -53,7 +56,7 @@
 
 /** Returns undefined if the ownership was lost while the stored jobs were being read. */
 export const createOwner = async (options: OwnerOptions) => {
-	const {store, recordCodec, ownership, leaseRenewal, workerClient, adviceClient, machineClient, instance, clock, configuration, workerLeaseMilliseconds, getReachedTime, onLost, log} = options;
+	const {store, recordCodec, ownership, leaseRenewal, workerClient, adviceClient, machineClient, instance, clock, configuration, workerLeaseMilliseconds, evacuationMilliseconds, getReachedTime, onLost, log} = options;
 	const tookOverAt = clock.now();
 	let isEnded = false;
 	let isLoaded = false;
@@ -84,6 +87,8 @@
 	});
 
 	const mayStart = (): boolean => !isEnded && isLoaded && leaseRenewal.isValid();
+	/** Maintenance goes on while the list of evacuated zones is not confirmed. */
+	const mayStartTasks = (): boolean => mayStart() && evacuations.isConfirmed();
 	const mayExtendLeases = (): boolean => clock.now() < Math.min(leaseRenewal.renewedAt() + leaseExtensionMilliseconds, handoverEndsAt);
 	const onFenced = (): void => {
 		loseOwnership('a worker has seen a newer owner');
@@ -97,6 +102,9 @@
 		}, tickCoalescingMilliseconds);
 	};
 
+	const evacuations = createOwnedEvacuations({
+		store, recordCodec, clock, evacuationMilliseconds, scheduler, onChange: requestTick, log,
+	});
 	const jobs = createOwnedJobs({
 		store, commitQueue, scheduler, clock, onChange: requestTick, log,
 	});
@@ -117,7 +125,7 @@
 		}),
 	});
 	const orderExecutor = createOrderExecutor({
-		scheduler, workerClient, adviceClient, clock, fencingTokens, mayStart, onFenced,
+		scheduler, workerClient, adviceClient, clock, fencingTokens, mayStart: mayStartTasks, onFenced,
 		getSession: worker => workers.getSession(worker),
 		recordRun: runRecords.record,
 		onChange: requestTick,
@@ -126,7 +134,7 @@
 
 	const {orderGuard, maintenance, poolMoves} = machineClient
 		? createMachineManagement({
-			scheduler, machineClient, recordCodec, clock, holder: instance, epoch: ownership.epoch, tookOverAt, getReachedTime, mayOrder: mayStart,
+			scheduler, machineClient, recordCodec, clock, holder: instance, epoch: ownership.epoch, tookOverAt, getReachedTime, mayOrder: mayStart, mayMove: mayStartTasks,
 			commit: commitQueue.commit, retire: workers.retire, log,
 		})
 		: {};
@@ -145,6 +153,7 @@
 
 		// Also while the records are being read, which can take longer than the lease.
 		leaseRenewal.tick();
+		evacuations.tick();
 		if (!isLoaded) {
 			return;
 		}
@@ -152,7 +161,7 @@
 		const now = clock.now();
 		workers.tick(now);
 		runRecords.tick();
-		for (const order of scheduler.plan({now, wallNow: clock.wallNow(), mayStart: mayStart()})) {
+		for (const order of scheduler.plan({now, wallNow: clock.wallNow(), mayStart: mayStartTasks()})) {
 			orderExecutor.execute(order);
 		}
 
@@ -249,7 +258,7 @@
 		leaseRenewal.end();
 		commitQueue.end();
 		storedState.stop();
-
+		evacuations.end();
 		if (isHandover) {
 			handoverEndsAt = clock.now() + handoverExtensionMilliseconds;
 			setTimeout(workers.end, handoverExtensionMilliseconds);
--- a/packages/jobs/job-service/src/pool-moves.ts
+++ b/packages/jobs/job-service/src/pool-moves.ts
@@ -4,6 +4,7 @@
 } from '@turmericbay/scheduler';
 import {createPoolPlanner} from '@turmericbay/scheduler';
 import type {MachineList} from './machine-list.js';
+import {createMachineZones} from './machine-zones.js';
 import type {MachineOrderGuard} from './machine-order-guard.js';
 import type {Clock, MachineClient} from './ports.js';
 import {MachineState} from './ports.js';
@@ -48,6 +49,11 @@
 	/** Machines for which an earlier order may have been executed. */
 	const uncertainMachines = new Set<string>();
 	let plannedAt = Number.NEGATIVE_INFINITY;
+	const machineZones = createMachineZones({machineList});
+	const isEvacuated = (machine: string): boolean => {
+		const zone = machineZones.getZone(machine);
+		return zone !== undefined && scheduler.isEvacuated(zone);
+	};
 
 	const orderMove = async (move: PoolMove): Promise<void> => {
 		const {machine, to} = move;
@@ -58,7 +64,8 @@
 
 		targetPools.set(machine, to);
 		movedAt.set(machine, Number.POSITIVE_INFINITY);
-		if (!await orderGuard.recordOrder(machine)) {
+		// The zone may have been evacuated while the order was being stored.
+		if (!await orderGuard.recordOrder(machine) || isEvacuated(machine)) {
 			targetPools.delete(machine);
 			movedAt.delete(machine);
 			if (worker) {
@@ -125,8 +132,9 @@
 			plannedAt = now;
 			machineList.refresh();
 			removeFinishedMoves(now);
+			machineZones.refresh();
 			const known: PoolMachine[] = machineList.records().map(({machine, pool, state, cpuMillis}) => ({
-				machine, pool, cpuMillis, isUp: state === MachineState.Up, worker: machineList.getWorker(machine),
+				machine, pool, cpuMillis, isUp: state === MachineState.Up, worker: machineList.getWorker(machine), isEvacuated: isEvacuated(machine),
 			}));
 			const standbyPools = new Set([...scheduler.policies().pools.values()].filter(pool => pool.standby).map(pool => pool.name));
 			const demands = new Map([...scheduler.measurePoolDemands(now)].filter(([pool]) => !standbyPools.has(pool)));
--- a/packages/jobs/job-service/src/ports.ts
+++ b/packages/jobs/job-service/src/ports.ts
@@ -115,10 +115,14 @@
 	readonly configurationKey: string;
 	readonly workerPrefix: string;
 	readonly wavePrefix: string;
+	/** Keys with which the operator evacuates zones. */
+	readonly evacuationPrefix: string;
 	/** Undefined if the entry is malformed. */
 	decodeConfiguration(entry: StoredEntry): Configuration | undefined;
 	/** Undefined if the entry does not describe a usable worker. */
 	decodeWorker(entry: StoredEntry): WorkerRegistration | undefined;
+	/** The evacuated zone; undefined if the entry is malformed. */
+	decodeEvacuation(entry: StoredEntry): string | undefined;
 	/** Undefined if the entry is malformed. */
 	decodeWave(entry: StoredEntry): WaveRequest | undefined;
 	encodeWaveStatus(options: {readonly wave: number; readonly isCompleted: boolean}): {readonly key: string; readonly value: string};
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -49,9 +49,11 @@
 	/** Processor cores that this process may use; may be a fraction. */
 	readonly cores: number;
 	readonly workerLeaseMilliseconds: number;
+	/** Time after which no task may start in a zone that the operator evacuates; undefined where zones are not evacuated. */
+	readonly evacuationMilliseconds: number | undefined;
 	readonly log: ServiceLog;
 }) => {
-	const {instance, peers, recordCodec, workerClient, adviceClient, machineClient, clock, random, cores, workerLeaseMilliseconds, log} = options;
+	const {instance, peers, recordCodec, workerClient, adviceClient, machineClient, clock, random, cores, workerLeaseMilliseconds, evacuationMilliseconds, log} = options;
 	const {address} = peers;
 	const {store, health} = monitorStore(options);
 	let owner: NonNullable<Owner> | undefined;
@@ -144,7 +146,7 @@
 		const created = await createOwner({
 			store, recordCodec, ownership, leaseRenewal, workerClient, adviceClient, machineClient, instance, clock,
 			configuration: () => configuration.current() ?? current,
-			workerLeaseMilliseconds, getReachedTime: revisionTimes.getReachedTime, onLost, log,
+			workerLeaseMilliseconds, evacuationMilliseconds, getReachedTime: revisionTimes.getReachedTime, onLost, log,
 		});
 		isAcquiring = false;
 		if (isLost) {
--- a/packages/jobs/job-service/test/order-executor.test.ts
+++ b/packages/jobs/job-service/test/order-executor.test.ts
@@ -79,3 +79,14 @@
 	worker.registration = {...worker.registration, capacity: {cpuMillis: 100, memoryMegabytes: 1000, accelerators: 0}};
 	t.is(scheduler.plan({now: 20, wallNow: 20, mayStart: true}).length, 1);
 });
+
+// Guards against a start in a zone whose evacuation was read while the run was being stored.
+test('a start is not sent to a worker whose zone has been evacuated meanwhile, and its capacity is released', async t => {
+	const {scheduler, worker, started, pendingRecords} = createFixture();
+	await settle();
+	scheduler.setEvacuatedZones(new Set(['north']), 10);
+	pendingRecords[0]!.stored();
+	await settle();
+	t.deepEqual(started, []);
+	t.is(worker.runs.size, 0);
+});
--- a/packages/jobs/job-service/test/owned-workers.test.ts
+++ b/packages/jobs/job-service/test/owned-workers.test.ts
@@ -14,7 +14,7 @@
 	const {scheduler, worker} = createSchedulerWithWorker(2);
 	const clock = {now: () => 0, wallNow: () => 0};
 	const recordCodec: PlatformRecordCodec = {
-		configurationKey: '', workerPrefix: 'workers/', wavePrefix: '', decodeConfiguration: unused, decodeWave: unused, encodeWaveStatus: unused,
+		configurationKey: '', workerPrefix: 'workers/', wavePrefix: '', evacuationPrefix: '', decodeEvacuation: unused, decodeConfiguration: unused, decodeWave: unused, encodeWaveStatus: unused,
 		decodeWorker: ({key, value}) => createRegistration({id: key.slice('workers/'.length), incarnation: Number(value)}),
 	};
 	const workerClient: WorkerClient = {
@@ -28,7 +28,7 @@
 		createSession: () => ({grantLease: () => undefined, wake: () => undefined, end: () => undefined}),
 		log: {
 			schedulerEvent: unused, startAttempted: unused, workerCallFailed: unused, workerRecovered: unused, jobFinished: unused, storeCallFailed: unused,
-			jobsLoaded: unused, ownerDelayed: unused, recordUnreadable: unused, waveProgressed: unused, moveAttempted: unused,
+			jobsLoaded: unused, evacuationsMeasured: unused, ownerDelayed: unused, recordUnreadable: unused, waveProgressed: unused, moveAttempted: unused,
 		},
 	});
 	const job = scheduler.addJob(createDeclaration('job'), {isRestored: true, now: 0, wallNow: 0});
--- a/packages/jobs/job-service/test/support/builders.ts
+++ b/packages/jobs/job-service/test/support/builders.ts
@@ -11,7 +11,7 @@
 
 export const createRegistration = (overrides: Partial<WorkerRegistration> = {}): WorkerRegistration => ({
 	id: 'w1', incarnation: 1, address: '10.0.0.1:80', pool: 'pool-1', zone: 'north', draining: false,
-	capacity: {cpuMillis: 4000, memoryMegabytes: 1000, accelerators: 0}, labels: [], ...overrides,
+	capacity: {cpuMillis: 4000, memoryMegabytes: 1000, accelerators: 0}, labels: [], slowStartMilliseconds: 0, ...overrides,
 });
 
 /** Creates a job with one step. */
--- a/packages/jobs/scheduler/src/events.ts
+++ b/packages/jobs/scheduler/src/events.ts
@@ -10,8 +10,17 @@
 	Crashes = 'crashes',
 }
 
+/** `milliseconds` is the time since the evacuation was read, `runs` the number of runs left on workers of the zone. */
+export type ZoneEvacuationEvent = {
+	readonly type: 'zone-evacuation-begun' | 'zone-evacuation-cancelled' | 'zone-emptied';
+	readonly zone: string;
+	readonly milliseconds: number;
+	readonly runs: number;
+};
+
 export type SchedulerEvent
 	= | StepWaitingEvent
+		| ZoneEvacuationEvent
 		| {readonly type: 'run-ended'; readonly task: string; readonly run: number; readonly worker: string; readonly reason: EndReason | 'lost' | 'not-run'}
 		| {readonly type: 'run-adopted'; readonly task: string; readonly run: number; readonly worker: string}
 		| {readonly type: 'run-unwanted'; readonly task: string; readonly run: number; readonly worker: string}
--- a/packages/jobs/scheduler/src/index.ts
+++ b/packages/jobs/scheduler/src/index.ts
@@ -3,7 +3,8 @@
 export {isActive, isFinalState} from './jobs.js';
 export * from './events.js';
 export type {ThrottleOrder} from './throttling.js';
-export type {AdviceOrder, StartOrder} from './placement.js';
+export type {AdviceOrder} from './advice.js';
+export type {StartOrder} from './placement.js';
 export * from './progress.js';
 export * from './scheduler.js';
 export type {StartOutcome} from './start-outcomes.js';
@@ -11,6 +12,8 @@
 export {
 	computeLatestLeaseExpiry, isEarlierIncarnation, isWithinCapacity, minimumWorkerClockRate,
 } from './workers.js';
-export * from './waves.js';
+export {isDisruptionAllowed, planWave} from './waves.js';
+export type {WaveMachine, WaveRow} from './waves.js';
 export * from './pools.js';
+export type {ZoneEvacuationStatus} from './zone-evacuation.js';
 export type {DurationEstimator, DurationKey} from './durations.js';
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -222,6 +222,8 @@
 	readonly draining: boolean;
 	readonly capacity: Resources;
 	readonly labels: readonly string[];
+	/** Time for which the worker is still slow after its start; 0 if it is not. */
+	readonly slowStartMilliseconds: number;
 };
 
 export type WorkerRow = {
@@ -245,6 +247,10 @@
 	avoidUntil: number;
 	/** Gets no new runs because of maintenance or a move of its machine. */
 	isCordoned: boolean;
+	/** The operator has evacuated its zone, so it gets no new runs. */
+	isZoneEvacuated: boolean;
+	/** Slow since it started recently; gets runs only if no other worker has capacity. */
+	isStartingSlowly: boolean;
 	/** An order that ends this worker process was or is about to be sent. */
 	isTerminating: boolean;
 	readonly runs: Map<string, RunRow>;
@@ -281,8 +287,8 @@
 	readonly hasMoreEnded: boolean;
 };
 
-/** Finds the label that names the worker's rack, such as r1-3. */
-export const findRack = (registration: WorkerRegistration): string | undefined => registration.labels.find(label => label.startsWith('r') && label.includes('-'));
+/** Finds the label that names the rack of a worker or machine, such as r1-3. */
+export const findRack = (registration: Pick<WorkerRegistration, 'labels'>): string | undefined => registration.labels.find(label => label.startsWith('r') && label.includes('-'));
 export const formatTaskName = (options: {job: string; occurrence: number; step: number; index: number}): string =>
 	`${options.job}.${options.occurrence}.${options.step}.${options.index}`;
 export const formatRunKey = (task: string, run: number): string => `${task}#${run}`;
--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -1,4 +1,6 @@
 /** Chooses a worker for each task that is ready to start. Jobs that can still meet their objective come before late ones. */
+import type {AdviceOrder} from './advice.js';
+import {createAdviceOrders, getFreeCpuShare, hasValidTicket} from './advice.js';
 import {countCrashes} from './crashes.js';
 import {isActive, isStepReady, rankLateness} from './jobs.js';
 import type {
@@ -11,18 +13,13 @@
 
 /** A worker that has not answered for this time gets no new runs; workers are asked for a report about once a second. */
 const contactTimeoutMilliseconds = 2500;
-/** Limits the duration of a request: the advice service needs time for each worker. */
-const maximumWorkersPerAdviceCall = 12;
 /** A run on a slow worker gets a speculative run after this many times its estimate. */
 const speculationFactor = 1.5;
-/** A ticket is not used this close to its expiry, since the start request has to reach the worker first. */
-const ticketMarginMilliseconds = 300;
 
-export type AdviceOrder = {readonly type: 'advise'; readonly step: StepRow; readonly workers: readonly string[]};
 export type StartOrder = {readonly type: 'start'; readonly row: RunRow; readonly ticket: string | undefined};
 
 export const isSchedulable = (worker: WorkerRow, now: number): boolean =>
-	worker.isRegistered && worker.isReconciled && !worker.registration.draining && !worker.isCordoned
+	worker.isRegistered && worker.isReconciled && !worker.registration.draining && !worker.isCordoned && !worker.isZoneEvacuated
 	&& worker.unansweredCalls === 0 && worker.lastContactAt > now - contactTimeoutMilliseconds && worker.avoidUntil <= now;
 
 /** The ranks within a priority: long-running, on time, late but still of use, too late. */
@@ -40,13 +37,13 @@
 const failurePenaltyWeight = -4;
 const slowPenaltyWeight = -3;
 const concentrationPenaltyWeight = -1.5;
+/** Exceeds the sum of all others: a worker that is slow after its start is used only if no other has capacity. */
+const slowStartPenalty = -20;
 /** Separated tasks of one job share a worker, so that few workers are kept from other jobs. */
 const companyWeight = 1;
 
 const isDelayed = (task: TaskRow, now: number): boolean => task.notBefore > now || task.crashDelayUntil > now;
 
-const getFreeCpuShare = (worker: WorkerRow): number => 1 - (worker.used.cpuMillis / Math.max(1, worker.registration.capacity.cpuMillis));
-
 const isLongRunning = (job: JobRow): boolean => job.declaration.steps.some(step => step.longRunning);
 
 export const createPlacement = (options: {
@@ -102,7 +99,8 @@
 		// Prefers the fullest worker with free capacity (best fit), so that idle machines can move to other pools. A task that may crash its worker gets the emptiest.
 		const fit = countCrashes(task) > 0 ? getFreeCpuShare(worker) : -getFreeCpuShare(worker);
 		const companyBonus = isSeparated(task) && hasRunOf(task.step.job, worker) ? companyWeight : 0;
-		return rackBonus + failurePenalty + concentrationPenalty + slowPenalty + companyBonus + fit;
+		const startPenalty = worker.isStartingSlowly ? slowStartPenalty : 0;
+		return startPenalty + rackBonus + failurePenalty + concentrationPenalty + slowPenalty + companyBonus + fit;
 	};
 
 	const chooseWorker = (task: TaskRow, candidates: readonly WorkerRow[], now: number): WorkerRow | undefined => {
@@ -194,16 +192,13 @@
 		return [];
 	};
 
-	const hasValidTicket = (step: StepRow, worker: WorkerRow, now: number): boolean => {
-		const ticket = step.tickets.get(worker.registration.id);
-		return ticket !== undefined && ticket.expiresAt - ticketMarginMilliseconds > now && ticket.incarnation === (worker.incarnation ?? 0);
-	};
-
 	const placeStep = (step: StepRow, queue: QueuePolicy, usable: readonly WorkerRow[], now: number): Array<StartOrder | AdviceOrder> => {
 		const orders: Array<StartOrder | AdviceOrder> = [];
 		const candidates = queue.advice ? usable.filter(worker => hasValidTicket(step, worker, now)) : usable;
 		if (step.declaration.gang) {
-			orders.push(...placeGang(step, candidates, now));
+			const preferred = candidates.filter(worker => !worker.isStartingSlowly);
+			const preferredOrders = placeGang(step, preferred, now);
+			orders.push(...(preferredOrders.length > 0 || preferred.length === candidates.length ? preferredOrders : placeGang(step, candidates, now)));
 		} else {
 			for (const task of step.tasks) {
 				if (task.done || task.runs.size > 0 || isDelayed(task, now)) {
@@ -229,15 +224,8 @@
 			}
 		}
 
-		if (queue.advice && step.waiting > 0 && !step.adviceInFlight) {
-			const required = getReservedResources(step.tasks[0]!);
-			const undecided = usable
-				.filter(worker => !step.disallowedWorkers.has(worker.registration.id) && !hasValidTicket(step, worker, now) && hasCapacityFor(worker, required))
-				.toSorted((left, right) => getFreeCpuShare(right) - getFreeCpuShare(left));
-			if (undecided.length > 0) {
-				step.adviceInFlight = true;
-				orders.push({type: 'advise', step, workers: undecided.slice(0, maximumWorkersPerAdviceCall).map(worker => worker.registration.id)});
-			}
+		if (queue.advice && step.waiting > 0) {
+			orders.push(...createAdviceOrders(step, usable, now));
 		}
 
 		return orders;
@@ -260,6 +248,8 @@
 	};
 
 	return {
+		isWithinWorkspaceLimit,
+		mayShare: separation.mayShare,
 		/** Orders for all tasks that can start now; the started runs are already in the tables. */
 		place(jobs: Iterable<JobRow>, now: number): Array<StartOrder | AdviceOrder> {
 			separation.refresh();
--- a/packages/jobs/scheduler/src/pools.ts
+++ b/packages/jobs/scheduler/src/pools.ts
@@ -25,6 +25,8 @@
 	readonly isUp: boolean;
 	readonly cpuMillis: number;
 	readonly worker: WorkerRow | undefined;
+	/** In an evacuated zone: its capacity does not count, and it stays in its pool. */
+	readonly isEvacuated: boolean;
 };
 
 export type PoolMove = {readonly machine: string; readonly from: string; readonly to: string};
@@ -87,7 +89,8 @@
 			readonly canMove: (machine: string, pool: string) => boolean;
 			readonly now: number;
 		}): PoolMove[] {
-			const {machines, demands, standbyPools, targetPools, canMove, now} = options;
+			const {demands, standbyPools, targetPools, canMove, now} = options;
+			const machines = options.machines.filter(machine => !machine.isEvacuated);
 			const moves: PoolMove[] = [];
 			const movedMachines = new Set<string>();
 			const addMove = (machine: PoolMachine, to: string): void => {
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -14,10 +14,13 @@
 	JobDeclaration, JobRow, Policies, RunReport, RunRow, Ticket, WorkerRegistration, WorkerRow,
 } from './model.js';
 import {formatRunKey, JobState, RunPhase} from './model.js';
-import type {AdviceOrder, StartOrder} from './placement.js';
-import {createPlacement} from './placement.js';
+import type {AdviceOrder} from './advice.js';
+import {createAdviceOrders, hasValidTicket} from './advice.js';
+import type {StartOrder} from './placement.js';
+import {createPlacement, isSchedulable} from './placement.js';
 import type {JobProgress} from './progress.js';
 import {createReconciler} from './reconciler.js';
+import {createSlowStarts} from './slow-starts.js';
 import {createSpeedEstimator} from './speeds.js';
 import {createStartOutcomeHandler} from './start-outcomes.js';
 import type {StopOrder} from './stops.js';
@@ -26,6 +29,7 @@
 import {createThrottling} from './throttling.js';
 import {createWaitingStepMonitor} from './waiting-steps.js';
 import {createWorkerTable, isEarlierIncarnation} from './workers.js';
+import {createZoneEvacuation} from './zone-evacuation.js';
 
 /**
  * Run numbers reserved for each task and epoch, so that the runs of a new owner get higher numbers than all earlier ones
@@ -71,6 +75,8 @@
 	const waitingStepMonitor = createWaitingStepMonitor({workers, getPolicies: () => policies, emit});
 	const speedEstimator = createSpeedEstimator();
 	const demandEstimator = createDemandEstimator();
+	const slowStarts = createSlowStarts();
+	const zoneEvacuation = createZoneEvacuation({workers: workers.workers, emit});
 
 	const updateWorkerHealth = (now: number): void => {
 		speedEstimator.update(workers.workers.values(), now);
@@ -96,6 +102,21 @@
 		countsHalvedAt = isHalving ? now : countsHalvedAt;
 	};
 
+	/** Moves runs out of evacuated zones, with the capacity that the placement of this tick has left. */
+	const planEvacuation = (now: number): Order[] => {
+		const plan = zoneEvacuation.plan({
+			workers: workers.workers.values(), policies, durations, now,
+			isSchedulable: worker => isSchedulable(worker, now),
+			hasTicket: (step, worker) => hasValidTicket(step, worker, now),
+			mayShare: (task, worker) => placement.mayShare(task, worker, now),
+			mayRestart: task => task.notBefore <= now && task.crashDelayUntil <= now && placement.isWithinWorkspaceLimit(task, 0),
+		});
+		zoneEvacuation.apply(plan);
+		const adviceOrders = [...plan.unadvised].flatMap(([step, usable]) => createAdviceOrders(step, usable, now));
+		// Stopped in this tick, so that the count of tasks that are away is still true when the orders are sent.
+		return plan.moved.length > 0 ? [...adviceOrders, ...stopPlanner.plan(now)] : adviceOrders;
+	};
+
 	return {
 		measurePoolDemands: (now: number) => demandEstimator.measure(jobs.jobs.values(), policies.queues, now),
 		policies: () => policies,
@@ -103,6 +124,10 @@
 		jobs: jobs.jobs,
 		changedJobs: jobs.changedJobs,
 		workers: workers.workers,
+		/** Zones whose workers get no new runs until they are no longer among them. */
+		setEvacuatedZones: zoneEvacuation.setZones,
+		isEvacuated: zoneEvacuation.isEvacuated,
+		measureEvacuations: zoneEvacuation.measure,
 		/** Accepted jobs of a queue that is no longer configured go on under its last policy. */
 		setPolicies(next: Policies): void {
 			const queues = new Map(next.queues);
@@ -242,9 +267,11 @@
 			crashes.tick(now);
 			jobs.openDueOccurrences(wallNow);
 			updateWorkerHealth(now);
+			slowStarts.refresh(workers.workers.values(), now);
+			zoneEvacuation.refresh(now);
 			const orders: Order[] = stopPlanner.plan(now);
 			if (mayStart) {
-				orders.push(...placement.place(jobs.jobs.values(), now), ...throttling.plan(workers.workers.values(), now));
+				orders.push(...placement.place(jobs.jobs.values(), now), ...throttling.plan(workers.workers.values(), now), ...planEvacuation(now));
 			}
 
 			waitingStepMonitor.check(jobs.jobs.values(), {now, mayStart});
--- a/packages/jobs/scheduler/src/waves.ts
+++ b/packages/jobs/scheduler/src/waves.ts
@@ -44,7 +44,7 @@
 	readonly down: Set<string>;
 };
 
-const hasRecentReport = (worker: WorkerRow, now: number): boolean =>
+export const hasRecentReport = (worker: WorkerRow, now: number): boolean =>
 	worker.unansweredCalls === 0 && worker.lastContactAt >= now - maximumReportAgeMilliseconds;
 
 /**
--- a/packages/jobs/scheduler/test/pools.test.ts
+++ b/packages/jobs/scheduler/test/pools.test.ts
@@ -14,10 +14,10 @@
 const createMachines = (workerCount: number): PoolMachine[] => {
 	const scheduler = createTestScheduler();
 	const machines = Array.from({length: workerCount}, (_, index): PoolMachine => ({
-		machine: `m${index}`, pool, isUp: true, cpuMillis, worker: addWorker(scheduler, createRegistration(`w${index}`)),
+		machine: `m${index}`, pool, isUp: true, cpuMillis, worker: addWorker(scheduler, createRegistration(`w${index}`)), isEvacuated: false,
 	}));
 	return [...machines, {
-		machine: 'standby-machine', pool: standby, isUp: true, cpuMillis, worker: undefined,
+		machine: 'standby-machine', pool: standby, isUp: true, cpuMillis, worker: undefined, isEvacuated: false,
 	}];
 };
 
@@ -92,3 +92,21 @@
 	t.is(Math.round(scheduler.measurePoolDemands(10).get(pool)!.arrivalDemand), 5000);
 	t.is(scheduler.measurePoolDemands(5000).get(pool)!.arrivalDemand, 0);
 });
+
+// Guards against a pool that counts on machines that may not be used, and against moves of such machines for their capacity.
+test('machines in an evacuated zone count as absent and are not moved', t => {
+	const machines = createMachines(3);
+	const isEvacuated = true;
+	const demand = {arrivalDemand: 9000};
+	t.deepEqual(plan({machines, demand, now: 0}), []);
+	t.deepEqual(plan({machines: machines.map((machine, index) => index === 0 ? {...machine, isEvacuated} : machine), demand, now: 0}), standbyMachineMove);
+	t.deepEqual(plan({machines: machines.map((machine, index) => index === 0 || index === 3 ? {...machine, isEvacuated} : machine), demand, now: 0}), []);
+});
+
+// Guards against the deficit of a pool that a machine on its way seems to cover although it arrives in an evacuated zone.
+test('a machine of an evacuated zone that is on its way does not count for its target pool', t => {
+	const machines = createMachines(3).map((machine, index) => index === 2 ? {...machine, pool: 'pool-2', isEvacuated: true} : machine);
+	t.deepEqual(plan({
+		machines, demand: {arrivalDemand: 9000}, now: 0, targetPools: new Map([['m2', pool]]),
+	}), standbyMachineMove);
+});
--- a/packages/jobs/scheduler/test/support/builders.ts
+++ b/packages/jobs/scheduler/test/support/builders.ts
@@ -31,7 +31,7 @@
 
 export const createRegistration = (id: string, overrides: Partial<WorkerRegistration> = {}): WorkerRegistration => ({
 	id, incarnation: 1, address: '10.0.0.1:80', pool, zone: 'north', draining: false,
-	capacity: {cpuMillis: 4000, memoryMegabytes: 10_000, accelerators: 0}, labels: ['a', 'r1-1'], ...overrides,
+	capacity: {cpuMillis: 4000, memoryMegabytes: 10_000, accelerators: 0}, labels: ['a', 'r1-1'], slowStartMilliseconds: 0, ...overrides,
 });
 
 export const createTestScheduler = (policies: Policies = createPolicies(), epoch = 1): Scheduler => {
@@ -63,6 +63,15 @@
 	});
 };
 
+/** All workers respond: service tasks are ready, and of the other tasks a tenth is done. */
+export const reportProgress = (scheduler: Scheduler, now: number, percent = 10): void => {
+	for (const worker of scheduler.workers.values()) {
+		respond(scheduler, worker, now, [...worker.runs.values()].map(row => ({
+			task: row.task.name, run: row.run, checkpoint: '', percent: row.task.step.declaration.longRunning ? 100 : percent, latencyOrCpuUsage: 0,
+		})));
+	}
+};
+
 /** Plans once, confirms all starts, and returns the started tasks with their workers. */
 export const startAll = (scheduler: Scheduler, now: number): Array<readonly [string, string]> => {
 	const started: Array<readonly [string, string]> = [];
--- a/packages/tools/experiment/src/run-simulation.ts
+++ b/packages/tools/experiment/src/run-simulation.ts
@@ -99,7 +99,7 @@
 	await time.runWithVirtualTimers(async () => {
 		const cluster = createSimulatedCluster({
 			time, random, instances: options.instances, policies, machines: new Map(Object.entries(load.machines)), cpuMillis: load.cpuMillis,
-			machinesPerRack: load.machinesPerRack, leaseMilliseconds, listingBytesPerSecond,
+			machinesPerRack: load.machinesPerRack, leaseMilliseconds, listingBytesPerSecond, evacuationMilliseconds: undefined,
 			oracle, createWork: createTaskWork, createLog: instance => createSimulationLog(logLines, time.now, instance),
 		});
 
--- a/packages/tools/experiment/src/simulated-cluster.ts
+++ b/packages/tools/experiment/src/simulated-cluster.ts
@@ -30,6 +30,7 @@
 const configurationKey = 'operator/configuration';
 const workerPrefix = 'workers/';
 const wavePrefix = 'operator/waves/';
+const evacuationPrefix = 'operator/evacuations/';
 
 export type SimulatedClusterOptions = {
 	readonly time: VirtualTime;
@@ -42,6 +43,8 @@
 	readonly machinesPerRack: number;
 	readonly leaseMilliseconds: number;
 	readonly listingBytesPerSecond: number;
+	/** Time after which no task may start in an evacuated zone; undefined if no zone is evacuated. */
+	readonly evacuationMilliseconds: number | undefined;
 	readonly oracle: Oracle;
 	readonly createWork: (task: string, run: number) => TaskWork;
 	readonly createLog: (instance: string) => ServiceLog;
@@ -61,9 +64,10 @@
 
 /* eslint-disable @typescript-eslint/no-unsafe-type-assertion -- Written by this program. */
 const createRecordCodec = (getConfiguration: () => Configuration): PlatformRecordCodec => ({
-	configurationKey, workerPrefix, wavePrefix,
+	configurationKey, workerPrefix, wavePrefix, evacuationPrefix,
 	decodeConfiguration: entry => ({...getConfiguration(), version: Number(entry.value)}),
 	decodeWorker: entry => JSON.parse(entry.value) as WorkerRegistration,
+	decodeEvacuation: entry => entry.key.slice(evacuationPrefix.length),
 	decodeWave: entry => JSON.parse(entry.value) as ReturnType<PlatformRecordCodec['decodeWave']>,
 	encodeWaveStatus: ({wave, isCompleted}) => ({key: `status/${wave}`, value: String(isCompleted)}),
 });
@@ -129,7 +133,7 @@
 		const model = createModel(id, machine);
 		const registration: WorkerRegistration = {
 			id, incarnation: model.incarnation, address: `${machine.machine}:1`, pool: machine.pool, zone: machine.zone, draining: false,
-			capacity: {cpuMillis: options.cpuMillis, memoryMegabytes: 1_000_000, accelerators: 0}, labels: ['a', machine.rack],
+			capacity: {cpuMillis: options.cpuMillis, memoryMegabytes: 1_000_000, accelerators: 0}, labels: ['a', machine.rack], slowStartMilliseconds: 0,
 		};
 		workers.set(id, {
 			id, machine, model, isUnreachable: false, refusesConnections: false, registration,
@@ -195,7 +199,7 @@
 					network, time, machines, oracle,
 				}),
 				clock: {now: time.now, wallNow: () => startWallMilliseconds + time.now() + process.wallClockOffsetMilliseconds},
-				random, cores: 1, workerLeaseMilliseconds: options.leaseMilliseconds, log: options.createLog(name),
+				random, cores: 1, workerLeaseMilliseconds: options.leaseMilliseconds, evacuationMilliseconds: options.evacuationMilliseconds, log: options.createLog(name),
 			});
 			instances.set(name, {process, service});
 		});
--- a/packages/tools/experiment/src/simulation-log.ts
+++ b/packages/tools/experiment/src/simulation-log.ts
@@ -31,6 +31,9 @@
 		jobsLoaded(summary) {
 			write('loaded', summary);
 		},
+		evacuationsMeasured() {
+			// Figures for metrics; the scheduler's events tell the same.
+		},
 		waveProgressed(wave, machine, outcome) {
 			write('wave', `${wave} ${machine ?? ''} ${outcome}`);
 		},
