Move nothing out of evacuated zones shortly after a takeover

Cause: a run that the previous owner has ordered to stop may still be reported as running, so a new owner could take away one task too many. Change: an owner that follows another waits 3.5 s before its first moves, as maintenance does. Nothing starts in the zone meanwhile.

--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -76,7 +76,7 @@
 	const speedEstimator = createSpeedEstimator();
 	const demandEstimator = createDemandEstimator();
 	const slowStarts = createSlowStarts();
-	const zoneEvacuation = createZoneEvacuation({workers: workers.workers, emit});
+	const zoneEvacuation = createZoneEvacuation({workers: workers.workers, hasPreviousOwner: epoch > 1, emit});
 
 	const updateWorkerHealth = (now: number): void => {
 		speedEstimator.update(workers.workers.values(), now);
--- a/packages/jobs/scheduler/src/zone-evacuation.ts
+++ b/packages/jobs/scheduler/src/zone-evacuation.ts
@@ -13,6 +13,9 @@
 	readonly runs: number;
 };
 
+/** A run that the previous owner has ordered to stop may still be reported as running; maintenance waits as long after a takeover. */
+const takeoverDelayMilliseconds = 3500;
+
 type EvacuatedZone = {readonly since: number; isEmpty: boolean};
 
 export type ZoneEvacuation = ReturnType<typeof createZoneEvacuation>;
@@ -22,9 +25,12 @@
 
 export const createZoneEvacuation = (options: {
 	readonly workers: ReadonlyMap<string, WorkerRow>;
+	/** False for the first owner, whose counts of tasks that are away lack no orders of another. */
+	readonly hasPreviousOwner: boolean;
 	readonly emit: (event: ZoneEvacuationEvent) => void;
 }) => {
-	const {workers, emit} = options;
+	const {workers, hasPreviousOwner, emit} = options;
+	let movesFrom = hasPreviousOwner ? undefined : Number.NEGATIVE_INFINITY;
 	const zones = new Map<string, EvacuatedZone>();
 	/** Tasks that were moved and have no run elsewhere yet. */
 	const leaving = new Set<TaskRow>();
@@ -69,6 +75,7 @@
 		},
 		/** Called at the beginning of each tick: workers register and change their zone. */
 		refresh(now: number): void {
+			movesFrom ??= now + takeoverDelayMilliseconds;
 			refreshWorkers();
 			for (const [zone, state] of zones) {
 				const zoneWorkers = listWorkers(zone);
@@ -86,7 +93,10 @@
 			}
 		},
 		measure: (now: number): ZoneEvacuationStatus[] => [...zones].map(([zone, state]) => measure(zone, state, now)),
-		plan: (context: Omit<EvacuationContext, 'leaving'>): EvacuationPlan => zones.size === 0 ? {moved: [], unadvised: new Map()} : planEvacuationMoves({...context, leaving}),
+		plan(context: Omit<EvacuationContext, 'leaving'>): EvacuationPlan {
+			const mayMove = zones.size > 0 && movesFrom !== undefined && context.now >= movesFrom;
+			return mayMove ? planEvacuationMoves({...context, leaving}) : {moved: [], unadvised: new Map()};
+		},
 		/** Marks the runs of the plan; they are stopped, and placement starts their tasks elsewhere. */
 		apply(plan: EvacuationPlan): void {
 			for (const row of plan.moved) {
--- a/packages/jobs/scheduler/test/zone-evacuation.test.ts
+++ b/packages/jobs/scheduler/test/zone-evacuation.test.ts
@@ -13,10 +13,10 @@
 const longTask = {estimateMilliseconds: 10_000};
 const service = {longRunning: true, maximumAway: 1};
 
-const createFixture = (zones: readonly string[], policies = createPolicies()) => {
+const createFixture = (zones: readonly string[], policies = createPolicies(), epoch = 1) => {
 	const events: SchedulerEvent[] = [];
 	const scheduler = createScheduler({
-		epoch: 1, emit(event) {
+		epoch, emit(event) {
 			events.push(event);
 		},
 	});
@@ -226,3 +226,16 @@
 	startAll(scheduler, 1002);
 	t.false(scheduler.workers.get('slow')!.isStartingSlowly);
 });
+
+// Guards against a service that loses a task to the new owner while one that the previous owner has stopped is still reported as running.
+test('after a change of the owner nothing starts in the zone, and nothing leaves it for 3.5 s', t => {
+	const {scheduler, add, addRunning, planStops} = createFixture(['north'], createPolicies(), 2);
+	addRunning('s', [service]);
+	scheduler.setEvacuatedZones(north, 3);
+	addJob(scheduler, 'j', [createStep()]);
+	t.deepEqual(startAll(scheduler, 4), []);
+	add('south', 5);
+	reportProgress(scheduler, 3400);
+	t.deepEqual(planStops(3500), []);
+	t.deepEqual(planStops(3501), ['s.0.0.0']);
+});
