--- a/packages/jobs/scheduler/src/waiting-steps.ts
+++ b/packages/jobs/scheduler/src/waiting-steps.ts
@@ -22,7 +22,7 @@
 	/** Tasks that are neither done nor have a run. */
 	readonly tasks: number;
 	readonly milliseconds: number;
-	/** False while this owner may not start tasks, since its lease is not confirmed. */
+	/** False while this owner may not start tasks, since its lease or the list of evacuated zones is not confirmed. */
 	readonly mayStart: boolean;
 	/** Workers of the pool that may get runs, and those among them with enough free capacity. */
 	readonly schedulableWorkers: number;
