--- a/packages/jobs/job-service/src/owner-log.ts
+++ b/packages/jobs/job-service/src/owner-log.ts
@@ -1,6 +1,6 @@
 /** Events that the owner reports to logs and metrics. */
 import type {
-	JobRow, SchedulerEvent, StartOrder, WorkerRow,
+	JobRow, SchedulerEvent, StartOrder, WorkerRow, ZoneEvacuationStatus,
 } from '@turmericbay/scheduler';
 import type {DispatchLog} from './owner-dispatch.js';
 import type {MaintenanceLog} from './maintenance.js';
@@ -17,4 +17,6 @@
 	ownerDelayed(milliseconds: number): void;
 	jobsLoaded(summary: {jobs: number; workers: number; milliseconds: number}): void;
 	recordUnreadable(key: string): void;
+	/** State of the evacuated zones; empty once none is left. */
+	evacuationsMeasured(zones: readonly ZoneEvacuationStatus[]): void;
 };
