Divide a full pool between the workspaces by weight

Jobs of a full pool were ordered by priority and deadline. A workspace with a burst took the capacity of all others, and when all jobs were late, the order served those that were about to miss their objective. The weight of a workspace was not read.

If the ready tasks of a pool exceed its free capacity, the workspaces now take turns by weighted max-min fairness over the dominant resource, within a priority and after long-running tasks. If all ready tasks fit, the order is unchanged. Usage by pool and workspace is kept up to date with each run, and sizes that fit nowhere are not searched for again in a tick. Workers are grouped by pool once a tick instead of being filtered for each pool.

--- /dev/null
+++ b/packages/jobs/scheduler/src/job-order.ts
@@ -0,0 +1,162 @@
+/**
+ * Orders the jobs of a pool. If all tasks that could start fit into the free capacity,
+ * jobs are ordered by priority, lateness and deadline; otherwise the workspaces get
+ * turns in proportion to their weights.
+ */
+import type {DurationEstimator} from './durations.js';
+import {createExhaustedSizes} from './exhausted-sizes.js';
+import {takeFairTurns} from './fair-order.js';
+import {rankLateness} from './jobs.js';
+import type {
+	JobRow, Resources, WorkerRow, WorkspacePolicy,
+} from './model.js';
+import type {PoolUsage} from './pool-usage.js';
+import {addResources, getWorkspace, noResources} from './pool-usage.js';
+import type {ReadyJob} from './ready-work.js';
+import {exceedsFreeCapacity} from './ready-work.js';
+
+/** What a job may start in its turn. */
+export enum TurnKind {
+	All = 'all',
+	/** First runs of tasks. */
+	Waiting = 'waiting',
+	/** Second runs of tasks. */
+	Speculative = 'speculative',
+}
+
+export type JobTurn = Pick<ReadyJob, 'job' | 'queue'> & {readonly kind: TurnKind; readonly maximumStarts: number};
+
+export type PoolState = {
+	readonly pool: string;
+	/** Workers of the pool that may get runs. */
+	readonly workers: readonly WorkerRow[];
+	readonly usage: PoolUsage;
+	readonly workspaces: ReadonlyMap<string, WorkspacePolicy>;
+	/** Resources of all runs of a workspace, in all pools. */
+	readonly totalUsage: ReadonlyMap<string, Resources>;
+	/** Jobs that get a turn even if none of their tasks fits. */
+	readonly mustTry: ReadonlySet<JobRow>;
+	readonly durations: DurationEstimator;
+	readonly now: number;
+};
+
+export type JobOrder = {
+	readonly isFull: boolean;
+	/** Yields turns and is given the number of tasks started in each, which are in the tables by then. */
+	readonly turns: Generator<JobTurn, void, number>;
+};
+
+/** The ranks within a priority: long-running, on time, late but still of use, too late. */
+const ranksPerPriority = 4;
+
+const isLongRunning = (job: JobRow): boolean => job.declaration.steps.some(step => step.longRunning);
+
+const toTurn = ({job, queue}: ReadyJob, kind: TurnKind, maximumStarts = Number.POSITIVE_INFINITY): JobTurn => ({
+	job, queue, kind, maximumStarts,
+});
+
+const sortByDeadline = (jobs: readonly ReadyJob[], now: number): ReadyJob[] => {
+	const ranked = jobs.map(entry => ({entry, rank: (entry.queue.priority * ranksPerPriority) + (isLongRunning(entry.job) ? 0 : 1 + rankLateness(entry.job, now))}));
+	return ranked.toSorted((left, right) => left.rank - right.rank || left.entry.job.deadline - right.entry.job.deadline).map(({entry}) => entry);
+};
+
+function * takeTurnsByDeadline(jobs: readonly ReadyJob[], now: number): Generator<JobTurn, void, number> {
+	for (const entry of sortByDeadline(jobs, now)) {
+		yield toTurn(entry, TurnKind.All);
+	}
+}
+
+const subtractWithin = (limit: number, used: number): number => limit === 0 ? Number.POSITIVE_INFINITY : Math.max(0, limit - used);
+
+/** What the workspace's tasks need that could start, up to its maximum. */
+const limitToMaximum = (required: Resources, workspace: string, pool: PoolState): Resources => {
+	const maximum = pool.workspaces.get(workspace)?.maximum;
+	if (!maximum) {
+		return required;
+	}
+
+	const used = pool.totalUsage.get(workspace) ?? noResources;
+	return {
+		cpuMillis: Math.min(required.cpuMillis, subtractWithin(maximum.cpuMillis, used.cpuMillis)),
+		memoryMegabytes: Math.min(required.memoryMegabytes, subtractWithin(maximum.memoryMegabytes, used.memoryMegabytes)),
+		accelerators: Math.min(required.accelerators, subtractWithin(maximum.accelerators, used.accelerators)),
+	};
+};
+
+const sumByWorkspace = (jobs: readonly ReadyJob[], pool: PoolState): Map<string, Resources> => {
+	const sums = new Map<string, Resources>();
+	for (const {job, required} of jobs) {
+		const workspace = getWorkspace(job);
+		const previous = sums.get(workspace);
+		sums.set(workspace, previous ? addResources(previous, required) : required);
+	}
+
+	for (const [workspace, required] of sums) {
+		sums.set(workspace, limitToMaximum(required, workspace, pool));
+	}
+
+	return sums;
+};
+
+const groupByPriority = (jobs: readonly ReadyJob[]): ReadyJob[][] => {
+	const groups = new Map<number, ReadyJob[]>();
+	for (const entry of jobs) {
+		const group = groups.get(entry.queue.priority) ?? [];
+		group.push(entry);
+		groups.set(entry.queue.priority, group);
+	}
+
+	return [...groups].toSorted(([left], [right]) => left - right).map(([, group]) => group);
+};
+
+function * takeTurnsOfFullPool(jobs: readonly ReadyJob[], pool: PoolState, requiredByWorkspace: Map<string, Resources>): Generator<JobTurn, void, number> {
+	const {workers, usage, workspaces, mustTry, durations, now} = pool;
+	let capacity = noResources;
+	for (const {registration} of workers) {
+		capacity = addResources(capacity, registration.capacity);
+	}
+
+	for (const workspace of usage.listWorkspaces(pool.pool)) {
+		if (!requiredByWorkspace.has(workspace)) {
+			requiredByWorkspace.set(workspace, noResources);
+		}
+	}
+
+	const exhausted = createExhaustedSizes(workers);
+	for (const group of groupByPriority(jobs)) {
+		for (const entry of sortByDeadline(group.filter(({job}) => isLongRunning(job)), now)) {
+			if (mustTry.has(entry.job) || !exhausted.coversJob(entry)) {
+				const starts = yield toTurn(entry, TurnKind.Waiting);
+				if (starts === 0) {
+					exhausted.recordFailure(entry);
+				}
+			}
+		}
+
+		const turns = takeFairTurns(group.filter(({job, steps}) => steps.length > 0 && !isLongRunning(job)), {
+			capacity, requiredByWorkspace, exhausted, durations, now,
+			getReserved: workspace => usage.getReserved(pool.pool, workspace),
+			getWeight: workspace => workspaces.get(workspace)?.weight ?? 1,
+			mustTry: ({job}) => mustTry.has(job),
+		});
+		for (let turn = turns.next(0); !turn.done;) {
+			const starts = yield toTurn(turn.value.entry, TurnKind.Waiting, turn.value.maximumStarts);
+			turn = turns.next(starts);
+		}
+
+		for (const entry of sortByDeadline(group.filter(({isSpeculative}) => isSpeculative), now)) {
+			yield toTurn(entry, TurnKind.Speculative);
+		}
+	}
+}
+
+export const orderJobs = (jobs: readonly ReadyJob[], pool: PoolState): JobOrder => {
+	const requiredByWorkspace = sumByWorkspace(jobs, pool);
+	let required = noResources;
+	for (const sum of requiredByWorkspace.values()) {
+		required = addResources(required, sum);
+	}
+
+	const isFull = exceedsFreeCapacity({jobs, required, workers: pool.workers});
+	return {isFull, turns: isFull ? takeTurnsOfFullPool(jobs, pool, requiredByWorkspace) : takeTurnsByDeadline(jobs, pool.now)};
+};
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -81,7 +81,7 @@
 
 export type WorkspacePolicy = {
 	readonly name: string;
-	/** Share of the workspace when all capacity is in use; the scheduler does not read it. */
+	/** Share of the workspace in a pool that is full, relative to the weights of the others. */
 	readonly weight: number;
 	/** Limit on the resources of all runs at the same time; 0 means no limit on that resource. */
 	readonly maximum: Resources;
--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -1,13 +1,18 @@
 /** Chooses a worker for each task that is ready to start. Jobs that can still meet their objective come before late ones. */
 import {countCrashes} from './crashes.js';
-import {isActive, isStepReady, rankLateness} from './jobs.js';
+import type {DurationEstimator} from './durations.js';
+import type {JobTurn} from './job-order.js';
+import {orderJobs, TurnKind} from './job-order.js';
+import {isStepReady} from './jobs.js';
 import type {
 	JobRow, Policies, QueuePolicy, RunRow, StepRow, TaskRow, WorkerRow,
 } from './model.js';
 import {findRack, RunPhase} from './model.js';
+import type {ReadyJob} from './ready-work.js';
+import {groupReadyJobs} from './ready-work.js';
 import {createSeparation, hasRunOf, isSeparated} from './separation.js';
 import type {WorkerTable} from './workers.js';
-import {getReservedResources, hasCapacityFor} from './workers.js';
+import {getReservedResources, groupByPool, hasCapacityFor} from './workers.js';
 
 /** A worker that has not answered for this time gets no new runs; workers are asked for a report about once a second. */
 const contactTimeoutMilliseconds = 2500;
@@ -25,8 +30,6 @@
 	worker.isRegistered && worker.isReconciled && !worker.registration.draining && !worker.isCordoned
 	&& worker.unansweredCalls === 0 && worker.lastContactAt > now - contactTimeoutMilliseconds && worker.avoidUntil <= now;
 
-/** The ranks within a priority: long-running, on time, late but still of use, too late. */
-const ranksPerPriority = 4;
 /** A worker with more than this share of a long-running step's tasks is avoided while other workers have free capacity. */
 const maximumServiceShare = 0.34;
 /** A worker below this speed is used only if no other has free capacity. */
@@ -47,16 +50,15 @@
 
 const getFreeCpuShare = (worker: WorkerRow): number => 1 - (worker.used.cpuMillis / Math.max(1, worker.registration.capacity.cpuMillis));
 
-const isLongRunning = (job: JobRow): boolean => job.declaration.steps.some(step => step.longRunning);
-
 export const createPlacement = (options: {
 	readonly workers: WorkerTable;
 	readonly getPolicies: () => Policies;
 	/** Runs with lower numbers were started by previous owners. */
 	readonly getFirstRunOfEpoch: () => number;
 	readonly crashedTasks: ReadonlySet<TaskRow>;
+	readonly durations: DurationEstimator;
 }) => {
-	const {workers, getPolicies, getFirstRunOfEpoch, crashedTasks} = options;
+	const {workers, getPolicies, getFirstRunOfEpoch, crashedTasks, durations} = options;
 	const separation = createSeparation({crashedTasks});
 
 	const isWithinWorkspaceLimit = (task: TaskRow, count: number): boolean => {
@@ -199,7 +201,8 @@
 		return ticket !== undefined && ticket.expiresAt - ticketMarginMilliseconds > now && ticket.incarnation === (worker.incarnation ?? 0);
 	};
 
-	const placeStep = (step: StepRow, queue: QueuePolicy, usable: readonly WorkerRow[], now: number): Array<StartOrder | AdviceOrder> => {
+	const placeStep = (step: StepRow, turn: {readonly queue: QueuePolicy; readonly maximumStarts: number}, usable: readonly WorkerRow[], now: number): Array<StartOrder | AdviceOrder> => {
+		const {queue, maximumStarts} = turn;
 		const orders: Array<StartOrder | AdviceOrder> = [];
 		const candidates = queue.advice ? usable.filter(worker => hasValidTicket(step, worker, now)) : usable;
 		if (step.declaration.gang) {
@@ -210,7 +213,7 @@
 					continue;
 				}
 
-				if (!isWithinWorkspaceLimit(task, 1)) {
+				if (orders.length >= maximumStarts || !isWithinWorkspaceLimit(task, 1)) {
 					break;
 				}
 
@@ -243,15 +246,17 @@
 		return orders;
 	};
 
-	const placeJob = (options: {readonly job: JobRow; readonly queue: QueuePolicy; readonly usable: readonly WorkerRow[]; readonly now: number}): Array<StartOrder | AdviceOrder> => {
-		const {job, queue, usable, now} = options;
+	const placeJob = ({job, queue, kind, maximumStarts}: JobTurn, usable: readonly WorkerRow[], now: number): Array<StartOrder | AdviceOrder> => {
 		const orders: Array<StartOrder | AdviceOrder> = [];
+		let startsLeft = maximumStarts;
 		for (const step of [...job.occurrences.values()].flat()) {
-			if (step.waiting > 0 && isStepReady(step)) {
-				orders.push(...placeStep(step, queue, usable, now));
+			if (kind !== TurnKind.Speculative && startsLeft > 0 && step.waiting > 0 && isStepReady(step)) {
+				const placed = placeStep(step, {queue, maximumStarts: startsLeft}, usable, now);
+				startsLeft -= placed.filter(order => order.type === 'start').length;
+				orders.push(...placed);
 			}
 
-			if (step.declaration.speculative && step.remaining > 0 && !queue.advice) {
+			if (kind !== TurnKind.Waiting && step.declaration.speculative && step.remaining > 0 && !queue.advice) {
 				orders.push(...placeSpeculativeRuns(step, usable, now));
 			}
 		}
@@ -259,40 +264,31 @@
 		return orders;
 	};
 
+	const placePool = (pool: Parameters<typeof orderJobs>[1], jobs: readonly ReadyJob[]): Array<StartOrder | AdviceOrder> => {
+		const orders: Array<StartOrder | AdviceOrder> = [];
+		const {turns} = orderJobs(jobs, pool);
+		for (let turn = turns.next(0); !turn.done;) {
+			const placed = placeJob(turn.value, pool.workers, pool.now);
+			const rows = placed.flatMap(order => order.type === 'start' ? [order.row] : []);
+			separation.recordStarts(rows);
+			orders.push(...placed);
+			turn = turns.next(rows.length);
+		}
+
+		return orders;
+	};
+
 	return {
 		/** Orders for all tasks that can start now; the started runs are already in the tables. */
 		place(jobs: Iterable<JobRow>, now: number): Array<StartOrder | AdviceOrder> {
 			separation.refresh();
-			const byPool = new Map<string, Array<{readonly job: JobRow; readonly queue: QueuePolicy; readonly rank: number}>>();
-			for (const job of jobs) {
-				const queue = getPolicies().queues.get(job.declaration.queue);
-				if (!queue || !isActive(job)) {
-					continue;
-				}
-
-				const rank = (queue.priority * ranksPerPriority) + (isLongRunning(job) ? 0 : 1 + rankLateness(job, now));
-				const list = byPool.get(queue.pool) ?? [];
-				list.push({job, queue, rank});
-				byPool.set(queue.pool, list);
-			}
-
-			const orders: Array<StartOrder | AdviceOrder> = [];
-			for (const [pool, list] of byPool) {
-				const usable = [...workers.workers.values()].filter(worker => worker.registration.pool === pool && isSchedulable(worker, now));
-				if (usable.length === 0) {
-					continue;
-				}
-
-				for (const {job, queue} of list.toSorted((left, right) => left.rank - right.rank || left.job.deadline - right.job.deadline)) {
-					const placed = placeJob({
-						job, queue, usable, now,
-					});
-					separation.recordStarts(placed.flatMap(order => order.type === 'start' ? [order.row] : []));
-					orders.push(...placed);
-				}
-			}
-
-			return orders;
+			const {queues, workspaces} = getPolicies();
+			const jobsByPool = groupReadyJobs(jobs, queues);
+			const usableByPool = groupByPool(workers.workers.values(), worker => jobsByPool.has(worker.registration.pool) && isSchedulable(worker, now));
+			const mustTry = new Set([...crashedTasks].map(task => task.step.job));
+			return [...jobsByPool].filter(([pool]) => usableByPool.has(pool)).flatMap(([pool, entries]) => placePool({
+				pool, workers: usableByPool.get(pool)!, usage: workers.poolUsage, totalUsage: workers.workspaceUsage, workspaces, mustTry, durations, now,
+			}, entries));
 		},
 	};
 };
--- a/packages/jobs/scheduler/src/workers.ts
+++ b/packages/jobs/scheduler/src/workers.ts
@@ -3,6 +3,7 @@
 	Resources, RunRow, TaskRow, WorkerRegistration, WorkerRow,
 } from './model.js';
 import {formatRunKey, JobState, RunPhase} from './model.js';
+import {createPoolUsage, getWorkspace} from './pool-usage.js';
 
 /** The slowest rate of a worker's monotonic clock that the worker protocol permits, relative to real time. */
 export const minimumWorkerClockRate = 0.98;
@@ -30,6 +31,19 @@
 /** False if the worker's capacity has shrunk below what its runs reserve. */
 export const isWithinCapacity = (worker: WorkerRow): boolean => hasCapacityFor(worker, {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0});
 
+export const groupByPool = (workers: Iterable<WorkerRow>, isIncluded: (worker: WorkerRow) => boolean): Map<string, WorkerRow[]> => {
+	const byPool = new Map<string, WorkerRow[]>();
+	for (const worker of workers) {
+		if (isIncluded(worker)) {
+			const list = byPool.get(worker.registration.pool) ?? [];
+			list.push(worker);
+			byPool.set(worker.registration.pool, list);
+		}
+	}
+
+	return byPool;
+};
+
 /** A registration or a report of an earlier process may arrive after the worker has restarted; it says nothing about the current process. */
 export const isEarlierIncarnation = (incarnation: number | undefined, worker: WorkerRow): boolean =>
 	incarnation !== undefined && worker.incarnation !== undefined && incarnation < worker.incarnation;
@@ -50,7 +64,16 @@
 	/** Resources of all runs of each workspace, including unconfirmed and stopping ones. */
 	const workspaceUsage = new Map<string, {cpuMillis: number; memoryMegabytes: number; accelerators: number}>();
 
+	const poolUsage = createPoolUsage();
+
+	const adjustPoolUsage = (run: RunRow, sign: 1 | -1): void => {
+		poolUsage.adjust({
+			pool: run.worker.registration.pool, workspace: getWorkspace(run.task.step.job), resources: getReservedResources(run.task), runs: sign,
+		});
+	};
+
 	const adjustUsage = (run: RunRow, sign: 1 | -1): void => {
+		adjustPoolUsage(run, sign);
 		const reserved = getReservedResources(run.task);
 		run.worker.used.cpuMillis += sign * reserved.cpuMillis;
 		run.worker.used.memoryMegabytes += sign * reserved.memoryMegabytes;
@@ -66,6 +89,18 @@
 		}
 	};
 
+	const updateRegistration = (worker: WorkerRow, registration: WorkerRegistration): void => {
+		const isMoving = worker.registration.pool !== registration.pool;
+		for (const run of isMoving ? worker.runs.values() : []) {
+			adjustPoolUsage(run, -1);
+		}
+
+		worker.registration = registration;
+		for (const run of isMoving ? worker.runs.values() : []) {
+			adjustPoolUsage(run, 1);
+		}
+	};
+
 	/** A generation higher than all earlier ones of the worker name. */
 	const nextGeneration = (id: string): number => {
 		const generation = (generations.get(id) ?? -1) + 1;
@@ -77,6 +112,7 @@
 		workers,
 		nextGeneration,
 		workspaceUsage,
+		poolUsage,
 		addRun(options: {readonly task: TaskRow; readonly worker: WorkerRow; readonly run: number; readonly phase: RunPhase; readonly now: number}): RunRow {
 			const {task, worker, run, phase, now} = options;
 			const row: RunRow = {
@@ -115,7 +151,7 @@
 			const {registration, isRegistered, isReconciled, latestLeaseExpiry} = options;
 			const existing = workers.get(registration.id);
 			if (existing) {
-				existing.registration = registration;
+				updateRegistration(existing, registration);
 				existing.isRegistered = isRegistered;
 				return existing;
 			}
