--- a/packages/jobs/scheduler/src/job-order.ts
+++ b/packages/jobs/scheduler/src/job-order.ts
@@ -13,7 +13,7 @@
 import type {PoolUsage} from './pool-usage.js';
 import {addResources, getWorkspace, noResources} from './pool-usage.js';
 import type {ReadyJob} from './ready-work.js';
-import {exceedsFreeCapacity} from './ready-work.js';
+import {sumRequired, sumUsableCapacity} from './ready-work.js';
 
 /** What a job may start in its turn. */
 export enum TurnKind {
@@ -85,8 +85,9 @@
 
 const sumByWorkspace = (jobs: readonly ReadyJob[], pool: PoolState): Map<string, Resources> => {
 	const sums = new Map<string, Resources>();
-	for (const {job, required} of jobs) {
-		const workspace = getWorkspace(job);
+	for (const entry of jobs) {
+		const workspace = getWorkspace(entry.job);
+		const required = sumRequired(entry);
 		const previous = sums.get(workspace);
 		sums.set(workspace, previous ? addResources(previous, required) : required);
 	}
@@ -150,13 +151,28 @@
 	}
 }
 
+/** No task fits on any worker. */
+function * takeTurnsWithoutCapacity(jobs: readonly ReadyJob[], pool: PoolState): Generator<JobTurn, void, number> {
+	for (const entry of pool.mustTry.size > 0 ? sortByDeadline(jobs.filter(({job}) => pool.mustTry.has(job)), pool.now) : []) {
+		yield toTurn(entry, TurnKind.All);
+	}
+}
+
+const exceeds = (required: Resources, free: Resources): boolean =>
+	required.cpuMillis > free.cpuMillis || required.memoryMegabytes > free.memoryMegabytes || required.accelerators > free.accelerators;
+
 export const orderJobs = (jobs: readonly ReadyJob[], pool: PoolState): JobOrder => {
+	const free = sumUsableCapacity(pool.workers, jobs);
+	if (!free) {
+		return {isFull: true, turns: takeTurnsWithoutCapacity(jobs, pool)};
+	}
+
 	const requiredByWorkspace = sumByWorkspace(jobs, pool);
 	let required = noResources;
 	for (const sum of requiredByWorkspace.values()) {
 		required = addResources(required, sum);
 	}
 
-	const isFull = exceedsFreeCapacity({jobs, required, workers: pool.workers});
+	const isFull = exceeds(required, free);
 	return {isFull, turns: isFull ? takeTurnsOfFullPool(jobs, pool, requiredByWorkspace) : takeTurnsByDeadline(jobs, pool.now)};
 };
--- a/packages/jobs/scheduler/src/ready-work.ts
+++ b/packages/jobs/scheduler/src/ready-work.ts
@@ -11,8 +11,6 @@
 	readonly queue: QueuePolicy;
 	/** Steps with tasks that could start. */
 	readonly steps: readonly StepRow[];
-	/** Sum over the tasks that could start. */
-	readonly required: Resources;
 	/** Some of its tasks may get a second run. */
 	readonly isSpeculative: boolean;
 };
@@ -22,24 +20,33 @@
 
 /** Undefined if nothing of the job could start. */
 const measureReadyJob = (job: JobRow, queue: QueuePolicy): ReadyJob | undefined => {
-	const steps: StepRow[] = [];
-	let required = noResources;
+	let steps: StepRow[] | undefined;
 	let isSpeculative = false;
 	for (const occurrence of job.occurrences.values()) {
 		for (const step of occurrence) {
 			isSpeculative ||= step.declaration.speculative && step.remaining > 0 && !queue.advice;
 			if (step.waiting > 0 && isStepReady(step)) {
+				steps ??= [];
 				steps.push(step);
-				required = addResources(required, getTaskRequirement(step), step.waiting);
 			}
 		}
 	}
 
-	return steps.length > 0 || isSpeculative
-		? {
-			job, queue, steps, required, isSpeculative,
-		}
-		: undefined;
+	return steps === undefined && !isSpeculative
+		? undefined
+		: {
+			job, queue, steps: steps ?? [], isSpeculative,
+		};
+};
+
+/** Sum over the tasks of the job that could start. */
+export const sumRequired = ({steps}: ReadyJob): Resources => {
+	let required = noResources;
+	for (const step of steps) {
+		required = addResources(required, getTaskRequirement(step), step.waiting);
+	}
+
+	return required;
 };
 
 /** Jobs with tasks that could start, by pool. */
@@ -61,12 +68,13 @@
 	return byPool;
 };
 
-const minimumRequirement = (jobs: readonly ReadyJob[]): Resources => {
+/** Of each resource the least that any task needs which could start or get a second run. */
+const findMinimumRequirement = (jobs: readonly ReadyJob[]): Resources => {
 	let cpuMillis = Number.POSITIVE_INFINITY;
 	let memoryMegabytes = Number.POSITIVE_INFINITY;
 	let accelerators = Number.POSITIVE_INFINITY;
-	for (const {steps} of jobs) {
-		for (const step of steps) {
+	for (const {job, steps, isSpeculative} of jobs) {
+		for (const step of isSpeculative ? [...job.occurrences.values()].flat() : steps) {
 			const required = getTaskRequirement(step);
 			cpuMillis = Math.min(cpuMillis, required.cpuMillis);
 			memoryMegabytes = Math.min(memoryMegabytes, required.memoryMegabytes);
@@ -80,28 +88,24 @@
 /** Rounds down to whole tasks, since the rest of a worker serves none. */
 const roundDown = (free: number, unit: number): number => unit > 0 ? Math.floor(Math.max(0, free) / unit) * unit : Math.max(0, free);
 
-/** Free capacity of the workers, of each worker only as much as tasks of the smallest requirement can use. */
-const sumUsableCapacity = (workers: readonly WorkerRow[], unit: Resources): Resources => {
+/** Free capacity of the workers, of each worker only as much as tasks of the smallest requirement can use; undefined if no worker has capacity for any task. */
+export const sumUsableCapacity = (workers: readonly WorkerRow[], jobs: readonly ReadyJob[]): Resources | undefined => {
+	const unit = findMinimumRequirement(jobs);
 	let cpuMillis = 0;
 	let memoryMegabytes = 0;
 	let accelerators = 0;
+	let hasCapacity = false;
 	for (const {registration: {capacity}, used} of workers) {
 		const cpu = roundDown(capacity.cpuMillis - used.cpuMillis, unit.cpuMillis);
 		const memory = roundDown(capacity.memoryMegabytes - used.memoryMegabytes, unit.memoryMegabytes);
 		const devices = roundDown(capacity.accelerators - used.accelerators, unit.accelerators);
 		if (cpu >= unit.cpuMillis && memory >= unit.memoryMegabytes && devices >= unit.accelerators) {
+			hasCapacity = true;
 			cpuMillis += cpu;
 			memoryMegabytes += memory;
 			accelerators += devices;
 		}
 	}
 
-	return {cpuMillis, memoryMegabytes, accelerators};
-};
-
-/** True if the tasks that could start need more than the workers have free. `required` is their sum, without what exceeds the maximum of a workspace. */
-export const exceedsFreeCapacity = (options: {readonly jobs: readonly ReadyJob[]; readonly required: Resources; readonly workers: readonly WorkerRow[]}): boolean => {
-	const {jobs, required, workers} = options;
-	const free = sumUsableCapacity(workers, minimumRequirement(jobs));
-	return required.cpuMillis > free.cpuMillis || required.memoryMegabytes > free.memoryMegabytes || required.accelerators > free.accelerators;
+	return hasCapacity ? {cpuMillis, memoryMegabytes, accelerators} : undefined;
 };
