Let tasks and gangs wait for their preferred rack

A preferred rack was a fixed bonus in a score: a task started elsewhere at once, where it takes farFactor times as long, even if a slot of its rack was about to become free.

A waiting gang holds the free workers of its rack, which get only tasks that end before it starts. With a far factor, workers are compared by expected end (learned speed), and the fullest of about equal ones gets the task. The choice of workers moves to worker-choice.ts.

Members of a gang are now placed on trial under their latest run number: before, each failed attempt raised the run numbers of its tasks, of which an owner has 1,000, and showed a queued job as running.

--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -66,6 +66,8 @@
 	MachineMoved = 8536,
 	RecordUnreadable = 8541,
 	SettingsReloaded = 8542,
+	PlaceWaitBegun = 8591,
+	PlaceWaitEnded = 8592,
 	InternalError = 9001,
 }
 
@@ -354,6 +356,16 @@
 		message: 'SIGHUP was received; the settings file is read only when the process starts',
 		action: none,
 	},
+	[LogEvent.PlaceWaitBegun]: {
+		level: LogLevel.Debug,
+		message: 'A task waits for capacity on its preferred rack, or a gang for one rack',
+		action: none,
+	},
+	[LogEvent.PlaceWaitEnded]: {
+		level: LogLevel.Information,
+		message: 'A wait for preferred capacity has ended',
+		action: 'If many end with forecast-failed or bound, compare the run times of the tasks there with their declared ones.',
+	},
 	[LogEvent.InternalError]: {
 		level: LogLevel.Error,
 		message: 'An internal error of the daemon',
--- a/packages/jobs/scheduler/src/durations.ts
+++ b/packages/jobs/scheduler/src/durations.ts
@@ -3,7 +3,7 @@
  * their value, so each queue and image learns both the mean run time and the ratio to the declared
  * one, and estimates by whichever has predicted recent runs better.
  */
-import type {RunRow, TaskRow} from './model.js';
+import type {RunRow, StepRow, TaskRow} from './model.js';
 import {findRack} from './model.js';
 
 /** Weight of a new sample in the moving averages. */
@@ -74,9 +74,23 @@
 
 	const estimateTask = (task: TaskRow): number => estimate(toKey(task));
 
+	/** Duration in milliseconds of the longest chain of steps of the same occurrence that depend on this one, without the step itself. */
+	const estimateFollowing = (step: StepRow): number => {
+		const steps = step.job.occurrences.get(step.occurrence) ?? [];
+		let longest = 0;
+		for (const next of steps) {
+			if (next.index > step.index && next.declaration.after.includes(step.index)) {
+				longest = Math.max(longest, estimateTask(next.tasks[0]!) + estimateFollowing(next));
+			}
+		}
+
+		return longest;
+	};
+
 	return {
 		estimate,
 		estimateTask,
+		estimateFollowing,
 		/** Time until the run ends, in milliseconds, from the time since its start; never negative. */
 		estimateRemaining(row: RunRow, now: number): number {
 			const elapsed = Math.max(0, now - (row.confirmedAt ?? row.startedAt));
--- a/packages/jobs/scheduler/src/events.ts
+++ b/packages/jobs/scheduler/src/events.ts
@@ -1,5 +1,6 @@
 /** Events that the scheduler reports to logs and metrics. */
 import type {EndReason} from './model.js';
+import type {PlaceWaitEvent} from './place-wait-table.js';
 import type {StepWaitingEvent} from './waiting-steps.js';
 
 /** Why a job cannot be done. */
@@ -12,6 +13,7 @@
 
 export type SchedulerEvent
 	= | StepWaitingEvent
+		| PlaceWaitEvent
 		| {readonly type: 'run-ended'; readonly task: string; readonly run: number; readonly worker: string; readonly reason: EndReason | 'lost' | 'not-run'}
 		| {readonly type: 'run-adopted'; readonly task: string; readonly run: number; readonly worker: string}
 		| {readonly type: 'run-unwanted'; readonly task: string; readonly run: number; readonly worker: string}
--- a/packages/jobs/scheduler/src/index.ts
+++ b/packages/jobs/scheduler/src/index.ts
@@ -14,3 +14,7 @@
 export * from './waves.js';
 export * from './pools.js';
 export type {DurationEstimator, DurationKey} from './durations.js';
+export type {DecidePlace, PlaceDecision, PlaceQuestion} from './place-wait.js';
+export {ElsewhereReason} from './place-wait.js';
+export {PlaceWaitEnd} from './place-wait-table.js';
+export type {PlaceWaitEvent} from './place-wait-table.js';
--- a/packages/jobs/scheduler/src/jobs.ts
+++ b/packages/jobs/scheduler/src/jobs.ts
@@ -160,7 +160,7 @@
 			const allowedMilliseconds = ((policy?.stretch ?? 1) * criticalPathMilliseconds) + (policy?.objectiveMilliseconds ?? 0);
 			const job: JobRow = {
 				declaration, occurrences: new Map(), nextOccurrence: 0, finishedOccurrences: 0, state: JobState.Queued, begun: false,
-				criticalPathMilliseconds, deadline: now - age + allowedMilliseconds, usefulUntil: now - age + (usefulTimeFactor * allowedMilliseconds),
+				criticalPathMilliseconds, submittedAt: now - age, deadline: now - age + allowedMilliseconds, usefulUntil: now - age + (usefulTimeFactor * allowedMilliseconds),
 			};
 			jobs.set(declaration.id, job);
 			if (progress) {
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -205,6 +205,7 @@
 	begun: boolean;
 	/** Duration of the longest chain of dependent steps, by the declared estimates. */
 	readonly criticalPathMilliseconds: number;
+	readonly submittedAt: number;
 	/** Latest end that meets the objective. */
 	deadline: number;
 	/** Until when a late result is still of use. */
--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -1,11 +1,16 @@
 /** Chooses a worker for each task that is ready to start. Jobs that can still meet their objective come before late ones. */
 import {countCrashes} from './crashes.js';
+import type {DurationEstimator} from './durations.js';
 import {isActive, isStepReady, rankLateness} from './jobs.js';
 import type {
 	JobRow, Policies, QueuePolicy, RunRow, StepRow, TaskRow, WorkerRow,
 } from './model.js';
 import {findRack, RunPhase} from './model.js';
-import {createSeparation, hasRunOf, isSeparated} from './separation.js';
+import type {DecidePlace} from './place-wait.js';
+import type {PlaceWaitEvent} from './place-wait-table.js';
+import {createPlaceWaits} from './place-waits.js';
+import {createSeparation, isSeparated} from './separation.js';
+import {createWorkerChoice, getFreeCpuShare, slowWorkerSpeed} from './worker-choice.js';
 import type {WorkerTable} from './workers.js';
 import {getReservedResources, hasCapacityFor} from './workers.js';
 
@@ -27,26 +32,9 @@
 
 /** The ranks within a priority: long-running, on time, late but still of use, too late. */
 const ranksPerPriority = 4;
-/** A worker with more than this share of a long-running step's tasks is avoided while other workers have free capacity. */
-const maximumServiceShare = 0.34;
-/** A worker below this speed is used only if no other has free capacity. */
-const slowWorkerSpeed = 0.5;
-
-/**
- * Weights in the score of a worker. Each exceeds the range of the free CPU share (0 to 1). An earlier failure counts more
- * than low speed, low speed more than the preferred rack, and the rack more than the concentration of a service.
- */
-const preferredRackBonus = 2;
-const failurePenaltyWeight = -4;
-const slowPenaltyWeight = -3;
-const concentrationPenaltyWeight = -1.5;
-/** Separated tasks of one job share a worker, so that few workers are kept from other jobs. */
-const companyWeight = 1;
 
 const isDelayed = (task: TaskRow, now: number): boolean => task.notBefore > now || task.crashDelayUntil > now;
 
-const getFreeCpuShare = (worker: WorkerRow): number => 1 - (worker.used.cpuMillis / Math.max(1, worker.registration.capacity.cpuMillis));
-
 const isLongRunning = (job: JobRow): boolean => job.declaration.steps.some(step => step.longRunning);
 
 export const createPlacement = (options: {
@@ -55,9 +43,18 @@
 	/** Runs with lower numbers were started by previous owners. */
 	readonly getFirstRunOfEpoch: () => number;
 	readonly crashedTasks: ReadonlySet<TaskRow>;
+	readonly durations: DurationEstimator;
+	/** How many times as long a task takes away from its preferred rack; 1 if unknown. */
+	readonly farFactor: number;
+	readonly decidePlace: DecidePlace;
+	readonly emit: (event: PlaceWaitEvent) => void;
 }) => {
-	const {workers, getPolicies, getFirstRunOfEpoch, crashedTasks} = options;
+	const {workers, getPolicies, getFirstRunOfEpoch, crashedTasks, durations, farFactor, decidePlace, emit} = options;
 	const separation = createSeparation({crashedTasks});
+	const choice = createWorkerChoice({separation, farFactor});
+	const placeWaits = createPlaceWaits({
+		farFactor, durations, choice, decidePlace, emit,
+	});
 
 	const isWithinWorkspaceLimit = (task: TaskRow, count: number): boolean => {
 		const {workspace} = task.step.job.declaration;
@@ -74,54 +71,6 @@
 			&& isWithinLimit(maximum.accelerators, usage.accelerators, resources.accelerators);
 	};
 
-	const countRunsOn = (step: StepRow, worker: WorkerRow): number => {
-		let count = 0;
-		for (const task of step.tasks) {
-			for (const row of task.runs.values()) {
-				count += row.worker === worker ? 1 : 0;
-			}
-		}
-
-		return count;
-	};
-
-	const meetsConstraints = (task: TaskRow, worker: WorkerRow): boolean => {
-		const {requiredLabel, maximumPerWorker} = task.step.declaration;
-		return (requiredLabel === undefined || worker.registration.labels.includes(requiredLabel))
-			&& (maximumPerWorker === 0 || countRunsOn(task.step, worker) < maximumPerWorker);
-	};
-
-	const scoreWorker = (task: TaskRow, worker: WorkerRow): number => {
-		const {preferredRack} = task.step.declaration;
-		const rackBonus = preferredRack !== undefined && findRack(worker.registration) === preferredRack ? preferredRackBonus : 0;
-		const failurePenalty = task.failedWorkers.includes(worker.registration.id) ? failurePenaltyWeight : 0;
-		const slowPenalty = worker.speed < slowWorkerSpeed ? slowPenaltyWeight : 0;
-		// The loss of one worker must not take down most tasks of a service.
-		const {longRunning, taskCount} = task.step.declaration;
-		const concentrationPenalty = longRunning && countRunsOn(task.step, worker) >= Math.ceil(taskCount * maximumServiceShare) ? concentrationPenaltyWeight : 0;
-		// Prefers the fullest worker with free capacity (best fit), so that idle machines can move to other pools. A task that may crash its worker gets the emptiest.
-		const fit = countCrashes(task) > 0 ? getFreeCpuShare(worker) : -getFreeCpuShare(worker);
-		const companyBonus = isSeparated(task) && hasRunOf(task.step.job, worker) ? companyWeight : 0;
-		return rackBonus + failurePenalty + concentrationPenalty + slowPenalty + companyBonus + fit;
-	};
-
-	const chooseWorker = (task: TaskRow, candidates: readonly WorkerRow[], now: number): WorkerRow | undefined => {
-		const required = getReservedResources(task);
-		let best: WorkerRow | undefined;
-		let bestScore = Number.NEGATIVE_INFINITY;
-		for (const worker of candidates) {
-			if (hasCapacityFor(worker, required) && meetsConstraints(task, worker) && separation.mayShare(task, worker, now)) {
-				const score = scoreWorker(task, worker);
-				if (score > bestScore) {
-					best = worker;
-					bestScore = score;
-				}
-			}
-		}
-
-		return best;
-	};
-
 	const createStart = (task: TaskRow, worker: WorkerRow, now: number, run?: number): StartOrder => {
 		const row = workers.addRun({
 			task, worker, run: run ?? Math.max(task.lastRun + 1, getFirstRunOfEpoch()), phase: RunPhase.Starting, now,
@@ -129,6 +78,12 @@
 		return {type: 'start', row, ticket: task.step.tickets.get(worker.registration.id)?.value};
 	};
 
+	const startTask = (task: TaskRow, worker: WorkerRow, now: number): StartOrder => {
+		const order = createStart(task, worker, now);
+		placeWaits.recordStart(order.row);
+		return order;
+	};
+
 	/** True if the worker is unreachable or slow, so that a second run may finish first. */
 	const needsSpeculativeRun = (row: RunRow, now: number): boolean => {
 		const {worker} = row;
@@ -150,47 +105,71 @@
 				continue;
 			}
 
-			const worker = chooseWorker(task, candidates.filter(candidate => candidate !== row.worker && candidate.speed >= slowWorkerSpeed), now);
+			const worker = choice.choose(task, candidates.filter(candidate => candidate !== row.worker && candidate.speed >= slowWorkerSpeed), now);
 			if (worker) {
-				orders.push(createStart(task, worker, now));
+				orders.push(startTask(task, worker, now));
 			}
 		}
 
 		return orders;
 	};
 
+	const startMembers = (step: StepRow, members: readonly WorkerRow[], now: number): StartOrder[] => {
+		const run = Math.max(getFirstRunOfEpoch(), ...step.tasks.map(task => task.lastRun + 1));
+		const orders = step.tasks.map((task, index) => createStart(task, members[index]!, now, run));
+		for (const order of orders) {
+			placeWaits.recordStart(order.row);
+		}
+
+		return orders;
+	};
+
+	/** Chooses workers on which all members of a gang can start together; empty if there are too few. */
+	const chooseMembers = (step: StepRow, group: readonly WorkerRow[], now: number): WorkerRow[] => {
+		const {state} = step.job;
+		const members: WorkerRow[] = [];
+		const rows: RunRow[] = [];
+		for (const task of step.tasks) {
+			const worker = choice.choose(task, group, now);
+			if (!worker) {
+				break;
+			}
+
+			members.push(worker);
+			// The run takes up capacity while the other members are placed.
+			rows.push(createStart(task, worker, now, task.lastRun).row);
+		}
+
+		for (const row of rows) {
+			workers.removeRun(row);
+		}
+
+		step.job.state = state;
+		return members.length === step.tasks.length ? members : [];
+	};
+
 	/** Starts all members of a gang or none. */
 	const placeGang = (step: StepRow, candidates: readonly WorkerRow[], now: number): StartOrder[] => {
 		if (step.tasks.some(task => task.runs.size > 0 || isDelayed(task, now)) || !isWithinWorkspaceLimit(step.tasks[0]!, step.tasks.length)) {
 			return [];
 		}
 
-		const racks = step.declaration.sameRack ? [...new Set(candidates.map(worker => findRack(worker.registration)))] : [undefined];
-		const groups = racks.map(rack => rack === undefined ? candidates : candidates.filter(worker => findRack(worker.registration) === rack));
+		const open = placeWaits.removeHeld(step.tasks[0]!, candidates, now);
+		const racks = step.declaration.sameRack ? placeWaits.sortRacks([...new Set(open.map(worker => findRack(worker.registration)))], open) : [undefined];
+		const groups = racks.map(rack => rack === undefined ? open : open.filter(worker => findRack(worker.registration) === rack));
 		if (step.declaration.sameRack) {
 			// Falls back to several racks if no rack has enough capacity.
-			groups.push(candidates);
+			groups.push(open);
 		}
 
-		const run = Math.max(getFirstRunOfEpoch(), ...step.tasks.map(task => task.lastRun + 1));
 		for (const group of groups) {
-			const orders: StartOrder[] = [];
-			for (const task of step.tasks) {
-				const worker = chooseWorker(task, group, now);
-				if (worker) {
-					orders.push(createStart(task, worker, now, run));
-				}
-			}
-
-			if (orders.length === step.tasks.length) {
-				return orders;
-			}
-
-			for (const order of orders) {
-				workers.removeRun(order.row);
+			const members = chooseMembers(step, group, now);
+			if (members.length > 0) {
+				return placeWaits.isGangWaiting(step, {members, candidates, now}) ? [] : startMembers(step, members, now);
 			}
 		}
 
+		placeWaits.keepHold(step, now);
 		return [];
 	};
 
@@ -214,18 +193,20 @@
 					break;
 				}
 
-				const worker = chooseWorker(task, candidates, now);
-				if (!worker && isSeparated(task)) {
-					separation.reserve(task, candidates.filter(candidate => meetsConstraints(task, candidate)), now);
+				const placed = placeWaits.placeTask(task, candidates, now);
+				if (placed.type === 'full' && isSeparated(task)) {
+					separation.reserve(task, candidates.filter(candidate => choice.meetsConstraints(task, candidate)), now);
 					// Its siblings need not wait.
 					continue;
 				}
 
-				if (!worker) {
+				if (placed.type === 'full') {
 					break;
 				}
 
-				orders.push(createStart(task, worker, now));
+				if (placed.type === 'start') {
+					orders.push(startTask(task, placed.worker, now));
+				}
 			}
 		}
 
@@ -283,6 +264,7 @@
 					continue;
 				}
 
+				placeWaits.startPool({usable, jobs: list.map(({job}) => job), now});
 				for (const {job, queue} of list.toSorted((left, right) => left.rank - right.rank || left.job.deadline - right.job.deadline)) {
 					const placed = placeJob({
 						job, queue, usable, now,
@@ -292,6 +274,7 @@
 				}
 			}
 
+			placeWaits.finishTick(now);
 			return orders;
 		},
 	};
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -14,6 +14,8 @@
 	JobDeclaration, JobRow, Policies, RunReport, RunRow, Ticket, WorkerRegistration, WorkerRow,
 } from './model.js';
 import {formatRunKey, JobState, RunPhase} from './model.js';
+import type {DecidePlace} from './place-wait.js';
+import {decidePlace as compareExpectedEnds} from './place-wait.js';
 import type {AdviceOrder, StartOrder} from './placement.js';
 import {createPlacement} from './placement.js';
 import type {JobProgress} from './progress.js';
@@ -46,9 +48,13 @@
 export const createScheduler = (options: {
 	/** Increases with each change of the owner, starting at 1. */
 	readonly epoch: number;
+	/** How many times as long a task takes away from its preferred rack; 1 if unknown, and then no task waits for a rack. */
+	readonly farFactor?: number;
+	/** Replaces the comparison of expected ends; used to compare it with other rules. */
+	readonly decidePlace?: DecidePlace;
 	readonly emit: (event: SchedulerEvent) => void;
 }) => {
-	const {epoch, emit} = options;
+	const {epoch, farFactor = 1, decidePlace = compareExpectedEnds, emit} = options;
 	let policies: Policies = {queues: new Map(), pools: new Map(), workspaces: new Map()};
 	let countsHalvedAt = Number.NEGATIVE_INFINITY;
 	const jobs = createJobTable();
@@ -63,7 +69,7 @@
 		jobs, workers, crashes, failJob, durations, firstRunOfEpoch, getPolicy: queue => policies.queues.get(queue), emit,
 	});
 	const placement = createPlacement({
-		workers, getPolicies: () => policies, getFirstRunOfEpoch: () => firstRunOfEpoch, crashedTasks: crashes.crashedTasks,
+		workers, getPolicies: () => policies, getFirstRunOfEpoch: () => firstRunOfEpoch, crashedTasks: crashes.crashedTasks, durations, farFactor, decidePlace, emit,
 	});
 	const stopPlanner = createStopPlanner({reconciler, workers});
 	const startOutcomes = createStartOutcomeHandler({jobs, reconciler});
--- a/packages/jobs/scheduler/src/separation.ts
+++ b/packages/jobs/scheduler/src/separation.ts
@@ -32,6 +32,8 @@
 	return needed.cpuMillis <= capacity.cpuMillis && needed.memoryMegabytes <= capacity.memoryMegabytes && needed.accelerators <= capacity.accelerators;
 };
 
+export type Separation = ReturnType<typeof createSeparation>;
+
 export const createSeparation = (options: {readonly crashedTasks: ReadonlySet<TaskRow>}) => {
 	const {crashedTasks} = options;
 	/** Jobs with a new run of a separated task, by worker. */
--- /dev/null
+++ b/packages/jobs/scheduler/src/worker-choice.ts
@@ -0,0 +1,101 @@
+/** Chooses a worker with free capacity for a task: by expected end where the effect of the place is known, then by a score. */
+import {countCrashes} from './crashes.js';
+import type {TaskRow, StepRow, WorkerRow} from './model.js';
+import {findRack} from './model.js';
+import {getRunTimeFactor} from './place-forecast.js';
+import type {Separation} from './separation.js';
+import {hasRunOf, isSeparated} from './separation.js';
+import {getReservedResources, hasCapacityFor} from './workers.js';
+
+/** A worker with more than this share of a long-running step's tasks is avoided while other workers have free capacity. */
+const maximumServiceShare = 0.34;
+/** A worker below this speed is used only if no other has free capacity. */
+export const slowWorkerSpeed = 0.5;
+/**
+ * Workers on which a task is expected to take at most this many times the shortest run time count as equal: learned speeds
+ * are averages of few samples, and the fullest worker should get the task unless another is clearly faster.
+ */
+const equalRunTimeRatio = 1.15;
+
+/**
+ * Weights in the score of a worker. Each exceeds the range of the free CPU share (0 to 1). An earlier failure counts more
+ * than low speed, low speed more than the preferred rack, and the rack more than the concentration of a service.
+ */
+const preferredRackBonus = 2;
+const failurePenaltyWeight = -4;
+const slowPenaltyWeight = -3;
+const concentrationPenaltyWeight = -1.5;
+/** Separated tasks of one job share a worker, so that few workers are kept from other jobs. */
+const companyWeight = 1;
+
+export const getFreeCpuShare = (worker: WorkerRow): number => 1 - (worker.used.cpuMillis / Math.max(1, worker.registration.capacity.cpuMillis));
+
+export const createWorkerChoice = (options: {readonly separation: Separation; readonly farFactor: number}) => {
+	const {separation, farFactor} = options;
+
+	const countRunsOn = (step: StepRow, worker: WorkerRow): number => {
+		let count = 0;
+		for (const task of step.tasks) {
+			for (const row of task.runs.values()) {
+				count += row.worker === worker ? 1 : 0;
+			}
+		}
+
+		return count;
+	};
+
+	const meetsConstraints = (task: TaskRow, worker: WorkerRow): boolean => {
+		const {requiredLabel, maximumPerWorker} = task.step.declaration;
+		return (requiredLabel === undefined || worker.registration.labels.includes(requiredLabel))
+			&& (maximumPerWorker === 0 || countRunsOn(task.step, worker) < maximumPerWorker);
+	};
+
+	const scoreWorker = (task: TaskRow, worker: WorkerRow): number => {
+		const {preferredRack} = task.step.declaration;
+		const rackBonus = preferredRack !== undefined && findRack(worker.registration) === preferredRack ? preferredRackBonus : 0;
+		const failurePenalty = task.failedWorkers.includes(worker.registration.id) ? failurePenaltyWeight : 0;
+		const slowPenalty = worker.speed < slowWorkerSpeed ? slowPenaltyWeight : 0;
+		// The loss of one worker must not take down most tasks of a service.
+		const {longRunning, taskCount} = task.step.declaration;
+		const concentrationPenalty = longRunning && countRunsOn(task.step, worker) >= Math.ceil(taskCount * maximumServiceShare) ? concentrationPenaltyWeight : 0;
+		// Prefers the fullest worker with free capacity (best fit), so that idle machines can move to other pools. A task that may crash its worker gets the emptiest.
+		const fit = countCrashes(task) > 0 ? getFreeCpuShare(worker) : -getFreeCpuShare(worker);
+		const companyBonus = isSeparated(task) && hasRunOf(task.step.job, worker) ? companyWeight : 0;
+		return rackBonus + failurePenalty + concentrationPenalty + slowPenalty + companyBonus + fit;
+	};
+
+	const chooseByScore = (task: TaskRow, candidates: readonly WorkerRow[]): WorkerRow | undefined => {
+		let best: WorkerRow | undefined;
+		let bestScore = Number.NEGATIVE_INFINITY;
+		for (const worker of candidates) {
+			const score = scoreWorker(task, worker);
+			if (score > bestScore) {
+				best = worker;
+				bestScore = score;
+			}
+		}
+
+		return best;
+	};
+
+	/** The workers on which the task is expected to end about as soon as on the best of them. */
+	const keepSoonestEnds = (task: TaskRow, candidates: readonly WorkerRow[]): readonly WorkerRow[] => {
+		const reliable = candidates.filter(worker => !task.failedWorkers.includes(worker.registration.id));
+		const considered = reliable.length > 0 ? reliable : candidates;
+		const factors = considered.map(worker => getRunTimeFactor(task, worker, farFactor));
+		const longest = Math.min(...factors) * equalRunTimeRatio;
+		return considered.filter((_, index) => factors[index]! <= longest);
+	};
+
+	return {
+		meetsConstraints,
+		choose(task: TaskRow, candidates: readonly WorkerRow[], now: number): WorkerRow | undefined {
+			const required = getReservedResources(task);
+			const fitting = candidates.filter(worker => hasCapacityFor(worker, required) && meetsConstraints(task, worker) && separation.mayShare(task, worker, now));
+			const isEndCompared = farFactor > 1 && !task.step.declaration.longRunning;
+			return chooseByScore(task, isEndCompared ? keepSoonestEnds(task, fitting) : fitting);
+		},
+	};
+};
+
+export type WorkerChoice = ReturnType<typeof createWorkerChoice>;
--- a/packages/jobs/scheduler/test/support/builders.ts
+++ b/packages/jobs/scheduler/test/support/builders.ts
@@ -34,8 +34,8 @@
 	capacity: {cpuMillis: 4000, memoryMegabytes: 10_000, accelerators: 0}, labels: ['a', 'r1-1'], ...overrides,
 });
 
-export const createTestScheduler = (policies: Policies = createPolicies(), epoch = 1): Scheduler => {
-	const scheduler = createScheduler({epoch, emit: () => undefined});
+export const createTestScheduler = (policies: Policies = createPolicies(), epoch = 1, farFactor = 1): Scheduler => {
+	const scheduler = createScheduler({epoch, farFactor, emit: () => undefined});
 	scheduler.setPolicies(policies);
 	return scheduler;
 };
