--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -45,6 +45,8 @@
 	readonly clock: Clock;
 	readonly configuration: () => Configuration;
 	readonly workerLeaseMilliseconds: number;
+	/** How many times as long a task takes away from its preferred rack; 1 if undefined. */
+	readonly farFactor: number | undefined;
 	/** Time by which the store had reached the revision; undefined if no response has shown it. */
 	readonly getReachedTime: (revision: number) => number | undefined;
 	readonly onLost: (reason: string) => void;
@@ -53,7 +55,7 @@
 
 /** Returns undefined if the ownership was lost while the stored jobs were being read. */
 export const createOwner = async (options: OwnerOptions) => {
-	const {store, recordCodec, ownership, leaseRenewal, workerClient, adviceClient, machineClient, instance, clock, configuration, workerLeaseMilliseconds, getReachedTime, onLost, log} = options;
+	const {store, recordCodec, ownership, leaseRenewal, workerClient, adviceClient, machineClient, instance, clock, configuration, workerLeaseMilliseconds, farFactor, getReachedTime, onLost, log} = options;
 	const tookOverAt = clock.now();
 	let isEnded = false;
 	let isLoaded = false;
@@ -61,7 +63,7 @@
 	let handoverEndsAt = Number.POSITIVE_INFINITY;
 
 	const scheduler = createScheduler({
-		epoch: ownership.epoch, emit(event) {
+		epoch: ownership.epoch, farFactor, emit(event) {
 			log.schedulerEvent(event);
 		},
 	});
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -49,9 +49,11 @@
 	/** Processor cores that this process may use; may be a fraction. */
 	readonly cores: number;
 	readonly workerLeaseMilliseconds: number;
+	/** How many times as long a task takes away from its preferred rack; 1 if unknown. */
+	readonly farFactor?: number;
 	readonly log: ServiceLog;
 }) => {
-	const {instance, peers, recordCodec, workerClient, adviceClient, machineClient, clock, random, cores, workerLeaseMilliseconds, log} = options;
+	const {instance, peers, recordCodec, workerClient, adviceClient, machineClient, clock, random, cores, workerLeaseMilliseconds, farFactor, log} = options;
 	const {address} = peers;
 	const {store, health} = monitorStore(options);
 	let owner: NonNullable<Owner> | undefined;
@@ -144,7 +146,7 @@
 		const created = await createOwner({
 			store, recordCodec, ownership, leaseRenewal, workerClient, adviceClient, machineClient, instance, clock,
 			configuration: () => configuration.current() ?? current,
-			workerLeaseMilliseconds, getReachedTime: revisionTimes.getReachedTime, onLost, log,
+			workerLeaseMilliseconds, farFactor, getReachedTime: revisionTimes.getReachedTime, onLost, log,
 		});
 		isAcquiring = false;
 		if (isLost) {
