--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -72,6 +72,8 @@
 	ZoneEvacuationBegun = 8551,
 	ZoneEvacuationCancelled = 8552,
 	ZoneEmptied = 8553,
+	PlaceWaitBegun = 8591,
+	PlaceWaitEnded = 8592,
 	InternalError = 9001,
 }
 
@@ -390,6 +392,16 @@
 		message: 'No run is left in an evacuated zone',
 		action: none,
 	},
+	[LogEvent.PlaceWaitBegun]: {
+		level: LogLevel.Debug,
+		message: 'A task waits for capacity on its preferred rack, or a gang for one rack',
+		action: none,
+	},
+	[LogEvent.PlaceWaitEnded]: {
+		level: LogLevel.Information,
+		message: 'A wait for preferred capacity has ended',
+		action: 'If many end with forecast-failed or bound, compare the run times of the tasks there with their declared ones.',
+	},
 	[LogEvent.InternalError]: {
 		level: LogLevel.Error,
 		message: 'An internal error of the daemon',
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -58,9 +58,11 @@
 	readonly workerLeaseMilliseconds: number;
 	/** Time after which no task may start in a zone that the operator evacuates; undefined where zones are not evacuated. */
 	readonly evacuationMilliseconds: number | undefined;
+	/** How many times as long a task takes away from its preferred rack; 1 if unknown. */
+	readonly farFactor?: number;
 	readonly log: ServiceLog;
 }) => {
-	const {instance, zone, peers, recordCodec, workerClient, adviceClient, machineClient, clock, random, cores, workerLeaseMilliseconds, evacuationMilliseconds, log} = options;
+	const {instance, zone, peers, recordCodec, workerClient, adviceClient, machineClient, clock, random, cores, workerLeaseMilliseconds, evacuationMilliseconds, farFactor, log} = options;
 	const {address} = peers;
 	const {store, health} = monitorStore(options);
 	let owner: NonNullable<Owner> | undefined;
@@ -156,7 +158,7 @@
 		const created = await createOwner({
 			store, recordCodec, ownership, leaseRenewal, workerClient, openDispatchChannel: peers.openDispatchChannel, adviceClient, machineClient, instance, clock,
 			configuration: () => configuration.current() ?? current,
-			workerLeaseMilliseconds, evacuationMilliseconds, getReachedTime: revisionTimes.getReachedTime, onLost, log,
+			workerLeaseMilliseconds, evacuationMilliseconds, farFactor, getReachedTime: revisionTimes.getReachedTime, onLost, log,
 		});
 		isAcquiring = false;
 		if (isLost) {
--- a/packages/jobs/scheduler/src/index.ts
+++ b/packages/jobs/scheduler/src/index.ts
@@ -17,3 +17,7 @@
 export * from './pools.js';
 export type {ZoneEvacuationStatus} from './zone-evacuation.js';
 export type {DurationEstimator, DurationKey} from './durations.js';
+export type {DecidePlace, PlaceDecision, PlaceQuestion} from './place-wait.js';
+export {ElsewhereReason} from './place-wait.js';
+export {PlaceWaitEnd} from './place-wait-table.js';
+export type {PlaceWaitEvent} from './place-wait-table.js';
