Compute the figures of the load of full pools

An instance that accepts a job knows nothing of the work ahead of it, so jobs are accepted that end too late to be of use. The scheduler computes for each full pool the capacity, the work ahead by workspace, priority and deadline, the shares and the learned run times. Tests of packages/jobs/scheduler pass.

--- a/packages/jobs/scheduler/src/index.ts
+++ b/packages/jobs/scheduler/src/index.ts
@@ -1,6 +1,8 @@
 /** Decides which task of which job runs on which worker. */
 export * from './model.js';
-export {isActive, isFinalState} from './jobs.js';
+export {
+	computeAllowedMilliseconds, estimateCriticalPath, isActive, isFinalState, usefulTimeFactor,
+} from './jobs.js';
 export * from './events.js';
 export type {ThrottleOrder} from './throttling.js';
 export type {AdviceOrder, StartOrder} from './placement.js';
@@ -14,3 +16,7 @@
 export * from './waves.js';
 export * from './pools.js';
 export type {DurationEstimator, DurationKey} from './durations.js';
+export type {
+	Backlog, GetMovableCapacity, LoadFigures, PoolLoad, WorkspaceLoad,
+} from './load-figures.js';
+export {computeMaxMinShares, deadlineStepMilliseconds, publicWorkspace} from './load-figures.js';
--- a/packages/jobs/scheduler/src/jobs.ts
+++ b/packages/jobs/scheduler/src/jobs.ts
@@ -10,7 +10,7 @@
 export const isActive = (job: JobRow): boolean => !isFinalState(job.state);
 
 /** The platform values a late result until this many times the objective, which is `stretch` times the critical path plus `objectiveMilliseconds`. */
-const usefulTimeFactor = 3;
+export const usefulTimeFactor = 3;
 
 const createStep = (job: JobRow, occurrence: number, index: number): StepRow => {
 	const declaration = job.declaration.steps[index]!;
@@ -42,6 +42,10 @@
 	return Math.max(0, ...finishTimes);
 };
 
+/** Time in milliseconds from the submission to the latest end that meets the objective. */
+export const computeAllowedMilliseconds = (declaration: JobDeclaration, policy: QueuePolicy | undefined): number =>
+	((policy?.stretch ?? 1) * estimateCriticalPath(declaration)) + (policy?.objectiveMilliseconds ?? 0);
+
 export type JobTable = ReturnType<typeof createJobTable>;
 
 export const createJobTable = () => {
@@ -157,7 +161,7 @@
 			// Clock skew between instances could make the age negative.
 			const age = Math.max(0, wallNow - declaration.submittedAt);
 			const criticalPathMilliseconds = estimateCriticalPath(declaration);
-			const allowedMilliseconds = ((policy?.stretch ?? 1) * criticalPathMilliseconds) + (policy?.objectiveMilliseconds ?? 0);
+			const allowedMilliseconds = computeAllowedMilliseconds(declaration, policy);
 			const job: JobRow = {
 				declaration, occurrences: new Map(), nextOccurrence: 0, finishedOccurrences: 0, state: JobState.Queued, begun: false,
 				criticalPathMilliseconds, deadline: now - age + allowedMilliseconds, usefulUntil: now - age + (usefulTimeFactor * allowedMilliseconds),
--- a/packages/jobs/scheduler/src/pools.ts
+++ b/packages/jobs/scheduler/src/pools.ts
@@ -17,7 +17,7 @@
 /** A machine moves to standby after this idle time; the two moves cost as much as over 2 seconds in standby save. */
 const idleBeforeStandbyMilliseconds = 700;
 /** A pool keeps this many machines so that it survives the loss of one. */
-const minimumMachines = 2;
+export const minimumMachines = 2;
 
 export type PoolMachine = {
 	readonly machine: string;
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -10,6 +10,8 @@
 import type {SchedulerEvent} from './events.js';
 import {createFailJob} from './job-failures.js';
 import {createJobTable, isActive} from './jobs.js';
+import type {GetMovableCapacity} from './load-figures.js';
+import {computeLoadFigures} from './load-figures.js';
 import type {
 	JobDeclaration, JobRow, Policies, RunReport, RunRow, Ticket, WorkerRegistration, WorkerRow,
 } from './model.js';
@@ -98,6 +100,9 @@
 
 	return {
 		measurePoolDemands: (now: number) => demandEstimator.measure(jobs.jobs.values(), policies.queues, now),
+		computeLoadFigures: (getMovableCapacity: GetMovableCapacity, now: number) => computeLoadFigures({
+			jobs: jobs.jobs.values(), workers: workers.workers.values(), policies, durations, getMovableCapacity, now,
+		}),
 		policies: () => policies,
 		durations,
 		jobs: jobs.jobs,
