Send the load figures with the response to a stored job

Every instance notifies the owner of each job that it has stored; the response now carries the figures if the instance asks for them, at most every 250 ms. The owner computes them at most as often and has none for 4 s after its takeover, when workers that have not answered are missing from the capacity. Machines in standby, moving machines and idle machines of other pools count as capacity of the pool. Nothing reads the figures yet.

--- a/packages/jobs/job-service/src/index.ts
+++ b/packages/jobs/job-service/src/index.ts
@@ -3,6 +3,7 @@
 export type {
 	CancelOutcome, JobOperations, JobStateOutcome, SubmitOutcome,
 } from './job-operations.js';
+export {createFiguresCache} from './known-figures.js';
 export type {OwnerClient} from './owner-client.js';
 export type {OwnerLog} from './owner-log.js';
 export type {GetLocalOwner, PeerTransport} from './peer-transport.js';
--- a/packages/jobs/job-service/src/machine-management.ts
+++ b/packages/jobs/job-service/src/machine-management.ts
@@ -7,7 +7,9 @@
 import {createMaintenance} from './maintenance.js';
 import type {PoolMoveLog} from './pool-moves.js';
 import {createPoolMoves} from './pool-moves.js';
+import {computeMovableCapacity} from './movable-capacity.js';
 import type {Clock, MachineClient, PlatformRecordCodec} from './ports.js';
+import {MachineState} from './ports.js';
 
 export const createMachineManagement = (options: {
 	readonly scheduler: Scheduler;
@@ -28,5 +30,23 @@
 }) => {
 	const shared = {...options, machineList: createMachineList(options), orderGuard: createMachineOrderGuard(options)};
 	const maintenance = createMaintenance(shared);
-	return {orderGuard: shared.orderGuard, maintenance, poolMoves: createPoolMoves({...shared, isReserved: maintenance.isReserved})};
+	const {machineList, scheduler} = shared;
+	/** CPU in thousandths of a core that pool moves can add to the pool; infinite until the machines are known. */
+	const getMovableCapacity = (pool: string): number => {
+		const records = machineList.records();
+		return records.length === 0
+			? Number.POSITIVE_INFINITY
+			: computeMovableCapacity({
+				pool, standbyPools: new Set([...scheduler.policies().pools.values()].filter(policy => policy.standby).map(policy => policy.name)),
+				machines: records.map(record => ({
+					machine: record.machine, pool: record.pool, cpuMillis: record.cpuMillis,
+					isUp: record.state === MachineState.Up, isMoving: record.state === MachineState.Moving, worker: machineList.getWorker(record.machine),
+				})),
+			});
+	};
+
+	return {
+		orderGuard: shared.orderGuard, maintenance, getMovableCapacity,
+		poolMoves: createPoolMoves({...shared, isReserved: maintenance.isReserved}),
+	};
 };
--- a/packages/jobs/job-service/src/owner-client.ts
+++ b/packages/jobs/job-service/src/owner-client.ts
@@ -4,6 +4,8 @@
 import type {JobDeclaration} from '@turmericbay/scheduler';
 import {JobState} from '@turmericbay/scheduler';
 import {z} from 'zod';
+import type {KnownFigures} from './known-figures.js';
+import {createFiguresCache} from './known-figures.js';
 import {createOwnerBreaker} from './owner-breaker.js';
 import type {Owner} from './owner.js';
 import type {Clock} from './ports.js';
@@ -25,6 +27,8 @@
 	/** Undefined if the owner does not know the job, cannot be reached or has not answered recent calls in time. */
 	getJobState(id: string): Promise<JobState | undefined>;
 	countPending(queue: string): Promise<number | undefined>;
+	/** The newest load figures, without a call: those of the local owner, else those in the responses to stored jobs. */
+	getLoadFigures(): KnownFigures | undefined;
 	/** Asks the owner of this epoch to give up the ownership, so that this instance can take over. */
 	requestTransfer(epoch: number): void;
 };
@@ -38,6 +42,7 @@
 }): OwnerClient => {
 	const {client, clock, getLocalOwner, getRemoteOwner, onFailure} = options;
 	const breaker = createOwnerBreaker({now: clock.now});
+	const figures = createFiguresCache({now: clock.now});
 
 	const call = async (method: 'GET' | 'POST', path: string, body?: string): Promise<unknown> => {
 		const address = getRemoteOwner()?.address;
@@ -63,7 +68,11 @@
 			if (owner) {
 				owner.addJob(declaration, revision);
 			} else {
-				void call('POST', `/jobs?revision=${revision}`, JSON.stringify(declaration));
+				const sentAt = clock.now();
+				const query = `revision=${revision}${figures.takeRequest() ? '&figures=1' : ''}`;
+				void call('POST', `/jobs?${query}`, JSON.stringify(declaration)).then(response => {
+					figures.record(response, sentAt);
+				});
 			}
 		},
 		notifyJobCancelled(id) {
@@ -92,6 +101,7 @@
 			const parsed = pendingResponse.safeParse(await call('GET', `/queues/${encodeURIComponent(queue)}/pending`));
 			return parsed.success ? parsed.data.pending : undefined;
 		},
+		getLoadFigures: () => figures.newest(getLocalOwner()?.getLoadFigures()),
 		requestTransfer(epoch) {
 			const address = getRemoteOwner()?.address;
 			if (address !== undefined) {
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -7,6 +7,7 @@
 import {createMachineManagement} from './machine-management.js';
 import {createOrderExecutor} from './order-executor.js';
 import {createOwnedJobs} from './owned-jobs.js';
+import {createOwnerLoadFigures} from './owner-load-figures.js';
 import type {OwnedWorkers} from './owned-workers.js';
 import {createOwnedWorkers, handoverExtensionMilliseconds, leaseExtensionMilliseconds} from './owned-workers.js';
 import type {OwnerLog} from './owner-log.js';
@@ -124,13 +125,17 @@
 		onStartAttempted: log.startAttempted,
 	});
 
-	const {orderGuard, maintenance, poolMoves} = machineClient
+	const {orderGuard, maintenance, poolMoves, getMovableCapacity = () => 0} = machineClient
 		? createMachineManagement({
 			scheduler, machineClient, recordCodec, clock, holder: instance, epoch: ownership.epoch, tookOverAt, getReachedTime, mayOrder: mayStart,
 			commit: commitQueue.commit, retire: workers.retire, log,
 		})
 		: {};
 
+	const loadFigures = createOwnerLoadFigures({
+		scheduler, clock, tookOverAt, getMovableCapacity,
+	});
+
 	let lastTickAt = tookOverAt;
 	const tick = (): void => {
 		if (isEnded) {
@@ -284,6 +289,7 @@
 			}
 		},
 		cancel: jobs.cancel,
+		getLoadFigures: loadFigures.get,
 		getJobState: (id: string): JobState | undefined => jobs.getState(id),
 		countPending: (queue: string): number => jobs.countPending(queue),
 	};
--- a/packages/jobs/job-service/src/peer-server.ts
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -99,7 +99,7 @@
 				}
 
 				owner.addJob(declaration, Number(request.query.revision));
-				respond(response, okStatus, {});
+				respond(response, okStatus, request.query.figures === undefined ? {} : {...owner.getLoadFigures()});
 			});
 		})
 		.post('/cancellations/:id', (request, response) => {
--- a/packages/jobs/job-service/test/job-operations.test.ts
+++ b/packages/jobs/job-service/test/job-operations.test.ts
@@ -28,7 +28,7 @@
 		},
 	});
 	const ownerClient = {
-		notifyJobStored: () => undefined, notifyJobCancelled: () => undefined, getJobState: async () => undefined, countPending: async () => undefined, requestTransfer: () => undefined,
+		notifyJobStored: () => undefined, notifyJobCancelled: () => undefined, getJobState: async () => undefined, countPending: async () => undefined, getLoadFigures: () => undefined, requestTransfer: () => undefined,
 	};
 	const operations = createJobOperations({
 		store, health, ownerClient, clock, onUnreadable: () => undefined,
--- a/packages/jobs/job-service/test/peer-server.test.ts
+++ b/packages/jobs/job-service/test/peer-server.test.ts
@@ -41,6 +41,19 @@
 	t.deepEqual(added, ['b']);
 });
 
+// Guards against figures that never reach the instances, and against figures with each stored job.
+test('the response to a stored job carries load figures if they are requested', async t => {
+	const timedFigures = {figures: {pools: {}, durations: {a: 5}}, ageMilliseconds: 3};
+	const url = await serve(t, {addJob: () => undefined, getLoadFigures: () => timedFigures});
+	const send = async (query: string): Promise<unknown> => {
+		const response = await fetch(`${url}/jobs?${query}`, {method: 'POST', body: '{"id":"b","steps":[]}'});
+		return response.json();
+	};
+
+	t.deepEqual(await send('revision=1'), {});
+	t.deepEqual(await send('revision=1&figures=1'), timedFigures);
+});
+
 // Guards against an owner whose process ends because another instance sent a path that cannot be decoded.
 test('a path that cannot be decoded is rejected', async t => {
 	const url = await serve(t, {countPending: () => 3});
--- a/packages/jobs/job-service/test/service.test.ts
+++ b/packages/jobs/job-service/test/service.test.ts
@@ -64,7 +64,7 @@
 			createOwnerClient(options) {
 				({getRemoteOwner} = options);
 				return {
-					notifyJobStored: () => undefined, notifyJobCancelled: () => undefined, getJobState: async () => undefined, countPending: async () => undefined, requestTransfer: () => undefined,
+					notifyJobStored: () => undefined, notifyJobCancelled: () => undefined, getJobState: async () => undefined, countPending: async () => undefined, getLoadFigures: () => undefined, requestTransfer: () => undefined,
 				};
 			},
 			serve(options) {
--- a/packages/tools/experiment/src/simulated-peers.ts
+++ b/packages/tools/experiment/src/simulated-peers.ts
@@ -1,5 +1,6 @@
 /** Peer transport of simulated instances: calls over the simulated network instead of HTTP. */
 import type {JobService, PeerTransport} from '@turmericbay/job-service';
+import {createFiguresCache} from '@turmericbay/job-service';
 import type {Network} from './network.js';
 import {Service} from './network.js';
 import type {SimulatedProcess, VirtualTime} from './virtual-time.js';
@@ -45,35 +46,44 @@
 
 	return {
 		address: name,
-		createOwnerClient: ({getLocalOwner, getRemoteOwner}) => ({
-			notifyJobStored(declaration, revision) {
-				const owner = getLocalOwner();
-				if (owner) {
-					owner.addJob(declaration, revision);
-				} else {
-					void callOwner(getRemoteOwner()?.address, remoteOwner => {
-						remoteOwner.addJob(declaration, revision);
+		createOwnerClient({clock, getLocalOwner, getRemoteOwner}) {
+			const figures = createFiguresCache({now: clock.now});
+			return {
+				notifyJobStored(declaration, revision) {
+					const owner = getLocalOwner();
+					if (owner) {
+						owner.addJob(declaration, revision);
+					} else {
+						const sentAt = clock.now();
+						const isRequested = figures.takeRequest();
+						void callOwner(getRemoteOwner()?.address, remoteOwner => {
+							remoteOwner.addJob(declaration, revision);
+							return isRequested ? remoteOwner.getLoadFigures() : undefined;
+						}).then(response => {
+							figures.record(response, sentAt);
+						});
+					}
+				},
+				notifyJobCancelled(id) {
+					const owner = getLocalOwner();
+					if (owner) {
+						owner.cancel(id);
+					} else {
+						void callOwner(getRemoteOwner()?.address, remoteOwner => {
+							remoteOwner.cancel(id);
+						});
+					}
+				},
+				getJobState: async id => getLocalOwner()?.getJobState(id) ?? callOwner(getRemoteOwner()?.address, remoteOwner => remoteOwner.getJobState(id)),
+				countPending: async queue => getLocalOwner()?.countPending(queue) ?? callOwner(getRemoteOwner()?.address, remoteOwner => remoteOwner.countPending(queue)),
+				getLoadFigures: () => figures.newest(getLocalOwner()?.getLoadFigures()),
+				requestTransfer(epoch) {
+					void callInstance(getRemoteOwner()?.address, service => {
+						service.yieldOwnership(epoch);
 					});
-				}
-			},
-			notifyJobCancelled(id) {
-				const owner = getLocalOwner();
-				if (owner) {
-					owner.cancel(id);
-				} else {
-					void callOwner(getRemoteOwner()?.address, remoteOwner => {
-						remoteOwner.cancel(id);
-					});
-				}
-			},
-			getJobState: async id => getLocalOwner()?.getJobState(id) ?? callOwner(getRemoteOwner()?.address, remoteOwner => remoteOwner.getJobState(id)),
-			countPending: async queue => getLocalOwner()?.countPending(queue) ?? callOwner(getRemoteOwner()?.address, remoteOwner => remoteOwner.countPending(queue)),
-			requestTransfer(epoch) {
-				void callInstance(getRemoteOwner()?.address, service => {
-					service.yieldOwnership(epoch);
-				});
-			},
-		}),
+				},
+			};
+		},
 		serve: () => undefined,
 		close: () => undefined,
 	};
