Refuse jobs that cannot end while they are of use

Pools with free or movable capacity refuse nothing, and a job in doubt is admitted.

A refusal is recorded before it is sent, and a job is stored on condition that none was recorded since its attempt began, so that a delayed write of an earlier attempt has no effect. The write of a job whose conditions fail now reads which key is in the way: before, only the job or its result could be.

--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -66,6 +66,8 @@
 	MachineMoved = 8536,
 	RecordUnreadable = 8541,
 	SettingsReloaded = 8542,
+	JobRefusedByLoad = 8581,
+	RefusalNotRecorded = 8582,
 	InternalError = 9001,
 }
 
@@ -354,6 +356,16 @@
 		message: 'SIGHUP was received; the settings file is read only when the process starts',
 		action: none,
 	},
+	[LogEvent.JobRefusedByLoad]: {
+		level: LogLevel.Information,
+		message: 'A job was refused because it could not have ended while it was of use; the fields are the figures that decided it',
+		action: 'With cause beyond-share look at the load of the workspace, with no-capacity at the capacity of the pool.',
+	},
+	[LogEvent.RefusalNotRecorded]: {
+		level: LogLevel.Information,
+		message: 'The refusal of a job could not be recorded in time, and the job was handled like an admitted one',
+		action: 'If there are many, look for a slow store.',
+	},
 	[LogEvent.InternalError]: {
 		level: LogLevel.Error,
 		message: 'An internal error of the daemon',
--- a/packages/jobs/job-service/src/index.ts
+++ b/packages/jobs/job-service/src/index.ts
@@ -1,8 +1,10 @@
 /** Accepts, stores and runs jobs, and reports their states. */
 export * from './ports.js';
 export type {
-	CancelOutcome, JobOperations, JobStateOutcome, SubmitOutcome,
+	AdmissionLog, CancelOutcome, JobOperations, JobStateOutcome, SubmitOutcome,
 } from './job-operations.js';
+export type {Refusal} from './admission.js';
+export {RefusalCause} from './admission.js';
 export {createFiguresCache} from './known-figures.js';
 export type {OwnerClient} from './owner-client.js';
 export type {OwnerLog} from './owner-log.js';
--- a/packages/jobs/job-service/src/job-operations.ts
+++ b/packages/jobs/job-service/src/job-operations.ts
@@ -2,7 +2,6 @@
 import type {JobDeclaration} from '@turmericbay/scheduler';
 import {isFinalState, JobState} from '@turmericbay/scheduler';
 import type {KeyValueStore} from '@turmericbay/types';
-import {StoreErrorKind} from '@turmericbay/types';
 import type {OwnerClient} from './owner-client.js';
 import {createPendingCounts} from './pending-counts.js';
 import type {Clock} from './ports.js';
@@ -11,26 +10,53 @@
 } from './records.js';
 import type {StoreHealth} from './store-health.js';
 import {wait} from './wait.js';
+import type {AdmissionControl} from './admission-control.js';
+import type {Refusal} from './admission.js';
+import {decisionShare} from './admission.js';
+import {createJobStoring, retryMilliseconds} from './job-storing.js';
+import {createRefusalRecords} from './refusal-records.js';
 
-/** Delay before a write is retried. */
-const retryMilliseconds = 80;
 /** Older final states are read from the store. */
 const maximumCachedStates = 20_000;
 
-export type SubmitOutcome = 'accepted' | 'not-stored' | 'unknown';
+/** A refused job is not stored and never runs. */
+export type SubmitOutcome = 'accepted' | 'not-stored' | 'unknown' | Refusal;
 export type CancelOutcome = 'cancelled' | 'unknown-job' | 'unavailable';
 export type JobStateOutcome = {readonly type: 'known'; readonly state: JobState} | {readonly type: 'unknown-job'} | {readonly type: 'unavailable'};
 
+export type AdmissionLog = {
+	/** The refusal is recorded and is about to be sent. */
+	jobRefused(declaration: JobDeclaration, refusal: Refusal): void;
+	/** The job is handled like an admitted one. */
+	refusalNotRecorded(job: string, message: string): void;
+};
+
 export type JobOperations = ReturnType<typeof createJobOperations>;
 
+/** Tells the attempts of all instances apart. */
+const chooseAttemptName = (random: () => number): string => `${random().toString(36).slice(2)}${random().toString(36).slice(2)}`;
+
 export const createJobOperations = (options: {
 	readonly store: KeyValueStore;
 	readonly health: StoreHealth;
 	readonly ownerClient: OwnerClient;
 	readonly clock: Clock;
+	readonly admission: AdmissionControl;
+	readonly random: () => number;
+	/** Time by which the store had reached the revision; undefined if no response has shown it. */
+	readonly getReachedTime: (revision: number) => number | undefined;
+	readonly log: AdmissionLog;
 	readonly onUnreadable: (key: string) => void;
 }) => {
-	const {store, health, ownerClient, clock, onUnreadable} = options;
+	const {store, health, ownerClient, clock, admission, random, getReachedTime, log, onUnreadable} = options;
+	const refusalRecords = createRefusalRecords({store, clock, wait});
+	const storeJob = createJobStoring({
+		store, health, clock, wait, getReachedTime,
+		onStored(declaration, revision) {
+			admission.recordAccepted(declaration);
+			ownerClient.notifyJobStored(declaration, revision);
+		},
+	});
 	/** Cache of the states of ended jobs; they never change. */
 	const finalStates = new Map<string, JobState>();
 	const pendingCounts = createPendingCounts({store, clock});
@@ -77,46 +103,55 @@
 		return {type: 'known', state: JobState.Queued, revision: job.value.modifiedRevision};
 	};
 
+	/** Returns undefined if the refusal is not known to be recorded. */
+	const refuse = async (request: {readonly declaration: JobDeclaration; readonly decision: Refusal; readonly attempt: string; readonly receivedAt: number}): Promise<SubmitOutcome | undefined> => {
+		const {declaration, decision, attempt, receivedAt} = request;
+		const objective = admission.getPolicy(declaration.queue)?.objectiveMilliseconds ?? 0;
+		const recorded = await refusalRecords.record({
+			id: declaration.id, value: {attempt, cause: decision.cause}, latestAt: receivedAt + (objective * decisionShare),
+		});
+		switch (recorded.type) {
+			case 'recorded': {
+				admission.recordRefused(decision);
+				log.jobRefused(declaration, decision);
+				return decision;
+			}
+
+			case 'already-stored': {
+				return 'accepted';
+			}
+
+			case 'not-recorded': {
+				log.refusalNotRecorded(declaration.id, recorded.message);
+				return undefined;
+			}
+		}
+	};
+
 	return {
 		/**
-		 * Stores a job. If the outcome of the write is unknown, the write is retried until the deadline,
-		 * since not every caller sends the request again. A job of which no write was attempted is
-		 * rejected at once while the store is unavailable.
+		 * Stores a job, unless it is refused because it could not be of use. `receivedAt`: when the caller's
+		 * request arrived. If the refusal cannot be recorded in time, the job is handled like an admitted one.
 		 */
-		async submit(declaration: JobDeclaration, deadline: number): Promise<SubmitOutcome> {
-			const key = jobPrefix + declaration.id;
-			let mayBeStored = false;
-			for (;;) {
-				if (!mayBeStored && health.unavailableMilliseconds() !== undefined) {
-					return 'not-stored';
-				}
+		async submit(declaration: JobDeclaration, deadline: number, receivedAt = clock.now()): Promise<SubmitOutcome> {
+			if (health.unavailableMilliseconds() !== undefined) {
+				return 'not-stored';
+			}
 
-				// eslint-disable-next-line no-await-in-loop -- Attempts are sequential.
-				const written = await store.transact({
-					conditions: [{key, modifiedRevision: 0}, {key: resultPrefix + declaration.id, modifiedRevision: 0}],
-					operations: [{type: 'put', key, value: JSON.stringify(declaration)}],
+			const decision = admission.decide(declaration, receivedAt);
+			const attempt = decision.type === 'refuse' ? chooseAttemptName(random) : undefined;
+			if (decision.type === 'refuse' && attempt !== undefined) {
+				const refused = await refuse({
+					declaration, decision, attempt, receivedAt,
 				});
-				if (written.isOk()) {
-					if (written.value.type === 'committed') {
-						ownerClient.notifyJobStored(declaration, written.value.revision);
-					}
-
-					// A failed condition means that the job or its result is already stored: an earlier attempt was applied.
-					return 'accepted';
-				}
-
-				mayBeStored ||= written.error.kind !== StoreErrorKind.NotApplied && written.error.kind !== StoreErrorKind.TooLarge;
-				if (!mayBeStored) {
-					return 'not-stored';
+				if (refused) {
+					return refused;
 				}
-
-				if (clock.now() + retryMilliseconds >= deadline) {
-					return 'unknown';
-				}
-
-				// eslint-disable-next-line no-await-in-loop -- Attempts are sequential.
-				await wait(retryMilliseconds);
 			}
+
+			return storeJob({
+				declaration, attempt, deadline, startedAt: receivedAt,
+			});
 		},
 		async cancel(id: string, deadline: number): Promise<CancelOutcome> {
 			for (;;) {
--- a/packages/jobs/job-service/src/records.ts
+++ b/packages/jobs/job-service/src/records.ts
@@ -14,6 +14,9 @@
 /** Segments with the runs that may be executing. */
 export const runPrefix = `${root}runs/`;
 
+/** Refused jobs, under a lease. */
+export const refusalPrefix = `${root}refusals/`;
+
 /** Progress of each maintenance wave: machines whose maintenance has started or is not needed, and machines with an order in flight. */
 export const waveProgressPrefix = `${root}waves/`;
 
@@ -31,6 +34,12 @@
 	readonly cores?: number;
 };
 
+export type RefusalRecord = {
+	/** Identifies the attempt that was refused. */
+	readonly attempt: string;
+	readonly cause: string;
+};
+
 export type CommitRecord = {readonly epoch: number; readonly sequence: number};
 
 /** `bornAt` is the worker's incarnation. */
@@ -100,6 +109,7 @@
 export const parseOwner = (entry: StoredEntry): OwnerRecord | undefined => parseJson<OwnerRecord>(entry);
 export const parseCommit = (entry: StoredEntry): CommitRecord | undefined => parseJson<CommitRecord>(entry);
 export const parseRunSegment = (entry: StoredEntry): RunSegment | undefined => parseJson<RunSegment>(entry);
+export const parseRefusal = (entry: StoredEntry): RefusalRecord | undefined => parseJson<RefusalRecord>(entry);
 export const parseResult = (entry: StoredEntry): FinalState | undefined => {
 	const states: ReadonlyMap<string, FinalState> = new Map(Object.values(FinalState).map(state => [state, state]));
 	return states.get(entry.value);
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -1,6 +1,8 @@
 /** The job service of one instance. Serves callers at all times, and becomes the owner of the jobs when there is none. */
+import {createAdmissionControl} from './admission-control.js';
 import {createConfigurationSource} from './configuration-source.js';
 import {chooseElectionDelay} from './election-delay.js';
+import type {AdmissionLog} from './job-operations.js';
 import {createJobOperations} from './job-operations.js';
 import type {OwnerLog} from './owner-log.js';
 import type {Owner} from './owner.js';
@@ -25,7 +27,7 @@
 /** The configuration is confirmed every 0.8 s while the store can be reached. */
 const reachableAgeMilliseconds = 1500;
 
-export type ServiceLog = OwnerLog & {
+export type ServiceLog = OwnerLog & AdmissionLog & {
 	ownershipGained(epoch: number): void;
 	ownershipLost(epoch: number, reason: string): void;
 	ownerChanged(owner: OwnerRecord | undefined): void;
@@ -220,7 +222,11 @@
 
 	return {
 		jobs: createJobOperations({
-			store, health, ownerClient, clock, onUnreadable: log.configurationUnreadable,
+			store, health, ownerClient, clock, random, log, onUnreadable: log.configurationUnreadable,
+			getReachedTime: revisionTimes.getReachedTime,
+			admission: createAdmissionControl({
+				clock, random, getFigures: ownerClient.getLoadFigures, getPolicy: queue => configuration.current()?.queues.get(queue),
+			}),
 		}),
 		configuration: (): Configuration | undefined => configuration.current(),
 		/** Milliseconds since the configuration was last confirmed as the newest. */
--- a/packages/tools/experiment/src/simulation-log.ts
+++ b/packages/tools/experiment/src/simulation-log.ts
@@ -7,6 +7,12 @@
 	};
 
 	return {
+		jobRefused({id}, refusal) {
+			write('refused', {job: id, ...refusal});
+		},
+		refusalNotRecorded(job, message) {
+			write('refusal-not-recorded', `${job} ${message}`);
+		},
 		schedulerEvent(event) {
 			write('scheduler', event);
 		},
