Refresh the load figures while pools are full

An instance that refused all of its jobs got no new figures, so that it admitted a job every 2 s to get some. It now also asks for them with the requests for job states that it makes anyway, at most once a second while its figures name a full pool. Refusals at the same time share one request for a lease.

--- a/packages/jobs/job-service/src/known-figures.ts
+++ b/packages/jobs/job-service/src/known-figures.ts
@@ -4,6 +4,12 @@
 import type {TimedFigures} from './owner-load-figures.js';
 import {figuresIntervalMilliseconds} from './owner-load-figures.js';
 
+/**
+ * While pools are full, figures are also requested with calls that are made anyway: an instance that refuses
+ * all its jobs would otherwise get no figures, and admit a job each time they are too old. Half the age that decisions allow.
+ */
+const refreshIntervalMilliseconds = 1000;
+
 export type KnownFigures = {
 	readonly figures: LoadFigures;
 	/** Earliest time at which the owner can have computed them, on this instance's monotonic clock. */
@@ -32,16 +38,20 @@
 	const {now} = options;
 	let newest: KnownFigures | undefined;
 	let requestedAt = Number.NEGATIVE_INFINITY;
-	return {
-		/** True if the next call to the owner should request figures. */
-		takeRequest(): boolean {
-			if (now() - requestedAt < figuresIntervalMilliseconds) {
-				return false;
-			}
+	const takeRequest = (interval: number): boolean => {
+		if (now() - requestedAt < interval) {
+			return false;
+		}
 
-			requestedAt = now();
-			return true;
-		},
+		requestedAt = now();
+		return true;
+	};
+
+	return {
+		/** True if the report of a stored job should request figures. */
+		takeRequest: () => takeRequest(figuresIntervalMilliseconds),
+		/** True if another call to the owner should request figures. */
+		takeRefresh: () => newest !== undefined && Object.keys(newest.figures.pools).length > 0 && takeRequest(refreshIntervalMilliseconds),
 		/** Takes the figures from the response to a call that was sent at `sentAt`. Other responses are ignored. */
 		record(response: unknown, sentAt: number): void {
 			const parsed = responseSchema.safeParse(response);
--- a/packages/jobs/job-service/src/owner-client.ts
+++ b/packages/jobs/job-service/src/owner-client.ts
@@ -89,7 +89,10 @@
 				return owner.getJobState(id);
 			}
 
-			const parsed = stateResponse.safeParse(await call('GET', `/jobs/${id}`));
+			const sentAt = clock.now();
+			const response = await call('GET', `/jobs/${id}${figures.takeRefresh() ? '?figures=1' : ''}`);
+			figures.record(response, sentAt);
+			const parsed = stateResponse.safeParse(response);
 			return parsed.success ? parsed.data.state : undefined;
 		},
 		async countPending(queue) {
--- a/packages/jobs/job-service/src/peer-server.ts
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -3,6 +3,7 @@
 import type {Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import polka from 'polka';
+import type {TimedFigures} from './owner-load-figures.js';
 import type {Owner} from './owner.js';
 import {jobPrefix, parseJob} from './records.js';
 
@@ -35,6 +36,10 @@
 	return Buffer.concat(chunks).toString('utf8');
 };
 
+/** Returns the load figures if the request asks for them. */
+const getFigures = (query: Readonly<Record<string, unknown>>, owner: NonNullable<Owner>): TimedFigures | undefined =>
+	query.figures === undefined ? undefined : owner.getLoadFigures();
+
 /** Returns undefined if the text is not a valid encoding. */
 const decodePathPart = (text: string): string | undefined => {
 	try {
@@ -67,7 +72,7 @@
 		.get('/jobs/:id', (request, response) => {
 			withOwner(response, owner => {
 				const state = owner.getJobState(String(request.params.id));
-				respond(response, state === undefined ? notFoundStatus : okStatus, {state});
+				respond(response, state === undefined ? notFoundStatus : okStatus, {state, ...getFigures(request.query, owner)});
 			});
 		})
 		.get('/queues/:queue/pending', (request, response) => {
@@ -99,7 +104,7 @@
 				}
 
 				owner.addJob(declaration, Number(request.query.revision));
-				respond(response, okStatus, request.query.figures === undefined ? {} : {...owner.getLoadFigures()});
+				respond(response, okStatus, {...getFigures(request.query, owner)});
 			});
 		})
 		.post('/cancellations/:id', (request, response) => {
--- a/packages/jobs/job-service/src/refusal-records.ts
+++ b/packages/jobs/job-service/src/refusal-records.ts
@@ -23,16 +23,27 @@
 	readonly wait: (milliseconds: number) => Promise<void>;
 }) => {
 	const {store, clock, wait} = options;
-	let lease: {readonly id: string; readonly grantedAt: number} | undefined;
+	let lease: {readonly id: Promise<string | undefined>; readonly requestedAt: number} | undefined;
 
+	const grantLease = async (): Promise<string | undefined> => {
+		const granted = await store.grantLease({timeToLiveSeconds: leaseSeconds});
+		return granted.isOk() ? granted.value.leaseId : undefined;
+	};
+
+	/** Refusals at the same time share one request for a lease. */
 	const getLease = async (): Promise<string | undefined> => {
-		const requestedAt = clock.now();
-		if (!lease || requestedAt - lease.grantedAt > leaseRefreshMilliseconds) {
-			const granted = await store.grantLease({timeToLiveSeconds: leaseSeconds});
-			lease = granted.isOk() ? {id: granted.value.leaseId, grantedAt: requestedAt} : undefined;
+		const now = clock.now();
+		if (!lease || now - lease.requestedAt > leaseRefreshMilliseconds) {
+			lease = {id: grantLease(), requestedAt: now};
+		}
+
+		const current = lease;
+		const id = await current.id;
+		if (id === undefined && lease === current) {
+			lease = undefined;
 		}
 
-		return lease?.id;
+		return id;
 	};
 
 	const write = async (id: string, value: RefusalRecord, latestAt: number): Promise<RecordOutcome> => {
--- a/packages/jobs/job-service/test/owner-client.test.ts
+++ b/packages/jobs/job-service/test/owner-client.test.ts
@@ -5,6 +5,9 @@
 import {err, ok} from 'neverthrow';
 import {createOwnerClient} from '../src/owner-client.js';
 import type {OwnerRecord} from '../src/records.js';
+import {createDeclaration, settle} from './support/builders.js';
+
+const figuresText = JSON.stringify({figures: {pools: {'pool-1': {capacity: 1, backlogs: [], workspaces: {}}}, durations: {}}, ageMilliseconds: 10, state: JobState.Running});
 
 const createFixture = () => {
 	let now = 0;
@@ -16,7 +19,7 @@
 	const client: Pick<HttpClient, 'call'> = {
 		async call({path}) {
 			calls.push(path);
-			return isAnswering ? ok({status: 200, text: `{"state":"${JobState.Running}"}`}) : err({kind: HttpFailureKind.Timeout, message: 'no complete response within the deadline'});
+			return isAnswering ? ok({status: 200, text: path.includes('figures') ? figuresText : `{"state":"${JobState.Running}"}`}) : err({kind: HttpFailureKind.Timeout, message: 'no complete response within the deadline'});
 		},
 	};
 	const ownerClient = createOwnerClient({
@@ -27,6 +30,7 @@
 	return {
 		ownerClient,
 		countCalls: () => calls.splice(0).length,
+		takeCalls: () => calls.splice(0),
 		advance(milliseconds: number) {
 			now += milliseconds;
 		},
@@ -69,3 +73,21 @@
 	changeOwner('10.0.0.2:80');
 	t.is(await ownerClient.getJobState('job'), JobState.Running);
 });
+
+// Guards against an instance that has no new figures because it refuses all jobs, and against one that asks for them with every call.
+test('figures are requested with stored jobs, and with questions for states while a pool is full', async t => {
+	const {ownerClient, takeCalls, advance, answer} = createFixture();
+	answer(true);
+	await ownerClient.getJobState('job');
+	t.deepEqual(takeCalls(), ['/jobs/job']);
+	ownerClient.notifyJobStored(createDeclaration('a'), 3);
+	ownerClient.notifyJobStored(createDeclaration('b'), 4);
+	await settle();
+	t.deepEqual(takeCalls(), ['/jobs?revision=3&figures=1', '/jobs?revision=4']);
+	t.is(ownerClient.getLoadFigures()?.computedAt, -10);
+	await ownerClient.getJobState('job');
+	advance(1000);
+	t.is(await ownerClient.getJobState('job'), JobState.Running);
+	t.deepEqual(takeCalls(), ['/jobs/job', '/jobs/job?figures=1']);
+	t.is(ownerClient.getLoadFigures()?.computedAt, 990);
+});
--- a/packages/jobs/scheduler/src/load-figures.ts
+++ b/packages/jobs/scheduler/src/load-figures.ts
@@ -12,6 +12,8 @@
 /** Stands for all jobs on public queues, which share capacity like one workspace with weight 1. */
 export const publicWorkspace = '';
 const publicWeight = 1;
+/** Stands for a weight of 0, which would leave the workspace without any share. */
+const smallestWeight = 0.001;
 /** Work is summed up by deadline in steps of this length, which is short compared to the objectives and keeps the figures small. */
 export const deadlineStepMilliseconds = 500;
 /** Later deadlines share the last step. */
@@ -127,12 +129,14 @@
 
 	const capacity = totals.free + totals.running + movable;
 	const rows = [...demands].map(([workspace, demand]) => ({
-		workspace, demand, weight: workspace === publicWorkspace ? publicWeight : policies.workspaces.get(workspace)?.weight ?? 1,
+		workspace, demand, weight: workspace === publicWorkspace ? publicWeight : Math.max(smallestWeight, policies.workspaces.get(workspace)?.weight ?? 1),
 	}));
 	const shares = computeMaxMinShares(rows, capacity);
 	return {
 		capacity,
-		backlogs: [...backlogs.values()].map(backlog => ({...backlog, waiting: [...backlog.waiting]})),
+		backlogs: [...backlogs.values()].map(({workspace, priority, running, waiting}) => ({
+			workspace, priority, running: Math.round(running), waiting: [...waiting].map(([deadlineStep, work]) => [deadlineStep, Math.round(work)] as const),
+		})),
 		workspaces: Object.fromEntries(rows.map(({workspace, demand, weight}, index) => [workspace, {weight, demand, share: shares[index]!}])),
 	};
 };
--- a/packages/tools/experiment/src/simulated-peers.ts
+++ b/packages/tools/experiment/src/simulated-peers.ts
@@ -74,7 +74,18 @@
 						});
 					}
 				},
-				getJobState: async id => getLocalOwner()?.getJobState(id) ?? callOwner(getRemoteOwner()?.address, remoteOwner => remoteOwner.getJobState(id)),
+				async getJobState(id) {
+					const owner = getLocalOwner();
+					if (owner) {
+						return owner.getJobState(id);
+					}
+
+					const sentAt = clock.now();
+					const isRequested = figures.takeRefresh();
+					const response = await callOwner(getRemoteOwner()?.address, remoteOwner => ({state: remoteOwner.getJobState(id), ...(isRequested && remoteOwner.getLoadFigures())}));
+					figures.record(response, sentAt);
+					return response?.state;
+				},
 				countPending: async queue => getLocalOwner()?.countPending(queue) ?? callOwner(getRemoteOwner()?.address, remoteOwner => remoteOwner.countPending(queue)),
 				getLoadFigures: () => figures.newest(getLocalOwner()?.getLoadFigures()),
 				requestTransfer(epoch) {
