Admit a job that would meet its objective before late work

The scheduler serves jobs that can meet their objective before late ones, so the late work counted as ahead of a new job was not all ahead of it. The figures keep late work apart, and a job is refused only if it also misses its objective with the other work ahead of it.

--- a/packages/jobs/job-service/src/admission.ts
+++ b/packages/jobs/job-service/src/admission.ts
@@ -83,8 +83,15 @@
  * and what other workspaces of the priority get meanwhile by generalised processor sharing (each gets
  * capacity by its weight until its own work is done).
  */
-export const computeWorkAhead = (options: {readonly load: PoolLoad; readonly job: JobWork; readonly figuresAt: number; readonly acceptedSince: readonly JobWork[]}): number => {
-	const {load, job, figuresAt, acceptedSince} = options;
+export const computeWorkAhead = (options: {
+	readonly load: PoolLoad;
+	readonly job: JobWork;
+	readonly figuresAt: number;
+	readonly acceptedSince: readonly JobWork[];
+	/** Count jobs that miss their objective; they come after the job until it misses its own. */
+	readonly includesLate: boolean;
+}): number => {
+	const {load, job, figuresAt, acceptedSince, includesLate} = options;
 	const deadlineStep = (job.deadline - figuresAt) / deadlineStepMilliseconds;
 	const samePriority = new Map<string, number>();
 	let ahead = 0;
@@ -99,7 +106,7 @@
 	for (const backlog of load.backlogs) {
 		// Later deadlines of the same workspace come after the job.
 		const isOwn = backlog.workspace === job.workspace && backlog.priority === job.priority;
-		add(backlog, backlog.running, sum(backlog.waiting.map(([step, work]) => isOwn && step > deadlineStep ? 0 : work)));
+		add(backlog, backlog.running, (includesLate ? backlog.late : 0) + sum(backlog.waiting.map(([step, work]) => isOwn && step > deadlineStep ? 0 : work)));
 	}
 
 	for (const accepted of acceptedSince) {
@@ -146,14 +153,18 @@
 	const learned = known.figures.durations[declaration.queue];
 	const allowedMilliseconds = computeAllowedMilliseconds(declaration, policy);
 	const work = estimateJobWork(declaration, learned);
-	const workAhead = computeWorkAhead({
-		load, figuresAt: known.computedAt, acceptedSince: acceptedSince.filter(accepted => accepted.pool === pool),
+	const estimateWait = (includesLate: boolean): number => Math.max(0, (computeWorkAhead({
+		load, includesLate, figuresAt: known.computedAt, acceptedSince: acceptedSince.filter(accepted => accepted.pool === pool),
 		job: {
 			pool, priority, workspace, work, deadline: receivedAt + allowedMilliseconds,
 		},
-	});
-	const waitMilliseconds = Math.max(0, (workAhead / load.capacity) - ageMilliseconds);
+	}) / load.capacity) - ageMilliseconds);
 	const runMilliseconds = estimateRunTime(declaration, learned);
+	if (estimateWait(false) + runMilliseconds <= allowedMilliseconds) {
+		return {type: 'admit'};
+	}
+
+	const waitMilliseconds = estimateWait(true);
 	const usefulMilliseconds = usefulTimeFactor * allowedMilliseconds;
 	const excessMilliseconds = waitMilliseconds + runMilliseconds - usefulMilliseconds;
 	if (excessMilliseconds <= 0 || waitMilliseconds < minimumWaitMilliseconds) {
--- a/packages/jobs/job-service/src/known-figures.ts
+++ b/packages/jobs/job-service/src/known-figures.ts
@@ -21,7 +21,7 @@
 const poolSchema = z.object({
 	capacity: z.number(),
 	backlogs: z.array(z.object({
-		workspace: z.string(), priority: z.number(), running: z.number(), waiting: z.array(z.tuple([z.number(), z.number()])),
+		workspace: z.string(), priority: z.number(), running: z.number(), late: z.number(), waiting: z.array(z.tuple([z.number(), z.number()])),
 	})),
 	workspaces: z.record(z.string(), z.object({weight: z.number(), demand: z.number(), share: z.number()})),
 });
--- a/packages/jobs/scheduler/src/load-figures.ts
+++ b/packages/jobs/scheduler/src/load-figures.ts
@@ -29,7 +29,9 @@
 	readonly priority: number;
 	/** Left of the running tasks. */
 	readonly running: number;
-	/** Of the tasks that wait for capacity or for earlier steps, by deadline in steps from the time of the figures. Jobs that can no longer be of use are left out. */
+	/** Of jobs that miss their objective and are still of use: tasks that wait for capacity or for earlier steps. */
+	readonly late: number;
+	/** Of jobs that can meet their objective: tasks that wait, by deadline in steps from the time of the figures. */
 	readonly waiting: ReadonlyArray<readonly [deadlineStep: number, work: number]>;
 };
 
@@ -100,23 +102,25 @@
 	readonly now: number;
 }): PoolLoad => {
 	const {totals, movable, policies, durations, durationsByQueue, now} = options;
-	const backlogs = new Map<string, {readonly workspace: string; readonly priority: number; running: number; readonly waiting: Map<number, number>}>();
+	const backlogs = new Map<string, {readonly workspace: string; readonly priority: number; running: number; late: number; readonly waiting: Map<number, number>}>();
 	const demands = new Map<string, number>();
 	for (const {job, queue} of totals.jobs) {
 		const workspace = getWorkspaceName(job);
 		const key = `${queue.priority} ${workspace}`;
 		const backlog = backlogs.get(key) ?? {
-			workspace, priority: queue.priority, running: 0, waiting: new Map<number, number>(),
+			workspace, priority: queue.priority, running: 0, late: 0, waiting: new Map<number, number>(),
 		};
-		const isUseful = rankLateness(job, now) < uselessRank;
+		const rank = rankLateness(job, now);
 		const deadlineStep = Math.min(maximumDeadlineStep, Math.max(0, Math.floor((job.deadline - now) / deadlineStepMilliseconds)));
 		forEachStep(job, step => {
 			const {cpuMillis} = step.declaration.resources;
 			const duration = durations.estimateTask(step.tasks[0]!);
 			const running = countRunning(step);
-			const waiting = isUseful ? step.waiting : 0;
+			const waiting = rank < uselessRank ? step.waiting : 0;
 			backlog.running += running * cpuMillis * duration * remainingShareOfRunning;
-			if (waiting > 0) {
+			if (rank > 0) {
+				backlog.late += waiting * cpuMillis * duration;
+			} else if (waiting > 0) {
 				backlog.waiting.set(deadlineStep, (backlog.waiting.get(deadlineStep) ?? 0) + (waiting * cpuMillis * duration));
 			}
 
@@ -134,8 +138,8 @@
 	const shares = computeMaxMinShares(rows, capacity);
 	return {
 		capacity,
-		backlogs: [...backlogs.values()].map(({workspace, priority, running, waiting}) => ({
-			workspace, priority, running: Math.round(running), waiting: [...waiting].map(([deadlineStep, work]) => [deadlineStep, Math.round(work)] as const),
+		backlogs: [...backlogs.values()].map(({workspace, priority, running, late, waiting}) => ({
+			workspace, priority, running: Math.round(running), late: Math.round(late), waiting: [...waiting].map(([deadlineStep, work]) => [deadlineStep, Math.round(work)] as const),
 		})),
 		workspaces: Object.fromEntries(rows.map(({workspace, demand, weight}, index) => [workspace, {weight, demand, share: shares[index]!}])),
 	};
