Refuse a job only if its expected end is clearly too late

Run times vary, and machines and running tasks may add capacity, so jobs were refused that would have been served. The expected end has to be 1.2 times the useful time.

--- a/packages/jobs/job-service/src/admission.ts
+++ b/packages/jobs/job-service/src/admission.ts
@@ -11,6 +11,8 @@
 
 /** Figures that are older decide nothing: bursts last a few seconds. */
 const maximumAgeMilliseconds = 2000;
+/** The expected end has to exceed the useful time by this share of it: run times vary, and running tasks and machines may add capacity. */
+const doubtShare = 0.2;
 /** A shorter wait is within the error of the figures. */
 const minimumWaitMilliseconds = 1000;
 /** The decision, including its record, has to be made within this share of the queue's objective. */
@@ -167,7 +169,7 @@
 	const waitMilliseconds = estimateWait(true);
 	const usefulMilliseconds = usefulTimeFactor * allowedMilliseconds;
 	const excessMilliseconds = waitMilliseconds + runMilliseconds - usefulMilliseconds;
-	if (excessMilliseconds <= 0 || waitMilliseconds < minimumWaitMilliseconds) {
+	if (excessMilliseconds <= doubtShare * usefulMilliseconds || waitMilliseconds < minimumWaitMilliseconds) {
 		return {type: 'admit'};
 	}
 
