--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -74,6 +74,8 @@
 	ZoneEmptied = 8553,
 	PlaceWaitBegun = 8591,
 	PlaceWaitEnded = 8592,
+	JobRefusedByLoad = 8581,
+	RefusalNotRecorded = 8582,
 	InternalError = 9001,
 }
 
@@ -402,6 +404,16 @@
 		message: 'A wait for preferred capacity has ended',
 		action: 'If many end with forecast-failed or bound, compare the run times of the tasks there with their declared ones.',
 	},
+	[LogEvent.JobRefusedByLoad]: {
+		level: LogLevel.Information,
+		message: 'A job was refused because it could not have ended while it was of use; the fields are the figures that decided it',
+		action: 'With cause beyond-share look at the load of the workspace, with no-capacity at the capacity of the pool.',
+	},
+	[LogEvent.RefusalNotRecorded]: {
+		level: LogLevel.Information,
+		message: 'The refusal of a job could not be recorded in time, and the job was handled like an admitted one',
+		action: 'If there are many, look for a slow store.',
+	},
 	[LogEvent.InternalError]: {
 		level: LogLevel.Error,
 		message: 'An internal error of the daemon',
--- a/packages/jobs/job-service/src/index.ts
+++ b/packages/jobs/job-service/src/index.ts
@@ -1,13 +1,16 @@
 /** Accepts, stores and runs jobs, and reports their states. */
 export * from './ports.js';
 export type {
-	CancelOutcome, JobOperations, JobStateOutcome, SubmitOutcome,
+	AdmissionLog, CancelOutcome, JobOperations, JobStateOutcome, SubmitOutcome,
 } from './job-operations.js';
 export type {
 	AcceptDispatchChannel, ChannelHandlers, DispatchChannel, OpenDispatchChannel,
 } from './dispatch-channel.js';
 export type {CallRoute} from './dispatched-worker-client.js';
 export type {DispatcherRegistration} from './dispatcher-directory.js';
+export type {Refusal} from './admission.js';
+export {RefusalCause} from './admission.js';
+export {createFiguresCache} from './known-figures.js';
 export type {OwnerClient} from './owner-client.js';
 export type {OwnerLog} from './owner-log.js';
 export type {GetLocalOwner, PeerTransport} from './peer-transport.js';
--- a/packages/jobs/job-service/src/owner-client.ts
+++ b/packages/jobs/job-service/src/owner-client.ts
@@ -5,6 +5,8 @@
 import {JobState} from '@turmericbay/scheduler';
 import {z} from 'zod';
 import type {DispatcherRegistration} from './dispatcher-directory.js';
+import type {KnownFigures} from './known-figures.js';
+import {createFiguresCache} from './known-figures.js';
 import {createOwnerBreaker} from './owner-breaker.js';
 import type {Owner} from './owner.js';
 import type {Clock} from './ports.js';
@@ -28,6 +30,8 @@
 	countPending(queue: string): Promise<number | undefined>;
 	/** Offers this instance to the owner as a dispatcher. Valid for a few seconds. */
 	registerDispatcher(registration: DispatcherRegistration): void;
+	/** The newest load figures, without a call: those of the local owner, else those in the responses to stored jobs. */
+	getLoadFigures(): KnownFigures | undefined;
 	/** Asks the owner of this epoch to give up the ownership, so that this instance can take over. */
 	requestTransfer(epoch: number): void;
 };
@@ -41,6 +45,7 @@
 }): OwnerClient => {
 	const {client, clock, getLocalOwner, getRemoteOwner, onFailure} = options;
 	const breaker = createOwnerBreaker({now: clock.now});
+	const figures = createFiguresCache({now: clock.now});
 
 	const call = async (method: 'GET' | 'POST', path: string, body?: string): Promise<unknown> => {
 		const address = getRemoteOwner()?.address;
@@ -66,7 +71,11 @@
 			if (owner) {
 				owner.addJob(declaration, revision);
 			} else {
-				void call('POST', `/jobs?revision=${revision}`, JSON.stringify(declaration));
+				const sentAt = clock.now();
+				const query = `revision=${revision}${figures.takeRequest() ? '&figures=1' : ''}`;
+				void call('POST', `/jobs?${query}`, JSON.stringify(declaration)).then(response => {
+					figures.record(response, sentAt);
+				});
 			}
 		},
 		notifyJobCancelled(id) {
@@ -83,7 +92,10 @@
 				return owner.getJobState(id);
 			}
 
-			const parsed = stateResponse.safeParse(await call('GET', `/jobs/${id}`));
+			const sentAt = clock.now();
+			const response = await call('GET', `/jobs/${id}${figures.takeRefresh() ? '?figures=1' : ''}`);
+			figures.record(response, sentAt);
+			const parsed = stateResponse.safeParse(response);
 			return parsed.success ? parsed.data.state : undefined;
 		},
 		async countPending(queue) {
@@ -98,6 +110,7 @@
 		registerDispatcher(registration) {
 			void call('POST', '/dispatchers', JSON.stringify(registration));
 		},
+		getLoadFigures: () => figures.newest(getLocalOwner()?.getLoadFigures()),
 		requestTransfer(epoch) {
 			const address = getRemoteOwner()?.address;
 			if (address !== undefined) {
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -8,6 +8,7 @@
 import {createOrderExecutor} from './order-executor.js';
 import {createOwnedEvacuations} from './owned-evacuations.js';
 import {createOwnedJobs} from './owned-jobs.js';
+import {createOwnerLoadFigures} from './owner-load-figures.js';
 import type {OwnedWorkers} from './owned-workers.js';
 import {createOwnedWorkers, handoverExtensionMilliseconds, leaseExtensionMilliseconds} from './owned-workers.js';
 import type {OpenDispatchChannel} from './dispatch-channel.js';
@@ -142,13 +143,17 @@
 		onStartAttempted: log.startAttempted,
 	});
 
-	const {orderGuard, maintenance, poolMoves} = machineClient
+	const {orderGuard, maintenance, poolMoves, getMovableCapacity = () => 0} = machineClient
 		? createMachineManagement({
 			scheduler, machineClient, recordCodec, clock, holder: instance, epoch: ownership.epoch, tookOverAt, getReachedTime, mayOrder: mayStart, mayMove: mayStartTasks,
 			commit: commitQueue.commit, retire: workers.retire, log,
 		})
 		: {};
 
+	const loadFigures = createOwnerLoadFigures({
+		scheduler, clock, tookOverAt, getMovableCapacity,
+	});
+
 	let lastTickAt = tookOverAt;
 	const tick = (): void => {
 		if (isEnded) {
@@ -310,6 +315,7 @@
 		},
 		registerDispatcher: dispatch.register,
 		cancel: jobs.cancel,
+		getLoadFigures: loadFigures.get,
 		getJobState: (id: string): JobState | undefined => jobs.getState(id),
 		countPending: (queue: string): number => jobs.countPending(queue),
 	};
--- a/packages/jobs/job-service/src/peer-server.ts
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -7,6 +7,7 @@
 import {parseJson} from '@turmericbay/http-client';
 import type {AcceptDispatchChannel} from './dispatch-channel.js';
 import {serveHttpDispatchChannel} from './dispatch-channel.js';
+import type {TimedFigures} from './owner-load-figures.js';
 import type {Owner} from './owner.js';
 import {jobPrefix, parseJob} from './records.js';
 
@@ -43,6 +44,10 @@
 	return Buffer.concat(chunks).toString('utf8');
 };
 
+/** Returns the load figures if the request asks for them. */
+const getFigures = (query: Readonly<Record<string, unknown>>, owner: NonNullable<Owner>): TimedFigures | undefined =>
+	query.figures === undefined ? undefined : owner.getLoadFigures();
+
 /** Returns undefined if the text is not a valid encoding. */
 const decodePathPart = (text: string): string | undefined => {
 	try {
@@ -79,7 +84,7 @@
 		.get('/jobs/:id', (request, response) => {
 			withOwner(response, owner => {
 				const state = owner.getJobState(String(request.params.id));
-				respond(response, state === undefined ? notFoundStatus : okStatus, {state});
+				respond(response, state === undefined ? notFoundStatus : okStatus, {state, ...getFigures(request.query, owner)});
 			});
 		})
 		.get('/queues/:queue/pending', (request, response) => {
@@ -111,7 +116,7 @@
 				}
 
 				owner.addJob(declaration, Number(request.query.revision));
-				respond(response, okStatus, {});
+				respond(response, okStatus, {...getFigures(request.query, owner)});
 			});
 		})
 		.post('/cancellations/:id', (request, response) => {
--- a/packages/jobs/job-service/src/pool-moves.ts
+++ b/packages/jobs/job-service/src/pool-moves.ts
@@ -123,6 +123,8 @@
 	};
 
 	return {
+		/** True if the machine's zone is evacuated, so that its capacity does not count. */
+		isEvacuated,
 		tick(): void {
 			const now = clock.now();
 			if (now - plannedAt < planIntervalMilliseconds || !mayOrder()) {
--- a/packages/jobs/scheduler/src/index.ts
+++ b/packages/jobs/scheduler/src/index.ts
@@ -1,6 +1,8 @@
 /** Decides which task of which job runs on which worker. */
 export * from './model.js';
-export {isActive, isFinalState} from './jobs.js';
+export {
+	computeAllowedMilliseconds, estimateCriticalPath, isActive, isFinalState, usefulTimeFactor,
+} from './jobs.js';
 export * from './events.js';
 export type {ThrottleOrder} from './throttling.js';
 export type {AdviceOrder} from './advice.js';
@@ -21,3 +23,7 @@
 export {ElsewhereReason} from './place-wait.js';
 export {PlaceWaitEnd} from './place-wait-table.js';
 export type {PlaceWaitEvent} from './place-wait-table.js';
+export type {
+	Backlog, GetMovableCapacity, LoadFigures, PoolLoad, WorkspaceLoad,
+} from './load-figures.js';
+export {computeMaxMinShares, deadlineStepMilliseconds, publicWorkspace} from './load-figures.js';
--- a/packages/tools/experiment/src/simulated-peers.ts
+++ b/packages/tools/experiment/src/simulated-peers.ts
@@ -1,5 +1,6 @@
 /** Peer transport of simulated instances: calls over the simulated network instead of HTTP. */
 import type {JobService, PeerTransport} from '@turmericbay/job-service';
+import {createFiguresCache} from '@turmericbay/job-service';
 import type {Network} from './network.js';
 import {Service} from './network.js';
 import {createSimulatedDispatchChannels} from './simulated-dispatch-channel.js';
@@ -46,40 +47,60 @@
 
 	return {
 		address: name,
-		createOwnerClient: ({getLocalOwner, getRemoteOwner}) => ({
-			notifyJobStored(declaration, revision) {
-				const owner = getLocalOwner();
-				if (owner) {
-					owner.addJob(declaration, revision);
-				} else {
-					void callOwner(getRemoteOwner()?.address, remoteOwner => {
-						remoteOwner.addJob(declaration, revision);
+		createOwnerClient({clock, getLocalOwner, getRemoteOwner}) {
+			const figures = createFiguresCache({now: clock.now});
+			return {
+				notifyJobStored(declaration, revision) {
+					const owner = getLocalOwner();
+					if (owner) {
+						owner.addJob(declaration, revision);
+					} else {
+						const sentAt = clock.now();
+						const isRequested = figures.takeRequest();
+						void callOwner(getRemoteOwner()?.address, remoteOwner => {
+							remoteOwner.addJob(declaration, revision);
+							return isRequested ? remoteOwner.getLoadFigures() : undefined;
+						}).then(response => {
+							figures.record(response, sentAt);
+						});
+					}
+				},
+				notifyJobCancelled(id) {
+					const owner = getLocalOwner();
+					if (owner) {
+						owner.cancel(id);
+					} else {
+						void callOwner(getRemoteOwner()?.address, remoteOwner => {
+							remoteOwner.cancel(id);
+						});
+					}
+				},
+				async getJobState(id) {
+					const owner = getLocalOwner();
+					if (owner) {
+						return owner.getJobState(id);
+					}
+
+					const sentAt = clock.now();
+					const isRequested = figures.takeRefresh();
+					const response = await callOwner(getRemoteOwner()?.address, remoteOwner => ({state: remoteOwner.getJobState(id), ...(isRequested && remoteOwner.getLoadFigures())}));
+					figures.record(response, sentAt);
+					return response?.state;
+				},
+				countPending: async queue => getLocalOwner()?.countPending(queue) ?? callOwner(getRemoteOwner()?.address, remoteOwner => remoteOwner.countPending(queue)),
+				getLoadFigures: () => figures.newest(getLocalOwner()?.getLoadFigures()),
+				requestTransfer(epoch) {
+					void callInstance(getRemoteOwner()?.address, service => {
+						service.yieldOwnership(epoch);
 					});
-				}
-			},
-			notifyJobCancelled(id) {
-				const owner = getLocalOwner();
-				if (owner) {
-					owner.cancel(id);
-				} else {
+				},
+				registerDispatcher(registration) {
 					void callOwner(getRemoteOwner()?.address, remoteOwner => {
-						remoteOwner.cancel(id);
+						remoteOwner.registerDispatcher(registration);
 					});
-				}
-			},
-			getJobState: async id => getLocalOwner()?.getJobState(id) ?? callOwner(getRemoteOwner()?.address, remoteOwner => remoteOwner.getJobState(id)),
-			countPending: async queue => getLocalOwner()?.countPending(queue) ?? callOwner(getRemoteOwner()?.address, remoteOwner => remoteOwner.countPending(queue)),
-			registerDispatcher(registration) {
-				void callOwner(getRemoteOwner()?.address, remoteOwner => {
-					remoteOwner.registerDispatcher(registration);
-				});
-			},
-			requestTransfer(epoch) {
-				void callInstance(getRemoteOwner()?.address, service => {
-					service.yieldOwnership(epoch);
-				});
-			},
-		}),
+				},
+			};
+		},
 		openDispatchChannel: createSimulatedDispatchChannels({
 			name, network, time, findInstance, latencyMilliseconds: peerLatencyMilliseconds,
 		}),
