Add evacuations during a change of the owner to the fault schedules

Cause: the rule that no task starts in an evacuated zone was tested in parts only. Change: a fault of the experiment tool that evacuates a zone, schedules that combine it with a change of the owner and other faults, and the rule ZONE, checked outside the services. Seeds of the other schedules are unchanged; without an evacuation the simulated machines stay in one zone.

--- a/packages/tools/experiment/src/faults.ts
+++ b/packages/tools/experiment/src/faults.ts
@@ -21,6 +21,7 @@
 	| {readonly type: 'failing'; readonly workers: number}
 	| {readonly type: 'clock'; readonly target: InstanceSelector; readonly stepMilliseconds: number}
 	| {readonly type: 'wave'; readonly share: number; readonly maximumAtOnce: number}
+	| {readonly type: 'evacuation'; readonly zone: string}
 );
 
 export const applyFault = (options: {readonly fault: Fault; readonly cluster: SimulatedCluster; readonly time: VirtualTime; readonly random: () => number; readonly waveNumber: number}): void => {
@@ -124,6 +125,11 @@
 			break;
 		}
 
+		case 'evacuation': {
+			cluster.evacuateZone(fault.zone, milliseconds);
+			break;
+		}
+
 		case 'clock': {
 			for (const name of selectInstances(fault.target)) {
 				const {process} = cluster.instances.get(name)!;
--- a/packages/tools/experiment/src/main.ts
+++ b/packages/tools/experiment/src/main.ts
@@ -4,11 +4,11 @@
 import {parseArgs} from 'node:util';
 import type {Load, SimulationResult, SimulationPolicy} from './index.js';
 import {
-	createRandom, drawFaults, runSchedule, runSimulation, smallLoad, rotatingPeaksLoad, defaultPolicy,
+	createRandom, drawFaults, runEvacuationSchedule, runSchedule, runSimulation, smallLoad, rotatingPeaksLoad, defaultPolicy,
 } from './index.js';
 
 const usage = `Usage: npm run experiment -- [--load turns|small] [--policy NAME]... [--seeds N] [--faults N] [--json]
-       npm run experiment -- --schedules N [--from SEED] [--json]
+       npm run experiment -- --schedules N [--evacuations] [--from SEED] [--json]
 Policies: usual, long-lease, five-instances, two-instances.
 `;
 /** EX_USAGE of sysexits.h. */
@@ -36,6 +36,7 @@
 				seeds: {type: 'string', default: '1'},
 				faults: {type: 'string', default: '0'},
 				schedules: {type: 'string'},
+				evacuations: {type: 'boolean', default: false},
 				from: {type: 'string', default: '1'},
 				json: {type: 'boolean', default: false},
 			},
@@ -94,7 +95,7 @@
 	for (let seed = from; seed < from + count; seed += 1) {
 		printProgress(`schedule ${seed}, ${failedSchedules.length} failed`);
 		// eslint-disable-next-line no-await-in-loop -- Virtual time replaces the global timers of the process.
-		const figures = await runSchedule(seed);
+		const figures = await (values.evacuations ? runEvacuationSchedule(seed) : runSchedule(seed));
 		const [first] = figures.violations;
 		if (first !== undefined || figures.unfinished.length > 0) {
 			failedSchedules.push({
--- a/packages/tools/experiment/src/run-simulation.ts
+++ b/packages/tools/experiment/src/run-simulation.ts
@@ -6,6 +6,7 @@
 import {createOracle} from '@turmericbay/worker-model';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {createEvacuationCheck} from './evacuation-check.js';
 import type {Fault} from './faults.js';
 import {applyFault} from './faults.js';
 import type {Load, PlannedJob} from './load.js';
@@ -25,6 +26,8 @@
 const callerRetries = 4;
 const callerRetryDelayMilliseconds = 700;
 const pollMilliseconds = 250;
+/** Time after which no task may start in an evacuated zone. */
+const evacuationMilliseconds = 5000;
 
 export type SimulationPolicy = {
 	readonly instances: number;
@@ -51,6 +54,8 @@
 	readonly medianMilliseconds: number;
 	readonly ninetiethPercentileMilliseconds: number;
 	readonly violations: readonly Violation[];
+	/** Starts in other zones while a zone was evacuated. */
+	readonly startsBesideEvacuations: number;
 	/** Jobs that callers were shown as failed. */
 	readonly failed: readonly string[];
 	/** Accepted jobs that did not end in the fault-free time after the load. */
@@ -89,6 +94,7 @@
 	const createTaskWork = createWork(load, jobs);
 	const policies = createPolicies(load);
 	const oracle = createOracle({maximumAttempts, getMaximumCpuMillis: workspace => policies.workspaces.get(workspace)?.maximum.cpuMillis ?? 0});
+	const evacuationCheck = createEvacuationCheck({limitMilliseconds: evacuationMilliseconds});
 	const logLines: string[] = [];
 	const accepted = new Set<string>();
 	const endedAt = new Map<string, {readonly at: number; readonly state: JobState}>();
@@ -99,7 +105,7 @@
 	await time.runWithVirtualTimers(async () => {
 		const cluster = createSimulatedCluster({
 			time, random, instances: options.instances, policies, machines: new Map(Object.entries(load.machines)), cpuMillis: load.cpuMillis,
-			machinesPerRack: load.machinesPerRack, leaseMilliseconds, listingBytesPerSecond, evacuationMilliseconds: undefined,
+			machinesPerRack: load.machinesPerRack, leaseMilliseconds, listingBytesPerSecond, evacuation: faults.some(({type}) => type === 'evacuation') ? {milliseconds: evacuationMilliseconds, check: evacuationCheck} : undefined,
 			oracle, createWork: createTaskWork, createLog: instance => createSimulationLog(logLines, time.now, instance),
 		});
 
@@ -238,7 +244,7 @@
 		poolMachineSeconds: Math.round(poolMachineSeconds), machineMoves,
 		medianMilliseconds: Math.round(durations[Math.floor(durations.length / 2)] ?? 0),
 		ninetiethPercentileMilliseconds: Math.round(durations[Math.floor(durations.length * 0.9)] ?? 0),
-		violations: oracle.violations, failed: [...endedAt].filter(([, {state}]) => state === JobState.Failed).map(([id]) => id),
+		violations: [...oracle.violations, ...evacuationCheck.violations], startsBesideEvacuations: evacuationCheck.countStartsElsewhere(), failed: [...endedAt].filter(([, {state}]) => state === JobState.Failed).map(([id]) => id),
 		unfinished: oracle.listUnfinished(accepted).filter(id => !jobs.get(id)!.steps.some(step => step.longRunning)),
 		logLines,
 	};
--- a/packages/tools/experiment/src/schedules.ts
+++ b/packages/tools/experiment/src/schedules.ts
@@ -3,6 +3,7 @@
 import {smallLoad} from './load.js';
 import type {SimulationResult} from './run-simulation.js';
 import {createRandom, runSimulation, defaultPolicy} from './run-simulation.js';
+import {evacuationZones} from './simulated-cluster.js';
 
 /** Faults start before the end of the load, so that their consequences can be observed. */
 const latestFaultMilliseconds = 22_000;
@@ -11,6 +12,8 @@
 
 /** Few enough to find the cause of a violation. */
 const faultsPerSchedule = 4;
+/** Further faults of a schedule with an evacuation and a change of the owner. */
+const faultsBesideEvacuation = 2;
 /** Derives the seed of the faults, so that it differs from the seed of the load. */
 const faultSeedFactor = 7919;
 
@@ -112,3 +115,25 @@
 export const runSchedule = async (seed: number): Promise<SimulationResult> => runSimulation({
 	load: smallLoad, faults: drawFaults(createRandom(seed * faultSeedFactor), faultsPerSchedule), seed, ...defaultPolicy,
 });
+
+/**
+ * An evacuation, a change of the owner from 2 s before it until 6 s after it, and further faults. Separate from
+ * `drawFaults`, whose seeds stand for schedules that violated a rule in an earlier version.
+ */
+export const drawEvacuationFaults = (random: () => number): Fault[] => {
+	const at = 2000 + Math.round(random() * 8000);
+	const ownerAt = at - 2000 + Math.round(random() * 8000);
+	const type = (['kill', 'freeze', 'stop'] as const)[Math.floor(random() * 3)]!;
+	const evacuation: Fault = {
+		type: 'evacuation', at, milliseconds: 7000 + Math.round(random() * 7000), zone: evacuationZones[Math.floor(random() * evacuationZones.length)]!,
+	};
+	const ownerChange: Fault = {
+		type, at: ownerAt, milliseconds: 1000 + Math.round(random() * 3000), target: 'owner',
+	};
+	return [evacuation, ownerChange, ...drawFaults(random, faultsBesideEvacuation)].toSorted((left, right) => left.at - right.at);
+};
+
+/** Runs the schedule of a seed with an evacuation during a change of the owner. */
+export const runEvacuationSchedule = async (seed: number): Promise<SimulationResult> => runSimulation({
+	load: smallLoad, faults: drawEvacuationFaults(createRandom(seed * faultSeedFactor)), seed, ...defaultPolicy,
+});
--- a/packages/tools/experiment/src/simulated-cluster.ts
+++ b/packages/tools/experiment/src/simulated-cluster.ts
@@ -1,17 +1,21 @@
 /** Cluster in virtual time: instances that run the complete job service, the store, and workers on machines. */
 import {createFaultInjector, createKeyValueEngine, createMemoryStore} from '@turmericbay/fakes';
-import type {Configuration, PlatformRecordCodec, ServiceLog} from '@turmericbay/job-service';
+import type {Configuration, ServiceLog} from '@turmericbay/job-service';
 import {createJobService} from '@turmericbay/job-service';
 import type {Policies, WorkerRegistration} from '@turmericbay/scheduler';
 import type {
 	MachineRow, Oracle, TaskWork, WorkerModel,
 } from '@turmericbay/worker-model';
 import {createGangs, createMachineModel, createWorkerModel} from '@turmericbay/worker-model';
+import type {EvacuationCheck} from './evacuation-check.js';
 import {createNetwork} from './network.js';
 import {createRemoteStore} from './remote-store.js';
 import type {SimulatedInstance} from './simulated-peers.js';
 import {createSimulatedPeers} from './simulated-peers.js';
 import {createMachineClient, createWorkerClient} from './simulated-clients.js';
+import {
+	configurationKey, createRecordCodec, evacuationPrefix, wavePrefix, workerPrefix,
+} from './simulated-records.js';
 import type {VirtualTime} from './virtual-time.js';
 import {ProcessState} from './virtual-time.js';
 
@@ -26,11 +30,8 @@
 const maximumRestartMilliseconds = 6000;
 /** Wall clock at the start of virtual time, in milliseconds since the Unix epoch. */
 export const startWallMilliseconds = 1_800_000_000_000;
-
-const configurationKey = 'operator/configuration';
-const workerPrefix = 'workers/';
-const wavePrefix = 'operator/waves/';
-const evacuationPrefix = 'operator/evacuations/';
+/** Each pool has machines in all of them, if it has enough. */
+export const evacuationZones = ['zone-1', 'zone-2', 'zone-3'] as const;
 
 export type SimulatedClusterOptions = {
 	readonly time: VirtualTime;
@@ -43,8 +44,8 @@
 	readonly machinesPerRack: number;
 	readonly leaseMilliseconds: number;
 	readonly listingBytesPerSecond: number;
-	/** Time after which no task may start in an evacuated zone; undefined if no zone is evacuated. */
-	readonly evacuationMilliseconds: number | undefined;
+	/** Undefined if no zone is evacuated; then all machines are in one zone. */
+	readonly evacuation: {readonly milliseconds: number; readonly check: EvacuationCheck} | undefined;
 	readonly oracle: Oracle;
 	readonly createWork: (task: string, run: number) => TaskWork;
 	readonly createLog: (instance: string) => ServiceLog;
@@ -62,17 +63,6 @@
 
 const encodeRegistration = (registration: WorkerRegistration): string => JSON.stringify(registration);
 
-/* eslint-disable @typescript-eslint/no-unsafe-type-assertion -- Written by this program. */
-const createRecordCodec = (getConfiguration: () => Configuration): PlatformRecordCodec => ({
-	configurationKey, workerPrefix, wavePrefix, evacuationPrefix,
-	decodeConfiguration: entry => ({...getConfiguration(), version: Number(entry.value)}),
-	decodeWorker: entry => JSON.parse(entry.value) as WorkerRegistration,
-	decodeEvacuation: entry => entry.key.slice(evacuationPrefix.length),
-	decodeWave: entry => JSON.parse(entry.value) as ReturnType<PlatformRecordCodec['decodeWave']>,
-	encodeWaveStatus: ({wave, isCompleted}) => ({key: `status/${wave}`, value: String(isCompleted)}),
-});
-/* eslint-enable @typescript-eslint/no-unsafe-type-assertion */
-
 export type SimulatedCluster = ReturnType<typeof createSimulatedCluster>;
 
 export const createSimulatedCluster = (options: SimulatedClusterOptions) => {
@@ -101,6 +91,10 @@
 		gangs, createWork: options.createWork,
 		onEvent(event, now) {
 			oracle.recordWorkerEvent(event, {worker: id, pool: machine.pool, now});
+			if (event.type === 'started') {
+				options.evacuation?.check.recordStart({task: event.task, zone: machine.zone, now});
+			}
+
 			if (event.type === 'crashed') {
 				restartCrashedWorker(id);
 			}
@@ -170,9 +164,10 @@
 	for (const [pool, count] of options.machines) {
 		for (let index = 0; index < count; index += 1) {
 			machineCount += 1;
-			const rack = `r1-${Math.ceil(machineCount / options.machinesPerRack)}`;
+			const zone = machineCount % evacuationZones.length;
 			machines.add({
-				machine: `machine-${machineCount}`, pool, zone: 'zone', rack,
+				machine: `machine-${machineCount}`, pool,
+				...(options.evacuation ? {zone: evacuationZones[zone]!, rack: `r${zone + 1}-1`} : {zone: 'zone', rack: `r1-${Math.ceil(machineCount / options.machinesPerRack)}`}),
 			}, 0);
 		}
 	}
@@ -199,7 +194,7 @@
 					network, time, machines, oracle,
 				}),
 				clock: {now: time.now, wallNow: () => startWallMilliseconds + time.now() + process.wallClockOffsetMilliseconds},
-				random, cores: 1, workerLeaseMilliseconds: options.leaseMilliseconds, evacuationMilliseconds: options.evacuationMilliseconds, log: options.createLog(name),
+				random, cores: 1, workerLeaseMilliseconds: options.leaseMilliseconds, evacuationMilliseconds: options.evacuation?.milliseconds, log: options.createLog(name),
 			});
 			instances.set(name, {process, service});
 		});
@@ -237,6 +232,14 @@
 			oracle.recordWave(wave.wave, wave.maximumAtOnce);
 			put(`${wavePrefix}${wave.wave}`, JSON.stringify(wave));
 		},
+		evacuateZone(zone: string, milliseconds: number): void {
+			put(evacuationPrefix + zone, '{}');
+			options.evacuation?.check.recordRequest(zone, time.now());
+			time.scheduleAfter(milliseconds, () => {
+				remove(evacuationPrefix + zone);
+				options.evacuation?.check.recordCancellation(zone);
+			});
+		},
 		kill(name: string, downMilliseconds: number): void {
 			const instance = instances.get(name);
 			if (instance) {
--- a/packages/tools/experiment/test/fault-schedules.test.ts
+++ b/packages/tools/experiment/test/fault-schedules.test.ts
@@ -1,7 +1,7 @@
 /** Guards against job services that violate a rule of the oracle or lose an accepted job under overlapping faults; runs in virtual time. */
 import test from 'ava';
 import {
-	runSchedule, runSimulation, smallLoad, defaultPolicy,
+	runEvacuationSchedule, runSchedule, runSimulation, smallLoad, defaultPolicy,
 } from '../src/index.js';
 
 /** Fixed seeds make the test reproducible; `npm run experiment -- --schedules` runs more. */
@@ -43,3 +43,14 @@
 	t.deepEqual(violations, []);
 	t.deepEqual(unfinished, []);
 });
+
+// Guards against tasks that start in an evacuated zone because the next owner did not know of the evacuation in time.
+for (const seed of [1, 2, 3, 4]) {
+	test.serial(`no task starts in an evacuated zone under evacuation schedule ${seed}, in which the owner changes`, async t => {
+		const {violations, unfinished, logLines, startsBesideEvacuations} = await runEvacuationSchedule(seed);
+		t.true(logLines.some(line => line.includes('zone-evacuation-begun')));
+		t.true(startsBesideEvacuations > 0);
+		t.deepEqual(violations, []);
+		t.deepEqual(unfinished, []);
+	});
+}
