Report full pools, and usage and share of their workspaces

Operators could not tell a pool that is full from one that stands still, nor who uses it.

Tasks larger than any worker of the pool say nothing about its free capacity and do not make it full.

--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -66,6 +66,8 @@
 	MachineMoved = 8536,
 	RecordUnreadable = 8541,
 	SettingsReloaded = 8542,
+	PoolFull = 8571,
+	PoolRelieved = 8572,
 	InternalError = 9001,
 }
 
@@ -354,6 +356,16 @@
 		message: 'SIGHUP was received; the settings file is read only when the process starts',
 		action: none,
 	},
+	[LogEvent.PoolFull]: {
+		level: LogLevel.Warning,
+		message: 'More tasks are ready in a pool than its workers have capacity for; its workspaces get their shares by weight',
+		action: 'If it lasts, add machines; turmericbay_workspace_usage and turmericbay_workspace_share show who uses the pool.',
+	},
+	[LogEvent.PoolRelieved]: {
+		level: LogLevel.Information,
+		message: 'All tasks that are ready in a pool have capacity again',
+		action: 'None.',
+	},
 	[LogEvent.InternalError]: {
 		level: LogLevel.Error,
 		message: 'An internal error of the daemon',
--- a/packages/common/telemetry/src/metrics.ts
+++ b/packages/common/telemetry/src/metrics.ts
@@ -10,6 +10,8 @@
 export type Metrics = {
 	increment(name: string, labels?: Labels, amount?: number): void;
 	setGauge(name: string, value: number, labels?: Labels): void;
+	/** Replaces all series of the gauge, so that those of things that are gone are not shown any more. */
+	replaceGauges(name: string, series: ReadonlyArray<{readonly labels: Labels; readonly value: number}>): void;
 	recordMilliseconds(name: string, milliseconds: number, labels?: Labels): void;
 	renderPrometheusText(): string;
 };
@@ -101,6 +103,17 @@
 				series.value = value;
 			}
 		},
+		replaceGauges(name, series) {
+			gauges.delete(name);
+			for (const {labels, value} of series) {
+				const entry = findSeries({
+					families: gauges, name, labels, create: createNumber,
+				});
+				if (entry !== undefined) {
+					entry.value = value;
+				}
+			}
+		},
 		recordMilliseconds(name, milliseconds, labels = {}) {
 			const series = findSeries({
 				families: histograms, name, labels, create: createHistogram,
--- a/packages/common/telemetry/test/telemetry.test.ts
+++ b/packages/common/telemetry/test/telemetry.test.ts
@@ -37,6 +37,14 @@
 	t.snapshot(metrics.renderPrometheusText());
 });
 
+// Guards against gauges of workspaces that left a full pool, which would be shown for ever and use up the series.
+test('replaced gauges show only the new series', t => {
+	const metrics = createMetrics();
+	metrics.replaceGauges('turmericbay_workspace_usage', [{labels: {workspace: 'a'}, value: 1}, {labels: {workspace: 'b'}, value: 2}]);
+	metrics.replaceGauges('turmericbay_workspace_usage', [{labels: {workspace: 'b'}, value: 3}]);
+	t.is(metrics.renderPrometheusText(), '# TYPE turmericbay_workspace_usage gauge\nturmericbay_workspace_usage{workspace="b"} 3\n');
+});
+
 // Guards against hops that are missing from a trace or have the wrong parent.
 test('spans of two hops share one trace', async t => {
 	const exporter = new InMemorySpanExporter();
--- a/packages/jobs/scheduler/src/events.ts
+++ b/packages/jobs/scheduler/src/events.ts
@@ -1,4 +1,5 @@
 /** Events that the scheduler reports to logs and metrics. */
+import type {FullPoolEvent} from './full-pools.js';
 import type {EndReason} from './model.js';
 import type {StepWaitingEvent} from './waiting-steps.js';
 
@@ -12,6 +13,7 @@
 
 export type SchedulerEvent
 	= | StepWaitingEvent
+		| FullPoolEvent
 		| {readonly type: 'run-ended'; readonly task: string; readonly run: number; readonly worker: string; readonly reason: EndReason | 'lost' | 'not-run'}
 		| {readonly type: 'run-adopted'; readonly task: string; readonly run: number; readonly worker: string}
 		| {readonly type: 'run-unwanted'; readonly task: string; readonly run: number; readonly worker: string}
--- a/packages/jobs/scheduler/src/fair-order.ts
+++ b/packages/jobs/scheduler/src/fair-order.ts
@@ -48,14 +48,22 @@
 
 const limitWeight = (weight: number): number => Math.max(minimumWeight, weight);
 
+type ShareContext = Pick<FairContext, 'capacity' | 'getReserved' | 'getWeight' | 'requiredByWorkspace'>;
+
 /** Share of the pool of each workspace, as a dominant fraction. */
-export const computeWorkspaceShares = (context: Pick<FairContext, 'capacity' | 'getReserved' | 'getWeight' | 'requiredByWorkspace'>): Map<string, number> => computeFairShares(
+const computeShares = (context: ShareContext): Map<string, number> => computeFairShares(
 	[...context.requiredByWorkspace].map(([workspace, required]) => ({
 		team: workspace, share: limitWeight(context.getWeight(workspace)), demand: computeDominantFraction(addResources(context.getReserved(workspace), required), context.capacity),
 	})),
 	1,
 );
 
+/** Fractions of the pool's capacity, by the dominant resource. The workspace of public queues has an empty name. */
+export type WorkspaceShare = {readonly workspace: string; readonly usage: number; readonly share: number};
+
+export const measureShares = (context: ShareContext): WorkspaceShare[] =>
+	[...computeShares(context)].map(([workspace, share]) => ({workspace, share, usage: computeDominantFraction(context.getReserved(workspace), context.capacity)}));
+
 const createClaims = (jobs: readonly ReadyJob[], measureLevel: (claim: Pick<Claim, 'workspace' | 'weight'>) => number, context: FairContext): Claim[] => {
 	const claims = new Map<string, Claim>();
 	for (const entry of jobs) {
@@ -110,7 +118,7 @@
 			return;
 		}
 
-		shares ??= computeWorkspaceShares(context);
+		shares ??= computeShares(context);
 		claim.ordered ??= orderByObjective(claim.jobs, {cpuMillis: (shares.get(claim.workspace) ?? 0) * capacity.cpuMillis, durations, now});
 		const entry = claim.ordered[claim.position];
 		if (!entry) {
--- a/packages/jobs/scheduler/src/job-order.ts
+++ b/packages/jobs/scheduler/src/job-order.ts
@@ -5,15 +5,18 @@
  */
 import type {DurationEstimator} from './durations.js';
 import {createExhaustedSizes} from './exhausted-sizes.js';
-import {takeFairTurns} from './fair-order.js';
+import type {WorkspaceShare} from './fair-order.js';
+import {measureShares, takeFairTurns} from './fair-order.js';
 import {rankLateness} from './jobs.js';
 import type {
-	JobRow, Resources, WorkerRow, WorkspacePolicy,
+	JobRow, Resources, TaskRow, WorkerRow, WorkspacePolicy,
 } from './model.js';
 import type {PoolUsage} from './pool-usage.js';
 import {addResources, getWorkspace, noResources} from './pool-usage.js';
 import type {ReadyJob} from './ready-work.js';
-import {sumRequired, sumUsableCapacity} from './ready-work.js';
+import {
+	findLargestCapacity, findMinimumRequirement, sumRequired, sumUsableCapacity,
+} from './ready-work.js';
 
 /** What a job may start in its turn. */
 export enum TurnKind {
@@ -34,14 +37,17 @@
 	readonly workspaces: ReadonlyMap<string, WorkspacePolicy>;
 	/** Resources of all runs of a workspace, in all pools. */
 	readonly totalUsage: ReadonlyMap<string, Resources>;
-	/** Jobs that get a turn even if none of their tasks fits. */
-	readonly mustTry: ReadonlySet<JobRow>;
+	/** Their jobs get a turn even if none of their tasks fits, since a worker may be kept free for them. */
+	readonly crashedTasks: ReadonlySet<TaskRow>;
 	readonly durations: DurationEstimator;
 	readonly now: number;
 };
 
 export type JobOrder = {
+	/** More tasks could start than fit. */
 	readonly isFull: boolean;
+	/** Usage and share of each workspace with tasks or runs in the pool, once the turns are over. */
+	readonly measureShares: () => WorkspaceShare[];
 	/** Yields turns and is given the number of tasks started in each, which are in the tables by then. */
 	readonly turns: Generator<JobTurn, void, number>;
 };
@@ -83,11 +89,11 @@
 	};
 };
 
-const sumByWorkspace = (jobs: readonly ReadyJob[], pool: PoolState): Map<string, Resources> => {
+const sumByWorkspace = (jobs: readonly ReadyJob[], pool: PoolState, largest: Resources): Map<string, Resources> => {
 	const sums = new Map<string, Resources>();
 	for (const entry of jobs) {
 		const workspace = getWorkspace(entry.job);
-		const required = sumRequired(entry);
+		const required = sumRequired(entry, largest);
 		const previous = sums.get(workspace);
 		sums.set(workspace, previous ? addResources(previous, required) : required);
 	}
@@ -96,6 +102,12 @@
 		sums.set(workspace, limitToMaximum(required, workspace, pool));
 	}
 
+	for (const workspace of pool.usage.listWorkspaces(pool.pool)) {
+		if (!sums.has(workspace)) {
+			sums.set(workspace, noResources);
+		}
+	}
+
 	return sums;
 };
 
@@ -110,19 +122,24 @@
 	return [...groups].toSorted(([left], [right]) => left - right).map(([, group]) => group);
 };
 
-function * takeTurnsOfFullPool(jobs: readonly ReadyJob[], pool: PoolState, requiredByWorkspace: Map<string, Resources>): Generator<JobTurn, void, number> {
-	const {workers, usage, workspaces, mustTry, durations, now} = pool;
+/** Jobs on public queues have weight 1. */
+const createShareContext = ({pool, workers, usage, workspaces}: PoolState, requiredByWorkspace: ReadonlyMap<string, Resources>) => {
 	let capacity = noResources;
 	for (const {registration} of workers) {
 		capacity = addResources(capacity, registration.capacity);
 	}
 
-	for (const workspace of usage.listWorkspaces(pool.pool)) {
-		if (!requiredByWorkspace.has(workspace)) {
-			requiredByWorkspace.set(workspace, noResources);
-		}
-	}
+	return {
+		capacity, requiredByWorkspace,
+		getReserved: (workspace: string): Resources => usage.getReserved(pool, workspace),
+		getWeight: (workspace: string): number => workspaces.get(workspace)?.weight ?? 1,
+	};
+};
 
+function * takeTurnsOfFullPool(jobs: readonly ReadyJob[], pool: PoolState, requiredByWorkspace: ReadonlyMap<string, Resources>): Generator<JobTurn, void, number> {
+	const {workers, durations, now} = pool;
+	const mustTry = listCrashedJobs(pool);
+	const shareContext = createShareContext(pool, requiredByWorkspace);
 	const exhausted = createExhaustedSizes(workers);
 	for (const group of groupByPriority(jobs)) {
 		for (const entry of sortByDeadline(group.filter(({job}) => isLongRunning(job)), now)) {
@@ -135,9 +152,7 @@
 		}
 
 		const turns = takeFairTurns(group.filter(({job, steps}) => steps.length > 0 && !isLongRunning(job)), {
-			capacity, requiredByWorkspace, exhausted, durations, now,
-			getReserved: workspace => usage.getReserved(pool.pool, workspace),
-			getWeight: workspace => workspaces.get(workspace)?.weight ?? 1,
+			...shareContext, exhausted, durations, now,
 			mustTry: ({job}) => mustTry.has(job),
 		});
 		for (let turn = turns.next(0); !turn.done;) {
@@ -151,9 +166,12 @@
 	}
 }
 
+const listCrashedJobs = ({crashedTasks}: PoolState): Set<JobRow> => new Set([...crashedTasks].map(task => task.step.job));
+
 /** No task fits on any worker. */
 function * takeTurnsWithoutCapacity(jobs: readonly ReadyJob[], pool: PoolState): Generator<JobTurn, void, number> {
-	for (const entry of pool.mustTry.size > 0 ? sortByDeadline(jobs.filter(({job}) => pool.mustTry.has(job)), pool.now) : []) {
+	const crashedJobs = listCrashedJobs(pool);
+	for (const entry of crashedJobs.size > 0 ? sortByDeadline(jobs.filter(({job}) => crashedJobs.has(job)), pool.now) : []) {
 		yield toTurn(entry, TurnKind.All);
 	}
 }
@@ -162,17 +180,20 @@
 	required.cpuMillis > free.cpuMillis || required.memoryMegabytes > free.memoryMegabytes || required.accelerators > free.accelerators;
 
 export const orderJobs = (jobs: readonly ReadyJob[], pool: PoolState): JobOrder => {
-	const free = sumUsableCapacity(pool.workers, jobs);
+	const largest = findLargestCapacity(pool.workers);
+	const measure = (): WorkspaceShare[] => measureShares(createShareContext(pool, sumByWorkspace(jobs, pool, largest)));
+	const smallest = findMinimumRequirement(jobs, largest);
+	const free = sumUsableCapacity(pool.workers, smallest);
 	if (!free) {
-		return {isFull: true, turns: takeTurnsWithoutCapacity(jobs, pool)};
+		return {isFull: Number.isFinite(smallest.cpuMillis), measureShares: measure, turns: takeTurnsWithoutCapacity(jobs, pool)};
 	}
 
-	const requiredByWorkspace = sumByWorkspace(jobs, pool);
+	const requiredByWorkspace = sumByWorkspace(jobs, pool, largest);
 	let required = noResources;
 	for (const sum of requiredByWorkspace.values()) {
 		required = addResources(required, sum);
 	}
 
 	const isFull = exceeds(required, free);
-	return {isFull, turns: isFull ? takeTurnsOfFullPool(jobs, pool, requiredByWorkspace) : takeTurnsByDeadline(jobs, pool.now)};
+	return {isFull, measureShares: measure, turns: isFull ? takeTurnsOfFullPool(jobs, pool, requiredByWorkspace) : takeTurnsByDeadline(jobs, pool.now)};
 };
--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -1,6 +1,8 @@
 /** Chooses a worker for each task that is ready to start. Jobs that can still meet their objective come before late ones. */
 import {countCrashes} from './crashes.js';
 import type {DurationEstimator} from './durations.js';
+import type {FullPoolEvent} from './full-pools.js';
+import {createFullPoolMonitor} from './full-pools.js';
 import type {JobTurn} from './job-order.js';
 import {orderJobs, TurnKind} from './job-order.js';
 import {isStepReady} from './jobs.js';
@@ -57,9 +59,11 @@
 	readonly getFirstRunOfEpoch: () => number;
 	readonly crashedTasks: ReadonlySet<TaskRow>;
 	readonly durations: DurationEstimator;
+	readonly emit: (event: FullPoolEvent) => void;
 }) => {
-	const {workers, getPolicies, getFirstRunOfEpoch, crashedTasks, durations} = options;
+	const {workers, getPolicies, getFirstRunOfEpoch, crashedTasks, durations, emit} = options;
 	const separation = createSeparation({crashedTasks});
+	const fullPools = createFullPoolMonitor(emit);
 
 	const isWithinWorkspaceLimit = (task: TaskRow, count: number): boolean => {
 		const {workspace} = task.step.job.declaration;
@@ -266,7 +270,8 @@
 
 	const placePool = (pool: Parameters<typeof orderJobs>[1], jobs: readonly ReadyJob[]): Array<StartOrder | AdviceOrder> => {
 		const orders: Array<StartOrder | AdviceOrder> = [];
-		const {turns} = orderJobs(jobs, pool);
+		const {turns, ...fullness} = orderJobs(jobs, pool);
+		fullPools.record(pool.pool, fullness, pool.now);
 		for (let turn = turns.next(0); !turn.done;) {
 			const placed = placeJob(turn.value, pool.workers, pool.now);
 			const rows = placed.flatMap(order => order.type === 'start' ? [order.row] : []);
@@ -285,10 +290,11 @@
 			const {queues, workspaces} = getPolicies();
 			const jobsByPool = groupReadyJobs(jobs, queues);
 			const usableByPool = groupByPool(workers.workers.values(), worker => jobsByPool.has(worker.registration.pool) && isSchedulable(worker, now));
-			const mustTry = new Set([...crashedTasks].map(task => task.step.job));
-			return [...jobsByPool].filter(([pool]) => usableByPool.has(pool)).flatMap(([pool, entries]) => placePool({
-				pool, workers: usableByPool.get(pool)!, usage: workers.poolUsage, totalUsage: workers.workspaceUsage, workspaces, mustTry, durations, now,
+			const orders = [...jobsByPool].filter(([pool]) => usableByPool.has(pool)).flatMap(([pool, entries]) => placePool({
+				pool, workers: usableByPool.get(pool)!, usage: workers.poolUsage, totalUsage: workers.workspaceUsage, workspaces, crashedTasks, durations, now,
 			}, entries));
+			fullPools.check(now);
+			return orders;
 		},
 	};
 };
--- a/packages/jobs/scheduler/src/ready-work.ts
+++ b/packages/jobs/scheduler/src/ready-work.ts
@@ -39,16 +39,32 @@
 		};
 };
 
-/** Sum over the tasks of the job that could start. */
-export const sumRequired = ({steps}: ReadyJob): Resources => {
+const isAtMost = (left: Resources, right: Resources): boolean =>
+	left.cpuMillis <= right.cpuMillis && left.memoryMegabytes <= right.memoryMegabytes && left.accelerators <= right.accelerators;
+
+/** Sum over the tasks of the job that could start, without those that are larger than `largest`. */
+export const sumRequired = ({steps}: ReadyJob, largest: Resources): Resources => {
 	let required = noResources;
 	for (const step of steps) {
-		required = addResources(required, getTaskRequirement(step), step.waiting);
+		const requirement = getTaskRequirement(step);
+		required = isAtMost(requirement, largest) ? addResources(required, requirement, step.waiting) : required;
 	}
 
 	return required;
 };
 
+/** Of each resource the most that any worker has. A larger task fits on no worker, however few runs there are, and says nothing about free capacity. */
+export const findLargestCapacity = (workers: readonly WorkerRow[]): Resources => {
+	let {cpuMillis, memoryMegabytes, accelerators} = noResources;
+	for (const {registration: {capacity}} of workers) {
+		cpuMillis = Math.max(cpuMillis, capacity.cpuMillis);
+		memoryMegabytes = Math.max(memoryMegabytes, capacity.memoryMegabytes);
+		accelerators = Math.max(accelerators, capacity.accelerators);
+	}
+
+	return {cpuMillis, memoryMegabytes, accelerators};
+};
+
 /** Jobs with tasks that could start, by pool. */
 export const groupReadyJobs = (jobs: Iterable<JobRow>, queues: ReadonlyMap<string, QueuePolicy>): Map<string, ReadyJob[]> => {
 	const byPool = new Map<string, ReadyJob[]>();
@@ -68,17 +84,19 @@
 	return byPool;
 };
 
-/** Of each resource the least that any task needs which could start or get a second run. */
-const findMinimumRequirement = (jobs: readonly ReadyJob[]): Resources => {
+/** Of each resource the least that any task needs which could start or get a second run; Infinity if there is none. */
+export const findMinimumRequirement = (jobs: readonly ReadyJob[], largest: Resources): Resources => {
 	let cpuMillis = Number.POSITIVE_INFINITY;
 	let memoryMegabytes = Number.POSITIVE_INFINITY;
 	let accelerators = Number.POSITIVE_INFINITY;
 	for (const {job, steps, isSpeculative} of jobs) {
 		for (const step of isSpeculative ? [...job.occurrences.values()].flat() : steps) {
 			const required = getTaskRequirement(step);
-			cpuMillis = Math.min(cpuMillis, required.cpuMillis);
-			memoryMegabytes = Math.min(memoryMegabytes, required.memoryMegabytes);
-			accelerators = Math.min(accelerators, required.accelerators);
+			if (isAtMost(required, largest)) {
+				cpuMillis = Math.min(cpuMillis, required.cpuMillis);
+				memoryMegabytes = Math.min(memoryMegabytes, required.memoryMegabytes);
+				accelerators = Math.min(accelerators, required.accelerators);
+			}
 		}
 	}
 
@@ -88,9 +106,8 @@
 /** Rounds down to whole tasks, since the rest of a worker serves none. */
 const roundDown = (free: number, unit: number): number => unit > 0 ? Math.floor(Math.max(0, free) / unit) * unit : Math.max(0, free);
 
-/** Free capacity of the workers, of each worker only as much as tasks of the smallest requirement can use; undefined if no worker has capacity for any task. */
-export const sumUsableCapacity = (workers: readonly WorkerRow[], jobs: readonly ReadyJob[]): Resources | undefined => {
-	const unit = findMinimumRequirement(jobs);
+/** Free capacity of the workers, of each worker only as much as tasks of the smallest requirement `unit` can use; undefined if no worker has capacity for any task. */
+export const sumUsableCapacity = (workers: readonly WorkerRow[], unit: Resources): Resources | undefined => {
 	let cpuMillis = 0;
 	let memoryMegabytes = 0;
 	let accelerators = 0;
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -63,7 +63,7 @@
 		jobs, workers, crashes, failJob, durations, firstRunOfEpoch, getPolicy: queue => policies.queues.get(queue), emit,
 	});
 	const placement = createPlacement({
-		workers, getPolicies: () => policies, getFirstRunOfEpoch: () => firstRunOfEpoch, crashedTasks: crashes.crashedTasks, durations,
+		workers, getPolicies: () => policies, getFirstRunOfEpoch: () => firstRunOfEpoch, crashedTasks: crashes.crashedTasks, durations, emit,
 	});
 	const stopPlanner = createStopPlanner({reconciler, workers});
 	const startOutcomes = createStartOutcomeHandler({jobs, reconciler});
