--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -76,6 +76,8 @@
 	PlaceWaitEnded = 8592,
 	JobRefusedByLoad = 8581,
 	RefusalNotRecorded = 8582,
+	PoolFull = 8571,
+	PoolRelieved = 8572,
 	InternalError = 9001,
 }
 
@@ -414,6 +416,16 @@
 		message: 'The refusal of a job could not be recorded in time, and the job was handled like an admitted one',
 		action: 'If there are many, look for a slow store.',
 	},
+	[LogEvent.PoolFull]: {
+		level: LogLevel.Warning,
+		message: 'More tasks are ready in a pool than its workers have capacity for; its workspaces get their shares by weight',
+		action: 'If it lasts, add machines; turmericbay_workspace_usage and turmericbay_workspace_share show who uses the pool.',
+	},
+	[LogEvent.PoolRelieved]: {
+		level: LogLevel.Information,
+		message: 'All tasks that are ready in a pool have capacity again',
+		action: 'None.',
+	},
 	[LogEvent.InternalError]: {
 		level: LogLevel.Error,
 		message: 'An internal error of the daemon',
--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -3,6 +3,8 @@
 import {createAdviceOrders, hasValidTicket} from './advice.js';
 import {countCrashes} from './crashes.js';
 import type {DurationEstimator} from './durations.js';
+import type {FullPoolEvent} from './full-pools.js';
+import {createFullPoolMonitor} from './full-pools.js';
 import type {JobTurn} from './job-order.js';
 import {orderJobs, TurnKind} from './job-order.js';
 import {isStepReady} from './jobs.js';
@@ -43,9 +45,10 @@
 	/** How many times as long a task takes away from its preferred rack; 1 if unknown. */
 	readonly farFactor: number;
 	readonly decidePlace: DecidePlace;
-	readonly emit: (event: PlaceWaitEvent) => void;
+	readonly emit: (event: FullPoolEvent | PlaceWaitEvent) => void;
 }) => {
 	const {workers, getPolicies, getFirstRunOfEpoch, crashedTasks, durations, farFactor, decidePlace, emit} = options;
+	const fullPools = createFullPoolMonitor(emit);
 	const separation = createSeparation({crashedTasks});
 	const choice = createWorkerChoice({separation, farFactor});
 	const placeWaits = createPlaceWaits({
@@ -234,7 +237,8 @@
 	const placePool = (pool: Parameters<typeof orderJobs>[1], jobs: readonly ReadyJob[]): Array<StartOrder | AdviceOrder> => {
 		const orders: Array<StartOrder | AdviceOrder> = [];
 		placeWaits.startPool({usable: pool.workers, jobs: jobs.map(({job}) => job), now: pool.now});
-		const {turns} = orderJobs(jobs, pool);
+		const {turns, ...fullness} = orderJobs(jobs, pool);
+		fullPools.record(pool.pool, fullness, pool.now);
 		for (let turn = turns.next(0); !turn.done;) {
 			const placed = placeJob(turn.value, pool.workers, pool.now);
 			const rows = placed.flatMap(order => order.type === 'start' ? [order.row] : []);
@@ -255,11 +259,11 @@
 			const {queues, workspaces} = getPolicies();
 			const jobsByPool = groupReadyJobs(jobs, queues);
 			const usableByPool = groupByPool(workers.workers.values(), worker => jobsByPool.has(worker.registration.pool) && isSchedulable(worker, now));
-			const mustTry = new Set([...crashedTasks].map(task => task.step.job));
 			const orders = [...jobsByPool].filter(([pool]) => usableByPool.has(pool)).flatMap(([pool, entries]) => placePool({
-				pool, workers: usableByPool.get(pool)!, usage: workers.poolUsage, totalUsage: workers.workspaceUsage, workspaces, mustTry, durations, now,
+				pool, workers: usableByPool.get(pool)!, usage: workers.poolUsage, totalUsage: workers.workspaceUsage, workspaces, crashedTasks, durations, now,
 			}, entries));
 			placeWaits.finishTick(now);
+			fullPools.check(now);
 			return orders;
 		},
 	};
