Bound the size and the cost of the load figures

With 316 full pools and 720 workspaces the figures had 654 KB and took 29 ms, for every instance up to four times a second. Jobs of pools without figures are admitted.

--- a/packages/jobs/job-service/src/owner-load-figures.ts
+++ b/packages/jobs/job-service/src/owner-load-figures.ts
@@ -4,6 +4,10 @@
 
 /** The owner is short of processor time, and the decisions allow for figures of this age. */
 export const figuresIntervalMilliseconds = 250;
+/** Figures that take longer to compute are computed less often, so that they take at most 2% of the owner's time, */
+const intervalPerCost = 50;
+/** But often enough for decisions, which need figures younger than 2 s. */
+const longestIntervalMilliseconds = 1000;
 /**
  * No figures after a takeover: workers that have not answered yet are missing from the capacity. Longer
  * than the lease on a worker (3.5 s), after which each has answered or is lost.
@@ -20,6 +24,7 @@
 }) => {
 	const {scheduler, clock, tookOverAt, getMovableCapacity} = options;
 	let newest: {readonly figures: LoadFigures; readonly at: number} | undefined;
+	let interval = figuresIntervalMilliseconds;
 	return {
 		/** Undefined shortly after the takeover. */
 		get(): TimedFigures | undefined {
@@ -28,8 +33,9 @@
 				return undefined;
 			}
 
-			if (!newest || now - newest.at >= figuresIntervalMilliseconds) {
+			if (!newest || now - newest.at >= interval) {
 				newest = {figures: scheduler.computeLoadFigures(getMovableCapacity, now), at: now};
+				interval = Math.min(longestIntervalMilliseconds, Math.max(figuresIntervalMilliseconds, intervalPerCost * (clock.now() - now)));
 			}
 
 			return {figures: newest.figures, ageMilliseconds: now - newest.at};
--- a/packages/jobs/job-service/test/known-figures.test.ts
+++ b/packages/jobs/job-service/test/known-figures.test.ts
@@ -40,6 +40,28 @@
 	t.is(computed.size, 4);
 });
 
+// Guards against figures that take a noticeable part of the time of a slow owner with many jobs.
+test('figures that take long are computed less often', t => {
+	let now = 5000;
+	let computations = 0;
+	const {scheduler} = createSchedulerWithWorker(1);
+	const source = createOwnerLoadFigures({
+		clock: {now: () => now, wallNow: () => 0}, tookOverAt: 0, getMovableCapacity: () => 0,
+		scheduler: {
+			...scheduler, computeLoadFigures() {
+				computations += 1;
+				now += 10;
+				return figures;
+			},
+		},
+	});
+	for (const end = now + 5000; now < end; now += 10) {
+		source.get();
+	}
+
+	t.is(computations, 10);
+});
+
 // Guards against refusals after a takeover, when workers that have not answered yet are missing from the capacity.
 test('an owner has no figures until each worker has answered or is lost', t => {
 	let now = 3999;
--- a/packages/jobs/scheduler/src/load-figures.ts
+++ b/packages/jobs/scheduler/src/load-figures.ts
@@ -20,6 +20,8 @@
 const maximumDeadlineStep = 60;
 /** Part of a running task that is left on average. */
 const remainingShareOfRunning = 0.5;
+/** No further pool is described after this many rows, about 20 KB, since the figures go to every instance up to four times a second. Jobs of the other pools are admitted. */
+const maximumBacklogs = 200;
 /** `rankLateness` of a job that can no longer be of use. */
 const uselessRank = 2;
 
@@ -180,6 +182,13 @@
 	return totalsByPool;
 };
 
+/** Pools whose ready work exceeds the capacity that is free or can be moved there, the fullest first. */
+const findFullPools = (totalsByPool: ReadonlyMap<string, Totals>, getMovableCapacity: GetMovableCapacity) => [...totalsByPool]
+	.filter(([, {ready, free}]) => ready > free)
+	.map(([pool, totals]) => ({pool, totals, movable: getMovableCapacity(pool)}))
+	.filter(({totals: {ready, free}, movable}) => ready > free + movable)
+	.toSorted((left, right) => (right.totals.ready / (1 + right.totals.free + right.totals.running + right.movable)) - (left.totals.ready / (1 + left.totals.free + left.totals.running + left.movable)));
+
 /** One pass over workers and steps, and a second over the jobs of full pools; no pass over tasks. */
 export const computeLoadFigures = (options: {
 	readonly jobs: Iterable<JobRow>;
@@ -192,17 +201,16 @@
 	const {policies, durations, getMovableCapacity, now} = options;
 	const pools: Record<string, PoolLoad> = {};
 	const durationsByQueue: Record<string, {sum: number; tasks: number}> = {};
-	for (const [pool, totals] of sumUpPools(options)) {
-		if (totals.ready <= totals.free) {
-			continue;
+	let backlogs = 0;
+	for (const {pool, totals, movable} of findFullPools(sumUpPools(options), getMovableCapacity)) {
+		if (backlogs >= maximumBacklogs) {
+			break;
 		}
 
-		const movable = getMovableCapacity(pool);
-		if (totals.ready > totals.free + movable) {
-			pools[pool] = describePool({
-				totals, movable, policies, durations, durationsByQueue, now,
-			});
-		}
+		pools[pool] = describePool({
+			totals, movable, policies, durations, durationsByQueue, now,
+		});
+		backlogs += pools[pool].backlogs.length;
 	}
 
 	return {
--- a/packages/jobs/scheduler/test/load-figures.test.ts
+++ b/packages/jobs/scheduler/test/load-figures.test.ts
@@ -53,6 +53,20 @@
 	t.deepEqual(scheduler.computeLoadFigures(() => 0, 60_000).pools, {});
 });
 
+// Guards against figures that fill the links of small machines where hundreds of pools are full.
+test('the number of rows is bounded, and the fullest pools come first', t => {
+	const names = Array.from({length: 300}, (_, index) => `p${index}`);
+	const [policy] = createPolicies().queues.values();
+	const scheduler = createTestScheduler(createPolicies({queues: new Map(names.map(name => [name, {...policy!, name, pool: name}]))}));
+	for (const [index, name] of names.entries()) {
+		addWorker(scheduler, createRegistration(name, {pool: name}));
+		addJob(scheduler, name, [createStep({taskCount: 5 + index})], {queue: name});
+	}
+
+	const {pools} = scheduler.computeLoadFigures(() => 0, 0);
+	t.deepEqual(Object.keys(pools), names.slice(100).toReversed());
+});
+
 // Guards against shares that give away capacity twice, leave some unused, or let a larger demand reduce the share of another below its fair level.
 test('shares are max-min fair by weight', t => {
 	const row = fc.record({demand: fc.integer({min: 0, max: 10_000}), weight: fc.integer({min: 1, max: 10})});
