--- a/packages/jobs/job-service/src/owner-load-figures.ts
+++ b/packages/jobs/job-service/src/owner-load-figures.ts
@@ -4,9 +4,9 @@
 
 /** The owner is short of processor time, and the decisions allow for figures of this age. */
 export const figuresIntervalMilliseconds = 250;
-/** Figures that take longer to compute are computed less often, so that they take at most 2% of the owner's time, */
+/** The interval is at least this multiple of the time that the computation takes, so that figures take at most 2% of the owner's time. */
 const intervalPerCost = 50;
-/** But often enough for decisions, which need figures younger than 2 s. */
+/** Decisions need figures younger than 2 s. */
 const longestIntervalMilliseconds = 1000;
 /**
  * No figures after a takeover: workers that have not answered yet are missing from the capacity. Longer
