Keep claims on capacity as sums when an evacuation is planned

Change: claims are kept as sums by worker, tasks that are away are counted once a step, and a step of which one task fits nowhere is not tried again in the tick. Tests: packages/jobs/*, platform, and the evacuation schedules 1 to 4.

--- a/packages/jobs/scheduler/src/evacuation-moves.ts
+++ b/packages/jobs/scheduler/src/evacuation-moves.ts
@@ -17,6 +17,8 @@
 
 /** A place on a worker that a task is about to take, with the sign -1 for one that it gives up. */
 type Claim = {readonly task: TaskRow; readonly worker: WorkerRow; readonly sign: 1 | -1};
+/** Sum of the claims on one worker. */
+type WorkerClaims = {resources: Resources; readonly runsByStep: Map<StepRow, number>};
 
 export type EvacuationPlan = {
 	readonly moved: readonly RunRow[];
@@ -62,72 +64,102 @@
 export const planEvacuationMoves = (context: EvacuationContext): EvacuationPlan => {
 	const {policies, leaving, isSchedulable, hasTicket, mayShare, mayRestart, durations, now} = context;
 	const workers = [...context.workers];
-	const usable = workers.filter(worker => isSchedulable(worker));
-	const claims: Claim[] = [];
+	const usableByPool = new Map<string, WorkerRow[]>();
+	for (const worker of workers.filter(candidate => isSchedulable(candidate))) {
+		const {pool} = worker.registration;
+		const list = usableByPool.get(pool) ?? [];
+		list.push(worker);
+		usableByPool.set(pool, list);
+	}
+
+	/** Steps of which one task does not fit anywhere; nor do the others, which have the same requirements. */
+	const stuckSteps = new Set<StepRow>();
+	/** Kept as sums: with thousands of runs to move, lists of claims took seconds a tick. */
+	const claimsByWorker = new Map<WorkerRow, WorkerClaims>();
+	/** Tasks of a step that are away, those that leave in this plan included. */
+	const awayByStep = new Map<StepRow, number>();
 	const moved = new Set<RunRow>();
 	const unadvised = new Map<StepRow, readonly WorkerRow[]>();
 
+	const addClaim = ({task, worker, sign}: Claim): void => {
+		const {step} = task;
+		const claimed = claimsByWorker.get(worker) ?? {resources: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0}, runsByStep: new Map<StepRow, number>()};
+		claimed.resources = addResources(claimed.resources, getReservedResources(task), sign);
+		claimed.runsByStep.set(step, (claimed.runsByStep.get(step) ?? 0) + sign);
+		claimsByWorker.set(worker, claimed);
+	};
+
 	const fitsOn = (task: TaskRow, worker: WorkerRow): boolean => {
 		const {step} = task;
 		const {maximumPerWorker, requiredLabel} = step.declaration;
-		let required = getReservedResources(task);
-		let stepRuns = 0;
-		for (const row of worker.runs.values()) {
-			stepRuns += row.task.step === step ? 1 : 0;
+		const claimed = claimsByWorker.get(worker);
+		const reserved = getReservedResources(task);
+		if (!hasCapacityFor(worker, claimed ? addResources(reserved, claimed.resources, 1) : reserved)) {
+			return false;
 		}
 
-		for (const claim of claims) {
-			if (claim.worker === worker) {
-				required = addResources(required, getReservedResources(claim.task), claim.sign);
-				stepRuns += claim.task.step === step ? claim.sign : 0;
+		let stepRuns = claimed?.runsByStep.get(step) ?? 0;
+		if (maximumPerWorker > 0) {
+			for (const row of worker.runs.values()) {
+				stepRuns += row.task.step === step ? 1 : 0;
 			}
 		}
 
-		return hasCapacityFor(worker, required) && (maximumPerWorker === 0 || stepRuns < maximumPerWorker)
+		return (maximumPerWorker === 0 || stepRuns < maximumPerWorker)
 			&& (requiredLabel === undefined || worker.registration.labels.includes(requiredLabel)) && mayShare(task, worker);
 	};
 
-	const getUsable = (step: StepRow): readonly WorkerRow[] => usable.filter(worker => worker.registration.pool === policies.queues.get(step.job.declaration.queue)?.pool);
+	const getUsable = (step: StepRow): readonly WorkerRow[] => usableByPool.get(policies.queues.get(step.job.declaration.queue)?.pool ?? '') ?? [];
 
-	const claimPlace = (task: TaskRow): boolean => {
+	const claimPlace = (task: TaskRow): Claim | undefined => {
 		const {step} = task;
 		const usesAdvice = policies.queues.get(step.job.declaration.queue)?.advice !== undefined;
 		const worker = getUsable(step).find(candidate => (!usesAdvice || hasTicket(step, candidate)) && fitsOn(task, candidate));
-		if (worker) {
-			claims.push({task, worker, sign: 1});
+		const claim: Claim | undefined = worker && {task, worker, sign: 1};
+		if (claim) {
+			addClaim(claim);
 		}
 
-		return worker !== undefined;
+		return claim;
 	};
 
 	/** Claims a place for each of the runs. Members of a gang that run outside the zone give up theirs. */
 	const claimPlaces = (rows: readonly RunRow[]): boolean => {
-		const firstClaim = claims.length;
-		for (const {task, worker} of rows) {
-			if (!worker.isZoneEvacuated) {
-				claims.push({task, worker, sign: -1});
-			}
+		const claims: Claim[] = rows.filter(({worker}) => !worker.isZoneEvacuated).map(({task, worker}) => ({task, worker, sign: -1}));
+		for (const claim of claims) {
+			addClaim(claim);
 		}
 
-		if (rows.every(({task}) => claimPlace(task))) {
-			return true;
+		for (const {task} of rows) {
+			const claim = claimPlace(task);
+			if (!claim) {
+				for (const {sign, ...place} of claims) {
+					addClaim({...place, sign: sign === 1 ? -1 : 1});
+				}
+
+				return false;
+			}
+
+			claims.push(claim);
 		}
 
-		claims.length = firstClaim;
-		return false;
+		return true;
+	};
+
+	const countAway = (step: StepRow): number => {
+		const away = awayByStep.get(step) ?? step.tasks.filter(task => !isAvailable(task, now)).length;
+		awayByStep.set(step, away);
+		return away;
 	};
 
+	/** Tasks that are at work now and would be away. */
+	const countLeaving = (rows: readonly RunRow[]): number => rows.filter(({task}) => isAvailable(task, now)).length;
+
 	/** True if no more tasks of the step would be away than it allows. */
 	const isWithinAllowance = (rows: readonly RunRow[]): boolean => {
 		const {step} = rows[0]!.task;
 		const {maximumAway} = step.declaration;
-		if (maximumAway === undefined) {
-			return true;
-		}
-
-		const leavingTasks = new Set(rows.map(({task}) => task));
-		const away = step.tasks.filter(task => leavingTasks.has(task) || !isAvailable(task, now) || [...task.runs.values()].some(row => moved.has(row)));
-		return away.length <= maximumAway;
+		return maximumAway === undefined || countAway(step) + countLeaving(rows) <= maximumAway;
 	};
 
 	const isWorthMoving = (row: RunRow): boolean => {
@@ -139,7 +171,7 @@
 
 	const considerRun = (row: RunRow): void => {
 		const {step} = row.task;
-		if (moved.has(row) || !isWorthMoving(row)) {
+		if (moved.has(row) || stuckSteps.has(step) || !isWorthMoving(row)) {
 			return;
 		}
 
@@ -149,10 +181,16 @@
 		}
 
 		if (claimPlaces(unit)) {
+			awayByStep.set(step, countAway(step) + countLeaving(unit));
 			for (const member of unit) {
 				moved.add(member);
 			}
-		} else if (policies.queues.get(step.job.declaration.queue)?.advice) {
+
+			return;
+		}
+
+		stuckSteps.add(step);
+		if (policies.queues.get(step.job.declaration.queue)?.advice) {
 			unadvised.set(step, getUsable(step));
 		}
 	};
