Run the fault schedules with dispatchers

Cause: the experiment's fleets have fewer than 65 workers, so no fault schedule used a dispatcher.

Change: the largest fleet that is called by the owner alone is an option of the job service (64 if omitted) and of the experiment's policies; the policy `dispatchers` sets it to 0. Four schedules in which connections to dispatchers are lost run as tests.

--- a/packages/jobs/job-service/src/dispatch-selection.ts
+++ b/packages/jobs/job-service/src/dispatch-selection.ts
@@ -2,7 +2,7 @@
 import {createHash} from 'node:crypto';
 
 /** Owners of smaller fleets call all workers directly. */
-export const largestDirectFleet = 64;
+export const defaultLargestDirectFleet = 64;
 /** Processor time that is set aside at a dispatcher for one call, in milliseconds of a core. */
 const millisecondsPerCall = 0.4;
 /** Share of its processor time that a dispatcher uses for worker calls at most; the rest is for its callers. */
--- a/packages/jobs/job-service/src/index.ts
+++ b/packages/jobs/job-service/src/index.ts
@@ -6,9 +6,11 @@
 export type {
 	AcceptDispatchChannel, ChannelHandlers, DispatchChannel, OpenDispatchChannel,
 } from './dispatch-channel.js';
+export {createDispatchServer} from './dispatch-server.js';
 export type {CallRoute} from './dispatched-worker-client.js';
 export type {DispatcherRegistration} from './dispatcher-directory.js';
 export type {OwnerClient} from './owner-client.js';
+export {createOwnerDispatch} from './owner-dispatch.js';
 export type {OwnerLog} from './owner-log.js';
 export type {GetLocalOwner, PeerTransport} from './peer-transport.js';
 export {createHttpPeerTransport} from './peer-transport.js';
--- a/packages/jobs/job-service/src/owner-dispatch.ts
+++ b/packages/jobs/job-service/src/owner-dispatch.ts
@@ -1,7 +1,7 @@
 /** Worker calls of one owner: sets up the dispatchers and the client that uses them. */
 import type {OpenDispatchChannel} from './dispatch-channel.js';
 import {checkIntervalMilliseconds} from './dispatch-protocol.js';
-import {largestDirectFleet} from './dispatch-selection.js';
+import {defaultLargestDirectFleet} from './dispatch-selection.js';
 import type {CallRoute} from './dispatched-worker-client.js';
 import {createDispatchedWorkerClient} from './dispatched-worker-client.js';
 import type {DispatcherLog} from './dispatcher-directory.js';
@@ -24,10 +24,12 @@
 	readonly workerClient: WorkerClient;
 	readonly openDispatchChannel: OpenDispatchChannel;
 	readonly clock: Clock;
+	/** Fleets of at most this many workers are called directly. */
+	readonly largestDirectFleet?: number;
 	readonly workers: ReadonlyMap<string, {readonly registration: {readonly zone: string}}>;
 	readonly log: DispatchLog;
 }) => {
-	const {epoch, instance, workerClient: direct, openDispatchChannel: openChannel, clock, workers, log} = options;
+	const {epoch, instance, workerClient: direct, openDispatchChannel: openChannel, clock, workers, log, largestDirectFleet = defaultLargestDirectFleet} = options;
 	let isEnded = false;
 	let reportedAt = clock.now();
 	const counts = new Map<string, {readonly route: CallRoute; readonly outcome: string; calls: number}>();
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -42,6 +42,7 @@
 	/** Calls workers from this instance. */
 	readonly workerClient: WorkerClient;
 	readonly openDispatchChannel: OpenDispatchChannel;
+	readonly largestDirectFleet?: number;
 	readonly adviceClient: AdviceClient | undefined;
 	/** Undefined where the platform has no machine service. */
 	readonly machineClient: MachineClient | undefined;
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -56,6 +56,8 @@
 	/** Processor cores that this process may use; may be a fraction. */
 	readonly cores: number;
 	readonly workerLeaseMilliseconds: number;
+	/** Fleets of at most this many workers are called by the owner alone; 64 if omitted. */
+	readonly largestDirectFleet?: number;
 	readonly log: ServiceLog;
 }) => {
 	const {instance, zone, peers, recordCodec, workerClient, adviceClient, machineClient, clock, random, cores, workerLeaseMilliseconds, log} = options;
@@ -153,7 +155,7 @@
 
 		const created = await createOwner({
 			store, recordCodec, ownership, leaseRenewal, workerClient, openDispatchChannel: peers.openDispatchChannel, adviceClient, machineClient, instance, clock,
-			configuration: () => configuration.current() ?? current,
+			configuration: () => configuration.current() ?? current, ...(options.largestDirectFleet !== undefined && {largestDirectFleet: options.largestDirectFleet}),
 			workerLeaseMilliseconds, getReachedTime: revisionTimes.getReachedTime, onLost, log,
 		});
 		isAcquiring = false;
--- a/packages/tools/experiment/src/main.ts
+++ b/packages/tools/experiment/src/main.ts
@@ -9,7 +9,8 @@
 
 const usage = `Usage: npm run experiment -- [--load turns|small] [--policy NAME]... [--seeds N] [--faults N] [--json]
        npm run experiment -- --schedules N [--from SEED] [--json]
-Policies: usual, long-lease, five-instances, two-instances.
+Policies: usual, long-lease, five-instances, two-instances, dispatchers.
+Schedules run under the first policy.
 `;
 /** EX_USAGE of sysexits.h. */
 const usageExitCode = 64;
@@ -18,6 +19,7 @@
 	['usual', defaultPolicy],
 	['long-lease', {...defaultPolicy, leaseMilliseconds: 2 * defaultPolicy.leaseMilliseconds}],
 	['five-instances', {...defaultPolicy, instances: 5}],
+	['dispatchers', {...defaultPolicy, largestDirectFleet: 0}],
 	['two-instances', {...defaultPolicy, instances: 2}],
 ]);
 const loads: ReadonlyMap<string, Load> = new Map([rotatingPeaksLoad, smallLoad].map(load => [load.name, load]));
@@ -94,7 +96,7 @@
 	for (let seed = from; seed < from + count; seed += 1) {
 		printProgress(`schedule ${seed}, ${failedSchedules.length} failed`);
 		// eslint-disable-next-line no-await-in-loop -- Virtual time replaces the global timers of the process.
-		const figures = await runSchedule(seed);
+		const figures = await runSchedule(seed, policies.get(values.policy[0] ?? 'usual') ?? exitWithUsage('unknown policy'));
 		const [first] = figures.violations;
 		if (first !== undefined || figures.unfinished.length > 0) {
 			failedSchedules.push({
--- a/packages/tools/experiment/src/run-simulation.ts
+++ b/packages/tools/experiment/src/run-simulation.ts
@@ -32,10 +32,14 @@
 	readonly leaseMilliseconds: number;
 	/** Rate at which an instance receives listings of the store. */
 	readonly listingBytesPerSecond: number;
+	/** Fleets of at most this many workers are called by the owner alone. */
+	readonly largestDirectFleet: number;
 };
 
 /** Uses the lease that the program for the users' platform has. */
-export const defaultPolicy: SimulationPolicy = {instances: 3, leaseMilliseconds: 3500, listingBytesPerSecond: 10_000_000};
+export const defaultPolicy: SimulationPolicy = {
+	instances: 3, leaseMilliseconds: 3500, listingBytesPerSecond: 10_000_000, largestDirectFleet: 64,
+};
 
 export type SimulationResult = {
 	readonly sent: number;
@@ -99,7 +103,7 @@
 	await time.runWithVirtualTimers(async () => {
 		const cluster = createSimulatedCluster({
 			time, random, instances: options.instances, policies, machines: new Map(Object.entries(load.machines)), cpuMillis: load.cpuMillis,
-			machinesPerRack: load.machinesPerRack, leaseMilliseconds, listingBytesPerSecond,
+			machinesPerRack: load.machinesPerRack, leaseMilliseconds, listingBytesPerSecond, largestDirectFleet: options.largestDirectFleet,
 			oracle, createWork: createTaskWork, createLog: instance => createSimulationLog(logLines, time.now, instance),
 		});
 
--- a/packages/tools/experiment/src/schedules.ts
+++ b/packages/tools/experiment/src/schedules.ts
@@ -1,7 +1,7 @@
 /** Random fault schedules: a few faults of any kind at any time, some of them in close succession. */
 import type {Fault, InstanceSelector} from './faults.js';
 import {smallLoad} from './load.js';
-import type {SimulationResult} from './run-simulation.js';
+import type {SimulationPolicy, SimulationResult} from './run-simulation.js';
 import {createRandom, runSimulation, defaultPolicy} from './run-simulation.js';
 
 /** Faults start before the end of the load, so that their consequences can be observed. */
@@ -109,6 +109,6 @@
 };
 
 /** Runs the fault schedule of a seed. */
-export const runSchedule = async (seed: number): Promise<SimulationResult> => runSimulation({
-	load: smallLoad, faults: drawFaults(createRandom(seed * faultSeedFactor), faultsPerSchedule), seed, ...defaultPolicy,
+export const runSchedule = async (seed: number, policy: SimulationPolicy = defaultPolicy): Promise<SimulationResult> => runSimulation({
+	load: smallLoad, faults: drawFaults(createRandom(seed * faultSeedFactor), faultsPerSchedule), seed, ...policy,
 });
--- a/packages/tools/experiment/src/simulated-cluster.ts
+++ b/packages/tools/experiment/src/simulated-cluster.ts
@@ -42,6 +42,7 @@
 	readonly machinesPerRack: number;
 	readonly leaseMilliseconds: number;
 	readonly listingBytesPerSecond: number;
+	readonly largestDirectFleet: number;
 	readonly oracle: Oracle;
 	readonly createWork: (task: string, run: number) => TaskWork;
 	readonly createLog: (instance: string) => ServiceLog;
@@ -195,7 +196,7 @@
 					network, time, machines, oracle,
 				}),
 				clock: {now: time.now, wallNow: () => startWallMilliseconds + time.now() + process.wallClockOffsetMilliseconds},
-				random, cores: 1, workerLeaseMilliseconds: options.leaseMilliseconds, log: options.createLog(name),
+				random, cores: 1, largestDirectFleet: options.largestDirectFleet, workerLeaseMilliseconds: options.leaseMilliseconds, log: options.createLog(name),
 			});
 			instances.set(name, {process, service});
 		});
--- a/packages/tools/experiment/test/fault-schedules.test.ts
+++ b/packages/tools/experiment/test/fault-schedules.test.ts
@@ -12,6 +12,9 @@
 	[144, 'worker restarts under the same name while a response of its previous incarnation is in transit'],
 ];
 
+/** Schedules in which connections to dispatchers are lost. */
+const dispatchSeeds = [4, 5, 7, 12];
+
 test.serial('without faults every job is accepted and ends, and no rule is violated', async t => {
 	const figures = await runSimulation({
 		load: smallLoad, faults: [], seed: 1, ...defaultPolicy,
@@ -30,6 +33,16 @@
 	});
 }
 
+// Guards against runs that are started twice, lost jobs and expired leases when worker calls go through dispatchers that are killed, paused, restarted or cut off.
+for (const seed of dispatchSeeds) {
+	test.serial(`no rule is violated under fault schedule ${seed} with dispatchers`, async t => {
+		const {violations, unfinished, logLines} = await runSchedule(seed, {...defaultPolicy, largestDirectFleet: 0});
+		t.true(logLines.some(line => line.includes('dispatcher-lost')));
+		t.deepEqual(violations, []);
+		t.deepEqual(unfinished, []);
+	});
+}
+
 // Guards against owners that lose their lease while they read the stored jobs over a slow link, one after the other: no accepted job went on.
 test.serial('a new owner takes over although reading the stored jobs takes longer than its lease', async t => {
 	const {violations, unfinished, logLines} = await runSimulation({
