Let a stopping dispatcher answer its calls before it ends

Cause: an instance that was stopped kept getting worker calls until its registration expired, and the starts that were outstanding when its process ended had an unknown outcome. The routes of all workers were computed anew every second.

Change: a stopping dispatcher says so in its lines; the owner sends it no further calls. Routes are computed anew only when the selection or a connection changes.

--- a/packages/jobs/job-service/src/dispatch-connection.ts
+++ b/packages/jobs/job-service/src/dispatch-connection.ts
@@ -45,14 +45,17 @@
 	readonly clock: Clock;
 	/** Called once the dispatcher has sent its first clock reading; calls can be sent from then on. */
 	readonly onReady: () => void;
+	/** Called once the dispatcher is stopping; it still answers outstanding calls. */
+	readonly onLeaving: () => void;
 	/** Called once, unless the connection was closed from this side. */
 	readonly onLost: (reason: string) => void;
 }) => {
-	const {address, epoch, openChannel, clock, onReady, onLost} = options;
+	const {address, epoch, openChannel, clock, onReady, onLeaving, onLost} = options;
 	const silence = createSilenceMonitor(clock.now());
 	const decoder = createReportDecoder();
 	const pending = new Map<number, PendingCall>();
 	let isOpen = true;
+	let isLeaving = false;
 	let nextId = 1;
 	let lastSentAt = clock.now();
 	/** The dispatcher's clock, received at the local time `at`. */
@@ -142,6 +145,11 @@
 			onReady();
 		}
 
+		if (line.isLeaving && !isLeaving) {
+			isLeaving = true;
+			onLeaving();
+		}
+
 		for (const result of line.results) {
 			if (!settle(result)) {
 				lose('a result of the dispatcher is not usable');
@@ -183,7 +191,7 @@
 
 	return {
 		address,
-		isReady: (): boolean => isOpen && reading !== undefined,
+		isReady: (): boolean => isOpen && !isLeaving && reading !== undefined,
 		/** Also true after the connection has ended. */
 		wasReady: (): boolean => reading !== undefined,
 		pendingCalls: (): number => pending.size,
--- a/packages/jobs/job-service/src/dispatch-protocol.ts
+++ b/packages/jobs/job-service/src/dispatch-protocol.ts
@@ -54,6 +54,8 @@
 	/** Monotonic clock of the dispatcher. */
 	readonly clock: number;
 	readonly results: readonly CallResult[];
+	/** The instance is stopping: outstanding calls are answered, but the owner should send no further ones. */
+	readonly isLeaving?: boolean;
 	/** Ids of workers whose last reports the dispatcher has deleted, so the next report of each is complete. */
 	readonly forgotten?: readonly string[];
 };
--- a/packages/jobs/job-service/src/dispatch-server.ts
+++ b/packages/jobs/job-service/src/dispatch-server.ts
@@ -82,6 +82,7 @@
 	const {workerClient, clock, onConnectionClosed} = options;
 	const sessions = new Set<ReturnType<typeof openSession>>();
 	let highestEpoch = 0;
+	let isLeaving = false;
 	let timer: NodeJS.Timeout | undefined;
 	let lastReading = {monotonic: clock.now(), wall: clock.wallNow()};
 	/** Starts are executed only on lines whose sender has received this clock reading or a later one. */
@@ -117,7 +118,9 @@
 		};
 
 		const send = (): void => {
-			const line: ResultLine = {clock: clock.now(), results: results.take(), ...(forgotten.length > 0 && {forgotten})};
+			const line: ResultLine = {
+				clock: clock.now(), results: results.take(), ...(isLeaving && {isLeaving}), ...(forgotten.length > 0 && {forgotten}),
+			};
 			forgotten = [];
 			channel.send(JSON.stringify(line));
 			lastSentAt = line.clock;
@@ -165,7 +168,7 @@
 		};
 
 		const session = {
-			epoch, end, receive,
+			epoch, end, receive, send,
 			check(now: number): void {
 				if (silence.check(now)) {
 					end('the owner is silent');
@@ -205,7 +208,7 @@
 
 	const accept: AcceptDispatchChannel = (epoch, channel) => {
 		// Also false for a malformed number.
-		if (!(epoch >= highestEpoch)) {
+		if (isLeaving || !(epoch >= highestEpoch)) {
 			return undefined;
 		}
 
@@ -220,6 +223,13 @@
 	return {
 		accept,
 		observeEpoch,
+		/** Asks the owner to send no further calls. Outstanding ones are answered. */
+		leave(): void {
+			isLeaving = true;
+			for (const session of sessions) {
+				session.send();
+			}
+		},
 		close(): void {
 			for (const session of sessions) {
 				session.end('the instance is stopping');
--- a/packages/jobs/job-service/src/dispatched-worker-client.ts
+++ b/packages/jobs/job-service/src/dispatched-worker-client.ts
@@ -145,9 +145,7 @@
 		disconnect(worker: WorkerTarget): void {
 			directUntil.delete(worker.id);
 			direct.disconnect(worker);
-			for (const connection of directory.connections()) {
-				connection.forget(worker);
-			}
+			directory.forget(worker);
 		},
 	};
 };
--- a/packages/jobs/job-service/src/dispatcher-directory.ts
+++ b/packages/jobs/job-service/src/dispatcher-directory.ts
@@ -4,7 +4,7 @@
 import {openDispatchConnection} from './dispatch-connection.js';
 import {chooseDispatcher, computeRequiredCores, selectDispatchers} from './dispatch-selection.js';
 import {createZoneLoad} from './dispatch-zone-load.js';
-import type {Clock} from './ports.js';
+import type {Clock, WorkerTarget} from './ports.js';
 
 /** An instance that has not registered for this time is not used. It registers every second. */
 export const registrationValidityMilliseconds = 3000;
@@ -79,6 +79,9 @@
 				routes.clear();
 				log.dispatcherGained(entry.registration.name);
 			},
+			onLeaving() {
+				routes.clear();
+			},
 			onLost(reason) {
 				if (entry.connection === connection) {
 					recordLoss(entry, reason);
@@ -112,13 +115,16 @@
 		}
 
 		for (const [name, entry] of entries) {
-			entry.isSelected = selected.has(name);
+			if (entry.isSelected !== selected.has(name)) {
+				entry.isSelected = selected.has(name);
+				routes.clear();
+			}
+
 			if (entry.isSelected && !entry.connection) {
 				open(entry);
 			}
 		}
 
-		routes.clear();
 		closeUnused(now);
 	};
 
@@ -166,7 +172,13 @@
 
 			return routes.get(worker);
 		},
-		connections: (): DispatchConnection[] => [...entries.values()].flatMap(({connection}) => connection ?? []),
+		/** Deletes what is kept about a worker that is not called any more. */
+		forget(worker: WorkerTarget): void {
+			routes.delete(worker.id);
+			for (const {connection} of entries.values()) {
+				connection?.forget(worker);
+			}
+		},
 		readyDispatchers: (): number => [...entries.values()].filter(({connection}) => connection?.isReady()).length,
 		/** Called every `checkIntervalMilliseconds`. */
 		check(): void {
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -255,6 +255,7 @@
 		handOver(): void {
 			isStopping = true;
 			clearTimeout(electionTimer);
+			dispatchServer.leave();
 			handOverOwnership?.('this instance is stopping');
 		},
 		close(): void {
--- a/packages/jobs/job-service/test/dispatched-worker-client.test.ts
+++ b/packages/jobs/job-service/test/dispatched-worker-client.test.ts
@@ -129,6 +129,20 @@
 	t.deepEqual([direct.calls.length, remote.calls.length], [1, 0]);
 });
 
+// Guards against starts with an unknown outcome each time an instance is stopped for an upgrade.
+test.serial('a dispatcher that is stopping gets no further calls', async t => {
+	const {connect, advance, owner, direct, remote, stopDispatcher, events} = createFakeDispatch();
+	await connect();
+	const started = owner.workerClient.start(startCall);
+	await advance(4);
+	stopDispatcher();
+	await advance(1);
+	t.true(await succeeds(owner.workerClient.start({...startCall, run: 2})));
+	await advance(10);
+	t.true(await succeeds(started));
+	t.deepEqual([remote.calls, direct.calls, events], [['start job.0.0.0#1'], ['start job.0.0.0#2'], ['gained d1']]);
+});
+
 // Guards against calls of an owner that has ended.
 test.serial('an ended owner makes no direct call for an outstanding heartbeat', async t => {
 	const {connect, advance, owner, direct} = createFakeDispatch({answersHeartbeats: false});
--- a/packages/jobs/job-service/test/support/fake-dispatch.ts
+++ b/packages/jobs/job-service/test/support/fake-dispatch.ts
@@ -173,6 +173,9 @@
 		observeEpoch(epoch: number): void {
 			server.observeEpoch(epoch);
 		},
+		stopDispatcher(): void {
+			server.leave();
+		},
 		sendToOwner(line: string): void {
 			sendToOwner(line);
 		},
