--- a/packages/jobs/job-service/src/index.ts
+++ b/packages/jobs/job-service/src/index.ts
@@ -6,12 +6,14 @@
 export type {
 	AcceptDispatchChannel, ChannelHandlers, DispatchChannel, OpenDispatchChannel,
 } from './dispatch-channel.js';
+export {createDispatchServer} from './dispatch-server.js';
 export type {CallRoute} from './dispatched-worker-client.js';
 export type {DispatcherRegistration} from './dispatcher-directory.js';
 export type {Refusal} from './admission.js';
 export {RefusalCause} from './admission.js';
 export {createFiguresCache} from './known-figures.js';
 export type {OwnerClient} from './owner-client.js';
+export {createOwnerDispatch} from './owner-dispatch.js';
 export type {OwnerLog} from './owner-log.js';
 export type {GetLocalOwner, PeerTransport} from './peer-transport.js';
 export {createHttpPeerTransport} from './peer-transport.js';
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -62,6 +62,8 @@
 	readonly evacuationMilliseconds: number | undefined;
 	/** How many times as long a task takes away from its preferred rack; 1 if unknown. */
 	readonly farFactor?: number;
+	/** Fleets of at most this many workers are called by the owner alone; 64 if omitted. */
+	readonly largestDirectFleet?: number;
 	readonly log: ServiceLog;
 }) => {
 	const {instance, zone, peers, recordCodec, workerClient, adviceClient, machineClient, clock, random, cores, workerLeaseMilliseconds, evacuationMilliseconds, farFactor, log} = options;
@@ -159,7 +161,7 @@
 
 		const created = await createOwner({
 			store, recordCodec, ownership, leaseRenewal, workerClient, openDispatchChannel: peers.openDispatchChannel, adviceClient, machineClient, instance, clock,
-			configuration: () => configuration.current() ?? current,
+			configuration: () => configuration.current() ?? current, ...(options.largestDirectFleet !== undefined && {largestDirectFleet: options.largestDirectFleet}),
 			workerLeaseMilliseconds, evacuationMilliseconds, farFactor, getReachedTime: revisionTimes.getReachedTime, onLost, log,
 		});
 		isAcquiring = false;
@@ -263,6 +265,7 @@
 		handOver(): void {
 			isStopping = true;
 			clearTimeout(electionTimer);
+			dispatchServer.leave();
 			handOverOwnership?.('this instance is stopping');
 		},
 		close(): void {
--- a/packages/tools/experiment/src/simulated-cluster.ts
+++ b/packages/tools/experiment/src/simulated-cluster.ts
@@ -46,6 +46,7 @@
 	readonly listingBytesPerSecond: number;
 	/** Undefined if no zone is evacuated; then all machines are in one zone. */
 	readonly evacuation: {readonly milliseconds: number; readonly check: EvacuationCheck} | undefined;
+	readonly largestDirectFleet: number;
 	readonly oracle: Oracle;
 	readonly createWork: (task: string, run: number) => TaskWork;
 	readonly createLog: (instance: string) => ServiceLog;
@@ -194,7 +195,7 @@
 					network, time, machines, oracle,
 				}),
 				clock: {now: time.now, wallNow: () => startWallMilliseconds + time.now() + process.wallClockOffsetMilliseconds},
-				random, cores: 1, workerLeaseMilliseconds: options.leaseMilliseconds, evacuationMilliseconds: options.evacuation?.milliseconds, log: options.createLog(name),
+				random, cores: 1, largestDirectFleet: options.largestDirectFleet, workerLeaseMilliseconds: options.leaseMilliseconds, evacuationMilliseconds: options.evacuation?.milliseconds, log: options.createLog(name),
 			});
 			instances.set(name, {process, service});
 		});
