Check speculative tasks each 100 ms, and coalesce ticks over 10 ms

A third of the quick jobs are speculative and were listed, sorted and searched on each tick while they ran; the need for a second run shows over seconds.

--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -30,7 +30,7 @@
 /** Longest time between two ticks. */
 const tickIntervalMilliseconds = 50;
 /** Responses that arrive within this time are handled in one tick. */
-const tickCoalescingMilliseconds = 4;
+const tickCoalescingMilliseconds = 10;
 /** The time between two ticks is at least this many times the duration of the latest tick, so that planning leaves processor time for the calls of the responses. */
 const tickRestFactor = 2;
 /** A longer time between two ticks is logged: meanwhile no task was started. */
--- a/packages/jobs/scheduler/src/placement.ts
+++ b/packages/jobs/scheduler/src/placement.ts
@@ -26,6 +26,8 @@
 const contactTimeoutMilliseconds = 2500;
 /** A run on a slow worker gets a speculative run after this many times its estimate. */
 const speculationFactor = 1.5;
+/** The need for a second run shows over seconds, so all running speculative tasks are not checked on each tick. */
+const speculationIntervalMilliseconds = 100;
 
 export type StartOrder = {readonly type: 'start'; readonly row: RunRow; readonly ticket: string | undefined};
 
@@ -49,6 +51,7 @@
 }) => {
 	const {workers, getPolicies, getFirstRunOfEpoch, crashedTasks, durations, farFactor, decidePlace, emit} = options;
 	const fullPools = createFullPoolMonitor(emit);
+	let speculatedAt = Number.NEGATIVE_INFINITY;
 	const separation = createSeparation({crashedTasks});
 	const choice = createWorkerChoice({separation, farFactor});
 	const placeWaits = createPlaceWaits({
@@ -257,7 +260,9 @@
 		place(jobs: Iterable<JobRow>, now: number): Array<StartOrder | AdviceOrder> {
 			separation.refresh();
 			const {queues, workspaces} = getPolicies();
-			const jobsByPool = groupReadyJobs(jobs, queues);
+			const includesSpeculative = now - speculatedAt >= speculationIntervalMilliseconds;
+			speculatedAt = includesSpeculative ? now : speculatedAt;
+			const jobsByPool = groupReadyJobs(jobs, queues, includesSpeculative);
 			const usableByPool = groupByPool(workers.workers.values(), worker => jobsByPool.has(worker.registration.pool) && isSchedulable(worker, now));
 			const orders = [...jobsByPool].filter(([pool]) => usableByPool.has(pool)).flatMap(([pool, entries]) => placePool({
 				pool, workers: usableByPool.get(pool)!, usage: workers.poolUsage, totalUsage: workers.workspaceUsage, workspaces, crashedTasks, durations, now,
--- a/packages/jobs/scheduler/src/ready-work.ts
+++ b/packages/jobs/scheduler/src/ready-work.ts
@@ -19,12 +19,12 @@
 export const getTaskRequirement = (step: StepRow): Resources => getReservedResources(step.tasks[0]!);
 
 /** Undefined if nothing of the job could start. */
-const measureReadyJob = (job: JobRow, queue: QueuePolicy): ReadyJob | undefined => {
+const measureReadyJob = (job: JobRow, queue: QueuePolicy, includesSpeculative: boolean): ReadyJob | undefined => {
 	let steps: StepRow[] | undefined;
 	let isSpeculative = false;
 	for (const occurrence of job.occurrences.values()) {
 		for (const step of occurrence) {
-			isSpeculative ||= step.declaration.speculative && step.remaining > 0 && !queue.advice;
+			isSpeculative ||= includesSpeculative && step.declaration.speculative && step.remaining > 0 && !queue.advice;
 			if (step.waiting > 0 && isStepReady(step)) {
 				steps ??= [];
 				steps.push(step);
@@ -65,12 +65,12 @@
 	return {cpuMillis, memoryMegabytes, accelerators};
 };
 
-/** Jobs with tasks that could start, by pool. */
-export const groupReadyJobs = (jobs: Iterable<JobRow>, queues: ReadonlyMap<string, QueuePolicy>): Map<string, ReadyJob[]> => {
+/** Jobs with tasks that could start, by pool; with `includesSpeculative` also those with tasks that may get a second run. */
+export const groupReadyJobs = (jobs: Iterable<JobRow>, queues: ReadonlyMap<string, QueuePolicy>, includesSpeculative: boolean): Map<string, ReadyJob[]> => {
 	const byPool = new Map<string, ReadyJob[]>();
 	for (const job of jobs) {
 		const queue = queues.get(job.declaration.queue);
-		const entry = queue && isActive(job) ? measureReadyJob(job, queue) : undefined;
+		const entry = queue && isActive(job) ? measureReadyJob(job, queue, includesSpeculative) : undefined;
 		if (entry) {
 			const list = byPool.get(entry.queue.pool);
 			if (list) {
