--- a/packages/jobs/job-service/src/machine-management.ts
+++ b/packages/jobs/job-service/src/machine-management.ts
@@ -48,5 +48,7 @@
 			});
 	};
 
-	return {orderGuard: shared.orderGuard, maintenance, poolMoves, getMovableCapacity};
+	return {
+		orderGuard: shared.orderGuard, maintenance, poolMoves, getMovableCapacity,
+	};
 };
