Keep the dispatchers of a large fleet while its machines are in standby

Dispatchers were used only while more than 64 workers were registered. The size of the fleet is now the largest number of workers or machines that the owner has seen.

--- a/packages/jobs/job-service/src/machine-management.ts
+++ b/packages/jobs/job-service/src/machine-management.ts
@@ -50,5 +50,6 @@
 
 	return {
 		orderGuard: shared.orderGuard, maintenance, poolMoves, getMovableCapacity,
+		countMachines: (): number => machineList.records().length,
 	};
 };
--- a/packages/jobs/job-service/src/owner-dispatch.ts
+++ b/packages/jobs/job-service/src/owner-dispatch.ts
@@ -27,14 +27,23 @@
 	/** Fleets of at most this many workers are called directly. */
 	readonly largestDirectFleet?: number;
 	readonly workers: ReadonlyMap<string, {readonly registration: {readonly zone: string}}>;
+	/** Machines of all pools, including those in standby, which run no worker. */
+	readonly getMachineCount?: () => number;
 	readonly log: DispatchLog;
 }) => {
-	const {epoch, instance, workerClient: direct, openDispatchChannel: openChannel, clock, workers, log, largestDirectFleet = defaultLargestDirectFleet} = options;
+	const {epoch, instance, workerClient: direct, openDispatchChannel: openChannel, clock, workers, getMachineCount = () => 0, log, largestDirectFleet = defaultLargestDirectFleet} = options;
 	let isEnded = false;
+	/** The most workers or machines so far: machines leave for standby between bursts, and the connections have to be open when a burst brings them back. */
+	let fleetSize = 0;
+	const isLargeFleet = (): boolean => {
+		fleetSize = Math.max(fleetSize, workers.size, getMachineCount());
+		return fleetSize > largestDirectFleet;
+	};
+
 	let reportedAt = clock.now();
 	const counts = new Map<string, {readonly route: CallRoute; readonly outcome: string; calls: number}>();
 	const directory = createDispatcherDirectory({
-		epoch, instance, openChannel, clock, log, isEnabled: () => workers.size > largestDirectFleet,
+		epoch, instance, openChannel, clock, log, isEnabled: isLargeFleet,
 	});
 
 	const report = (): void => {
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -78,7 +78,9 @@
 			log.schedulerEvent(event);
 		},
 	});
-	const {workerClient, ...dispatch} = createOwnerDispatch({...options, epoch: ownership.epoch, workers: scheduler.workers});
+	const {workerClient, ...dispatch} = createOwnerDispatch({
+		...options, epoch: ownership.epoch, workers: scheduler.workers, getMachineCount: () => countMachines(),
+	});
 	const fencingTokens = createFencingTokens({epoch: ownership.epoch, scheduler});
 	const loseOwnership = (reason: string): void => {
 		if (!isEnded) {
@@ -144,7 +146,7 @@
 		onStartAttempted: log.startAttempted,
 	});
 
-	const {orderGuard, maintenance, poolMoves, getMovableCapacity = () => 0} = machineClient
+	const {orderGuard, maintenance, poolMoves, getMovableCapacity = () => 0, countMachines = () => 0} = machineClient
 		? createMachineManagement({
 			scheduler, machineClient, recordCodec, clock, holder: instance, epoch: ownership.epoch, tookOverAt, getReachedTime, mayOrder: mayStart, mayMove: mayStartTasks,
 			commit: commitQueue.commit, retire: workers.retire, log,
--- a/packages/jobs/job-service/test/dispatched-worker-client.test.ts
+++ b/packages/jobs/job-service/test/dispatched-worker-client.test.ts
@@ -31,6 +31,25 @@
 	t.deepEqual([direct.calls, events], [[], ['gained d1']]);
 });
 
+// Guards against an owner that calls all workers itself in the first seconds of a burst, because the idle machines of a large fleet were in standby.
+test.serial('the dispatchers of a large fleet stay connected while most of its machines are in standby', async t => {
+	const {connect, advance, register, owner, direct, remote, workerTable, events} = createFakeDispatch();
+	await connect();
+	for (const name of [...workerTable.keys()].slice(2)) {
+		workerTable.delete(name);
+	}
+
+	for (let second = 0; second < 4; second += 1) {
+		register();
+		await advance(1000); // eslint-disable-line no-await-in-loop -- The registrations follow each other.
+	}
+
+	const started = owner.workerClient.start(startCall);
+	await advance(10);
+	t.true(await succeeds(started));
+	t.deepEqual([direct.calls, remote.calls, events], [[], ['start job.0.0.0#1'], ['gained d1']]);
+});
+
 for (const direction of ['toDispatcher', 'toOwner'] as const) {
 	// Guards against runs that are lost or started twice, and leases that expire, because a dispatcher hangs or its link is cut in one direction.
 	test.serial(`a connection that is cut ${direction} is given up, and its workers are called directly`, async t => {
--- a/packages/jobs/job-service/test/support/fake-dispatch.ts
+++ b/packages/jobs/job-service/test/support/fake-dispatch.ts
@@ -143,9 +143,10 @@
 		};
 	};
 
+	const workerTable = new Map(Array.from({length: workers}, (_, index) => [`w${index + 1}`, {registration: {zone: 'north'}}]));
 	const createOwner = (epoch: number) => createOwnerDispatch({
 		epoch, instance: 'owner', workerClient: direct.client, openDispatchChannel: openChannel, clock,
-		workers: new Map(Array.from({length: workers}, (_, index) => [`w${index + 1}`, {registration: {zone: 'north'}}])),
+		workers: workerTable,
 		log: {
 			dispatcherGained(name) {
 				events.push(`gained ${name}`);
@@ -164,7 +165,7 @@
 	};
 
 	return {
-		advance, direct, remote, cut, events, owner, createOwner, register,
+		advance, direct, remote, cut, events, owner, createOwner, register, workerTable,
 		/** Registers the dispatcher and waits for the connection. */
 		async connect(): Promise<void> {
 			register();
