Log which runs are stopped, why, and by which count of unavailable tasks

Event 8514 (RunStop) has one line for each planned stop, with its cause, and one for the end of the call, with the time since the plan; event 8515 (RunsDisrupted) comes before an order for maintenance, a move of a machine with runs, or an evacuation, and names the unavailable tasks of each step with a limit, with the cause, worker, percent and age of the report of each. The predicate for recent reports moves to availability.ts unchanged; no decision changes.

--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -55,6 +55,8 @@
 	RunStarted = 8511,
 	RunChanged = 8512,
 	StepWaiting = 8513,
+	RunStop = 8514,
+	RunsDisrupted = 8515,
 	WorkerUnreachable = 8521,
 	WorkerReachable = 8522,
 	WorkerCrashed = 8523,
@@ -306,6 +308,16 @@
 		message: 'A run ended, was adopted or was abandoned, or a job was given up',
 		action: none,
 	},
+	[LogEvent.RunStop]: {
+		level: LogLevel.Information,
+		message: 'A run is being stopped, or the call that stops it has ended',
+		action: none,
+	},
+	[LogEvent.RunsDisrupted]: {
+		level: LogLevel.Information,
+		message: 'An order for maintenance, a move or an evacuation is about to end runs; the fields tell which tasks of their steps count as unavailable',
+		action: 'If a service had more tasks unavailable than it allows, compare this with what events 8511, 8512 and 8514 say of its tasks.',
+	},
 	[LogEvent.StepWaiting]: {
 		level: LogLevel.Warning,
 		message: 'A step could run, but none of its tasks has been started for some seconds',
--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -2,7 +2,7 @@
 import type {
 	Scheduler, WaveMachine, WaveRow, WorkerRow,
 } from '@turmericbay/scheduler';
-import {isDisruptionAllowed, planWave} from '@turmericbay/scheduler';
+import {DisruptionCause, isDisruptionAllowed, planWave} from '@turmericbay/scheduler';
 import type {StoredEntry, StoreOperation} from '@turmericbay/types';
 import type {MachineList} from './machine-list.js';
 import type {MachineOrderGuard} from './machine-order-guard.js';
@@ -98,6 +98,10 @@
 			return;
 		}
 
+		if (worker) {
+			scheduler.reportDisruption({cause: DisruptionCause.Maintenance, worker, now: clock.now()});
+		}
+
 		machineList.markOrdered(machine);
 		const outcome = await machineClient.startMaintenance({
 			machine, wave: wave.wave, holder, fencingToken: epoch,
@@ -172,6 +176,12 @@
 		const plan = planWave({
 			wave, machines: usable, workers: scheduler.workers.values(), backlogged, now,
 		});
+		for (const row of plan.evacuated) {
+			scheduler.reportDisruption({
+				cause: DisruptionCause.Wave, worker: row.worker, row, now,
+			});
+		}
+
 		for (const machine of plan.readyForMaintenance) {
 			void orderMaintenance(wave, machine);
 		}
--- a/packages/jobs/job-service/src/order-executor.ts
+++ b/packages/jobs/job-service/src/order-executor.ts
@@ -5,8 +5,11 @@
 import {
 	formatRunKey, isActive, isEarlierIncarnation, isWithinCapacity, RunPhase,
 } from '@turmericbay/scheduler';
+import type {Result} from 'neverthrow';
 import type {FencingTokens} from './fencing-tokens.js';
-import type {AdviceClient, Clock, WorkerClient} from './ports.js';
+import type {
+	AdviceClient, Clock, WorkerCallError, WorkerClient, WorkerResponse,
+} from './ports.js';
 import {WorkerCallErrorKind} from './ports.js';
 import type {WorkerSession} from './worker-session.js';
 
@@ -20,6 +23,15 @@
 		&& !scheduler.isEvacuated(worker.registration.zone);
 };
 
+/** Undefined if the current process of the worker acknowledged the stop. One that has ended since cannot reject a delayed start for the current one. */
+const describeStopFailure = (stopped: Result<WorkerResponse, WorkerCallError>, worker: WorkerRow): string | undefined => {
+	if (stopped.isErr()) {
+		return stopped.error.kind;
+	}
+
+	return isEarlierIncarnation(stopped.value.incarnation, worker) ? 'earlier-incarnation' : undefined;
+};
+
 export const createOrderExecutor = (options: {
 	readonly scheduler: Scheduler;
 	readonly workerClient: WorkerClient;
@@ -34,8 +46,10 @@
 	readonly onFenced: () => void;
 	readonly onChange: () => void;
 	readonly onStartAttempted: (order: StartOrder, outcome: string) => void;
+	/** `milliseconds` is the time from the plan to the end of the call. */
+	readonly onStopAttempted: (order: StopOrder, outcome: string, milliseconds: number) => void;
 }) => {
-	const {scheduler, workerClient, adviceClient, clock, fencingTokens, getSession, recordRun, mayStart, onFenced, onChange, onStartAttempted} = options;
+	const {scheduler, workerClient, adviceClient, clock, fencingTokens, getSession, recordRun, mayStart, onFenced, onChange, onStartAttempted, onStopAttempted} = options;
 	const toTarget = (worker: WorkerRow) => ({id: worker.registration.id, address: worker.registration.address});
 
 	const handleFenced = (worker: WorkerRow, fencingToken: number): void => {
@@ -124,11 +138,12 @@
 		const stopped = await workerClient.stop({
 			worker: toTarget(worker), task: order.task, run: order.run, fencingToken,
 		});
+		const failure = describeStopFailure(stopped, worker);
+		const now = clock.now();
+		onStopAttempted(order, failure ?? 'acknowledged', now - order.plannedAt);
 		if (order.row) {
-			// A process that has ended since cannot reject a delayed start for the current one.
-			const isAnswered = stopped.isOk() && !isEarlierIncarnation(stopped.value.incarnation, worker);
-			scheduler.recordStopOutcome(order.row, isAnswered, clock.now());
-			if (isAnswered && order.row.phase === RunPhase.Unconfirmed) {
+			scheduler.recordStopOutcome(order.row, failure === undefined, now);
+			if (failure === undefined && order.row.phase === RunPhase.Unconfirmed) {
 				getSession(worker)?.wake();
 			}
 		}
--- a/packages/jobs/job-service/src/owner-log.ts
+++ b/packages/jobs/job-service/src/owner-log.ts
@@ -1,6 +1,6 @@
 /** Events that the owner reports to logs and metrics. */
 import type {
-	JobRow, SchedulerEvent, StartOrder, WorkerRow, ZoneEvacuationStatus,
+	JobRow, SchedulerEvent, StartOrder, StopOrder, WorkerRow, ZoneEvacuationStatus,
 } from '@turmericbay/scheduler';
 import type {DispatchLog} from './owner-dispatch.js';
 import type {MaintenanceLog} from './maintenance.js';
@@ -9,6 +9,8 @@
 export type OwnerLog = MaintenanceLog & PoolMoveLog & DispatchLog & {
 	schedulerEvent(event: SchedulerEvent): void;
 	startAttempted(order: StartOrder, outcome: string): void;
+	/** `milliseconds` is the time from the plan to the end of the call. */
+	stopAttempted(order: StopOrder, outcome: string, milliseconds: number): void;
 	workerCallFailed(worker: WorkerRow, message: string): void;
 	workerRecovered(worker: WorkerRow): void;
 	jobFinished(job: JobRow): void;
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -144,6 +144,7 @@
 		recordRun: runRecords.record,
 		onChange: requestTick,
 		onStartAttempted: log.startAttempted,
+		onStopAttempted: log.stopAttempted,
 	});
 
 	const {orderGuard, maintenance, poolMoves, getMovableCapacity = () => 0, countMachines = () => 0} = machineClient
--- a/packages/jobs/job-service/src/pool-moves.ts
+++ b/packages/jobs/job-service/src/pool-moves.ts
@@ -2,7 +2,7 @@
 import type {
 	PoolMachine, PoolMove, Scheduler, WorkerRow,
 } from '@turmericbay/scheduler';
-import {createPoolPlanner} from '@turmericbay/scheduler';
+import {createPoolPlanner, DisruptionCause} from '@turmericbay/scheduler';
 import type {MachineList} from './machine-list.js';
 import {createMachineZones} from './machine-zones.js';
 import type {MachineOrderGuard} from './machine-order-guard.js';
@@ -75,6 +75,10 @@
 			return;
 		}
 
+		if (worker && worker.runs.size > 0) {
+			scheduler.reportDisruption({cause: DisruptionCause.MachineMove, worker, now: clock.now()});
+		}
+
 		machineList.markOrdered(machine);
 		const outcome = await machineClient.move({
 			machine, pool: to, holder, fencingToken: epoch,
--- a/packages/jobs/job-service/test/order-executor.test.ts
+++ b/packages/jobs/job-service/test/order-executor.test.ts
@@ -28,7 +28,7 @@
 				pendingRecords.push({row, stored: resolve});
 			});
 		},
-		onFenced: () => undefined, onChange: () => undefined, onStartAttempted: () => undefined,
+		onFenced: () => undefined, onChange: () => undefined, onStartAttempted: () => undefined, onStopAttempted: () => undefined,
 	});
 	const order = scheduler.plan({now: 1, wallNow: 1, mayStart: true}).find((candidate): candidate is StartOrder => candidate.type === 'start');
 	orderExecutor.execute(order!);
--- a/packages/jobs/scheduler/src/evacuation-moves.ts
+++ b/packages/jobs/scheduler/src/evacuation-moves.ts
@@ -2,6 +2,7 @@
  * Decides which runs leave an evacuated zone now: long-running tasks within the number that may be away,
  * and checkpointing tasks that still take long. Nothing leaves unless it fits on a worker elsewhere.
  */
+import {hasRecentReport} from './availability.js';
 import type {DurationEstimator} from './durations.js';
 import {isActive} from './jobs.js';
 import type {
@@ -9,7 +10,6 @@
 } from './model.js';
 import {RunPhase} from './model.js';
 import {isSeparated} from './separation.js';
-import {hasRecentReport} from './waves.js';
 import {getReservedResources, hasCapacityFor} from './workers.js';
 
 /** A checkpointing task that ends sooner stays: a stop and a start elsewhere repeat the work since its checkpoint. */
--- a/packages/jobs/scheduler/src/events.ts
+++ b/packages/jobs/scheduler/src/events.ts
@@ -12,6 +12,42 @@
 	Crashes = 'crashes',
 }
 
+/** Why a run is stopped. */
+export enum StopCause {
+	JobEnded = 'job-ended',
+	TaskDone = 'task-done',
+	/** To be started on another worker. */
+	Evacuating = 'evacuating',
+	/** The worker does not report it, but its start may still arrive. */
+	Unconfirmed = 'unconfirmed',
+	/** Another run of its task is known. */
+	Unwanted = 'unwanted',
+	/** An earlier stop was not answered. */
+	Repeated = 'repeated',
+}
+
+/** Why an order ends runs that are at work. */
+export enum DisruptionCause {
+	Maintenance = 'maintenance',
+	/** A run leaves a worker whose machine is due for maintenance. */
+	Wave = 'wave',
+	MachineMove = 'machine-move',
+	ZoneEvacuation = 'zone-evacuation',
+}
+
+/** An order is about to end runs; `steps` is what its count of unavailable tasks was made from. */
+export type DisruptionEvent = {
+	readonly type: 'disruption';
+	readonly cause: DisruptionCause;
+	readonly worker: string;
+	/** The run that is stopped; undefined if all runs on the worker end. */
+	readonly task: string | undefined;
+	readonly run: number | undefined;
+	/** Runs on the worker. */
+	readonly runs: number;
+	readonly steps: readonly string[];
+};
+
 /** `milliseconds` is the time since the evacuation was read, `runs` the number of runs left on workers of the zone. */
 export type ZoneEvacuationEvent = {
 	readonly type: 'zone-evacuation-begun' | 'zone-evacuation-cancelled' | 'zone-emptied';
@@ -25,6 +61,8 @@
 		| ZoneEvacuationEvent
 		| PlaceWaitEvent
 		| FullPoolEvent
+		| DisruptionEvent
+		| {readonly type: 'stop-planned'; readonly task: string; readonly run: number; readonly worker: string; readonly cause: StopCause}
 		| {readonly type: 'run-ended'; readonly task: string; readonly run: number; readonly worker: string; readonly reason: EndReason | 'lost' | 'not-run'}
 		| {readonly type: 'run-adopted'; readonly task: string; readonly run: number; readonly worker: string}
 		| {readonly type: 'run-unwanted'; readonly task: string; readonly run: number; readonly worker: string}
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -5,9 +5,11 @@
  * responses and carries out the returned orders.
  */
 import {createCrashTracker} from './crashes.js';
+import {describeDisruption} from './availability.js';
 import {createDemandEstimator} from './demand.js';
 import {createDurationEstimator} from './durations.js';
 import type {SchedulerEvent} from './events.js';
+import {DisruptionCause} from './events.js';
 import {createFailJob} from './job-failures.js';
 import {createJobTable, isActive} from './jobs.js';
 import type {GetMovableCapacity} from './load-figures.js';
@@ -80,7 +82,7 @@
 	const placement = createPlacement({
 		workers, getPolicies: () => policies, getFirstRunOfEpoch: () => firstRunOfEpoch, crashedTasks: crashes.crashedTasks, durations, farFactor, decidePlace, emit,
 	});
-	const stopPlanner = createStopPlanner({reconciler, workers});
+	const stopPlanner = createStopPlanner({reconciler, workers, emit});
 	const startOutcomes = createStartOutcomeHandler({jobs, reconciler});
 	const throttling = createThrottling();
 	const waitingStepMonitor = createWaitingStepMonitor({workers, getPolicies: () => policies, emit});
@@ -118,6 +120,11 @@
 		countsHalvedAt = isHalving ? now : countsHalvedAt;
 	};
 
+	/** Logs an order that ends runs, before it changes the tables. */
+	const reportDisruption = (disruption: Parameters<typeof describeDisruption>[0]): void => {
+		emit(describeDisruption(disruption));
+	};
+
 	/** Moves runs out of evacuated zones, with the capacity that the placement of this tick has left. */
 	const planEvacuation = (now: number): Order[] => {
 		const plan = zoneEvacuation.plan({
@@ -127,6 +134,12 @@
 			mayShare: (task, worker) => placement.mayShare(task, worker, now),
 			mayRestart: task => task.notBefore <= now && task.crashDelayUntil <= now && placement.isWithinWorkspaceLimit(task, 0),
 		});
+		for (const row of plan.moved) {
+			reportDisruption({
+				cause: DisruptionCause.ZoneEvacuation, worker: row.worker, row, now,
+			});
+		}
+
 		zoneEvacuation.apply(plan);
 		const adviceOrders = [...plan.unadvised].flatMap(([step, usable]) => createAdviceOrders(step, usable, now));
 		// Stopped in this tick, so that the count of tasks that are away is still true when the orders are sent.
@@ -257,6 +270,7 @@
 			change.worker.unansweredCalls = 0;
 		},
 		recordStartOutcome: startOutcomes.record,
+		reportDisruption,
 		recordStopOutcome(row: RunRow, isAnswered: boolean, now: number): void {
 			row.stopInFlight = false;
 			if (isAnswered) {
--- a/packages/jobs/scheduler/src/stops.ts
+++ b/packages/jobs/scheduler/src/stops.ts
@@ -1,4 +1,6 @@
 /** Decides which runs to stop. */
+import type {SchedulerEvent} from './events.js';
+import {StopCause} from './events.js';
 import {isActive} from './jobs.js';
 import type {RunRow, WorkerRow} from './model.js';
 import {RunPhase} from './model.js';
@@ -8,7 +10,30 @@
 /** An unanswered stop request is sent again after this time. */
 const stopRetryMilliseconds = 500;
 
-export type StopOrder = {readonly type: 'stop'; readonly worker: WorkerRow; readonly task: string; readonly run: number; readonly row: RunRow | undefined};
+export type StopOrder = {
+	readonly type: 'stop';
+	readonly worker: WorkerRow;
+	readonly task: string;
+	readonly run: number;
+	readonly row: RunRow | undefined;
+	readonly plannedAt: number;
+};
+
+const findCause = ({phase, task, isEvacuating}: RunRow): StopCause => {
+	if (phase === RunPhase.Stopping) {
+		return StopCause.Repeated;
+	}
+
+	if (!isActive(task.step.job)) {
+		return StopCause.JobEnded;
+	}
+
+	if (task.done) {
+		return StopCause.TaskDone;
+	}
+
+	return isEvacuating ? StopCause.Evacuating : StopCause.Unconfirmed;
+};
 
 const needsStop = (row: RunRow, now: number): boolean => {
 	if (row.stopInFlight || row.phase === RunPhase.Starting) {
@@ -36,25 +61,38 @@
 	}
 };
 
-export const createStopPlanner = (options: {readonly reconciler: Reconciler; readonly workers: WorkerTable}) => {
-	const {reconciler, workers} = options;
+export const createStopPlanner = (options: {readonly reconciler: Reconciler; readonly workers: WorkerTable; readonly emit: (event: SchedulerEvent) => void}) => {
+	const {reconciler, workers, emit} = options;
+	const logStop = ({worker, task, run}: StopOrder, cause: StopCause): void => {
+		emit({
+			type: 'stop-planned', task, run, worker: worker.registration.id, cause,
+		});
+	};
+
 	return {
 		plan(now: number): StopOrder[] {
 			const orders: StopOrder[] = reconciler.unwantedRuns.splice(0).map(({worker, task, run}) => ({
-				type: 'stop', worker, task, run, row: undefined,
+				type: 'stop', worker, task, run, row: undefined, plannedAt: now,
 			}));
+			for (const order of orders) {
+				logStop(order, StopCause.Unwanted);
+			}
+
 			for (const worker of workers.workers.values()) {
 				for (const row of worker.runs.values()) {
 					if (needsStop(row, now)) {
+						const cause = findCause(row);
 						row.stopInFlight = true;
 						row.stopSentAt = now;
 						if (row.phase === RunPhase.Running) {
 							row.phase = RunPhase.Stopping;
 						}
 
-						orders.push({
-							type: 'stop', worker, task: row.task.name, run: row.run, row,
-						});
+						const order: StopOrder = {
+							type: 'stop', worker, task: row.task.name, run: row.run, row, plannedAt: now,
+						};
+						logStop(order, cause);
+						orders.push(order);
 					}
 				}
 			}
--- a/packages/jobs/scheduler/src/waves.ts
+++ b/packages/jobs/scheduler/src/waves.ts
@@ -4,6 +4,7 @@
  * The least loaded machines go first while there is time, and no long-running
  * step has more tasks unavailable at once than it allows.
  */
+import {hasRecentReport} from './availability.js';
 import type {RunRow, StepRow, WorkerRow} from './model.js';
 import {RunPhase} from './model.js';
 
@@ -17,8 +18,6 @@
 const busyLoadThreshold = 0.6;
 /** Maximum share of a pool that a wave takes out of service at once while there is time. */
 const maximumPoolShare = 0.34;
-/** A task counts as available by a report that was requested at most this long ago; busy workers are asked about every 0.9 s and may wait as long with the response. */
-const maximumReportAgeMilliseconds = 2500;
 
 export type WaveMachine = {
 	readonly machine: string;
@@ -44,9 +43,6 @@
 	readonly down: Set<string>;
 };
 
-export const hasRecentReport = (worker: WorkerRow, now: number): boolean =>
-	worker.unansweredCalls === 0 && worker.lastContactAt >= now - maximumReportAgeMilliseconds;
-
 /**
  * Counts the tasks of a step on the worker, and the unavailable ones elsewhere. A run on the worker counts
  * even if the latest report does not show it as ready: it may be ready when the maintenance order arrives. A run
--- a/packages/tools/experiment/src/simulation-log.ts
+++ b/packages/tools/experiment/src/simulation-log.ts
@@ -21,6 +21,11 @@
 				task: order.row.task.name, run: order.row.run, worker: order.row.worker.registration.id, outcome,
 			});
 		},
+		stopAttempted({task, run, worker}, outcome, milliseconds) {
+			write('stop', {
+				task, run, worker: worker.registration.id, outcome, milliseconds: Math.round(milliseconds),
+			});
+		},
 		workerCallFailed(worker, message) {
 			write('worker-lost', `${worker.registration.id} ${message}`);
 		},
