--- a/packages/jobs/scheduler/test/waves.test.ts
+++ b/packages/jobs/scheduler/test/waves.test.ts
@@ -49,6 +49,30 @@
 	t.is(plan.evacuated[0]!.worker, worker);
 });
 
+// Guards against a service with more tasks away than it allows: a task on the same machine that is still starting counted as available.
+test.failing('no task at work is moved off a machine while another task of its step there is not ready', t => {
+	const scheduler = createTestScheduler();
+	const worker = addWorker(scheduler, createRegistration('w1'));
+	addWorker(scheduler, createRegistration('w2'));
+	scheduler.addJob(createJob('service', [createStep({taskCount: 2, longRunning: true, maximumAway: 1})]), {isRestored: false, now: 0, wallNow: 0});
+	startAll(scheduler, 1);
+	const [first, second] = [...worker.runs.values()];
+	scheduler.applyRunReport({
+		worker, sentAt: 2, now: 2, report: {
+			incarnation: undefined, ended: [], hasMoreEnded: false, running: [first!, second!].map((row, index) => ({
+				task: row.task.name, run: row.run, checkpoint: '', percent: index === 0 ? 100 : 0, latencyOrCpuUsage: 0,
+			})),
+		},
+	});
+	const machines = new Map<string, WaveMachine>([['m1', {
+		machine: 'm1', pool: worker.registration.pool, isUp: true, worker,
+	}]]);
+	const plan = planWave({
+		wave: createWave(['m1']), machines, workers: scheduler.workers.values(), backlogged: new Set(), now: 10,
+	});
+	t.false(plan.evacuated.includes(first!));
+});
+
 // Guards against an overdue wave that exceeds its limit.
 test('no more machines are cordoned at once than the wave allows', t => {
 	const {scheduler, workers} = createService(0, 1, 1);
--- a/packages/jobs/worker-model/src/machines.ts
+++ b/packages/jobs/worker-model/src/machines.ts
@@ -29,8 +29,8 @@
 export const createMachineModel = (options: {
 	readonly moveMilliseconds: number;
 	readonly maintenanceMilliseconds: number;
-	/** Ends the worker on the machine and all its runs. */
-	readonly endWorker: (machine: MachineRow, now: number) => void;
+	/** Ends the worker on the machine and all its runs. `isDelayed`: the order arrived long after it was sent. */
+	readonly endWorker: (machine: MachineRow, isDelayed: boolean, now: number) => void;
 	/** Starts a new worker in the machine's pool and returns its name. */
 	readonly startWorker: (machine: MachineRow, now: number) => string;
 }) => {
@@ -39,8 +39,9 @@
 	/** Machines by wave. */
 	const waves = new Map<number, ReadonlySet<string>>();
 
-	const takeDown = (row: MachineRow, state: ModelMachineState, durationMilliseconds: number, now: number): void => {
-		endWorker(row, now);
+	const takeDown = (row: MachineRow, options: {readonly state: ModelMachineState; readonly durationMilliseconds: number; readonly isDelayed: boolean}, now: number): void => {
+		const {state, durationMilliseconds, isDelayed} = options;
+		endWorker(row, isDelayed, now);
 		row.worker = undefined;
 		row.state = state;
 		row.availableAt = now + durationMilliseconds;
@@ -57,7 +58,7 @@
 			machine.worker = startWorker(machine, now);
 			return machine;
 		},
-		move(call: {readonly machine: string; readonly pool: string}, now: number): MachineResponse {
+		move(call: {readonly machine: string; readonly pool: string; readonly isDelayed?: boolean}, now: number): MachineResponse {
 			const row = machines.get(call.machine);
 			if (!row) {
 				return 'invalid';
@@ -72,10 +73,10 @@
 			}
 
 			row.pool = call.pool;
-			takeDown(row, ModelMachineState.Moving, moveMilliseconds, now);
+			takeDown(row, {state: ModelMachineState.Moving, durationMilliseconds: moveMilliseconds, isDelayed: call.isDelayed ?? false}, now);
 			return 'accepted';
 		},
-		maintain(call: {readonly machine: string; readonly wave: number}, now: number): MachineResponse {
+		maintain(call: {readonly machine: string; readonly wave: number; readonly isDelayed?: boolean}, now: number): MachineResponse {
 			const row = machines.get(call.machine);
 			if (!row) {
 				return 'invalid';
@@ -95,7 +96,7 @@
 
 			row.maintainedWaves.add(call.wave);
 			row.maintenanceWave = call.wave;
-			takeDown(row, ModelMachineState.Maintenance, maintenanceMilliseconds, now);
+			takeDown(row, {state: ModelMachineState.Maintenance, durationMilliseconds: maintenanceMilliseconds, isDelayed: call.isDelayed ?? false}, now);
 			return 'accepted';
 		},
 		/** Brings machines back up whose move or maintenance is over. */
--- a/packages/jobs/worker-model/src/oracle.ts
+++ b/packages/jobs/worker-model/src/oracle.ts
@@ -1,6 +1,7 @@
 /** Checks the guarantees of the job service from outside: it observes workers, the machine service and the job states that callers are shown. */
 import type {JobDeclaration, StepDeclaration} from '@turmericbay/scheduler';
 import {EndReason, JobState} from '@turmericbay/scheduler';
+import {createAvailabilityCheck} from './availability-check.js';
 import type {WorkerEvent} from './worker-types.js';
 
 /** Minimum time between orders of different holders for the same machine (`leaseTtlMs` of the platform). */
@@ -20,7 +21,8 @@
  * The rules: UNASKED, work that was not requested or is cancelled; TWICE, a task that runs twice; ORDER, a step that
  * starts before its dependencies are done; BUDGET, a start after the last allowed attempt,
  * or repeated starts of a task that has crashed several workers; QUOTA, a workspace above its maximum; MIXED, a completed job with unfinished tasks; LIMIT, too many machines in maintenance; ONE, orders of two holders
- * for the same machine with the same fencing token or in too short a time, or an order with a lower token than the one before.
+ * for the same machine with the same fencing token or in too short a time, or an order with a lower token than the one before;
+ * AVAIL, an order that ends a task of a service while too many others are away.
  */
 export type Violation = {readonly rule: string; readonly at: number; readonly what: string};
 
@@ -83,6 +85,14 @@
 		return jobs.get(id)?.steps[step];
 	};
 
+	const availabilityCheck = createAvailabilityCheck({
+		getStep,
+		isCancelled: task => cancelledAt.has(parseTaskName(task).id),
+		report(at, what) {
+			report('AVAIL', at, what);
+		},
+	});
+
 	const adjustRunningCpu = (task: string, sign: 1 | -1): void => {
 		const workspace = jobs.get(parseTaskName(task).id)?.workspace;
 		if (workspace !== undefined) {
@@ -187,6 +197,7 @@
 			}
 		},
 		recordWorkerEvent(event: WorkerEvent, {worker, now}: {readonly worker: string; readonly pool: string; readonly now: number}): void {
+			availabilityCheck.recordWorkerEvent(event, now);
 			if (event.type === 'lease-expired') {
 				// An end that was not acknowledged before the lease expired no longer counts: the task may run again.
 				for (const history of tasks.values()) {
@@ -207,6 +218,11 @@
 					break;
 				}
 
+				case 'ready':
+				case 'displaced': {
+					break;
+				}
+
 				case 'crashed': {
 					history.crashes += 1;
 					break;
--- a/packages/jobs/worker-model/src/worker-types.ts
+++ b/packages/jobs/worker-model/src/worker-types.ts
@@ -19,6 +19,10 @@
 
 export type WorkerEvent
 	= | {readonly type: 'started'; readonly task: string; readonly run: number; readonly checkpoint: string; readonly fencingToken: number}
+		/** A long-running task is at work. */
+		| {readonly type: 'ready'; readonly task: string; readonly run: number}
+		/** An order is ending the run. `isDelayed`: the order arrived long after it was sent. */
+		| {readonly type: 'displaced'; readonly task: string; readonly run: number; readonly isDelayed: boolean}
 		| {readonly type: 'ended'; readonly task: string; readonly run: number; readonly reason: EndReason}
 		/** The run has ended the worker process. The end of each run on it follows. */
 		| {readonly type: 'crashed'; readonly task: string; readonly run: number}
--- a/packages/jobs/worker-model/src/worker.ts
+++ b/packages/jobs/worker-model/src/worker.ts
@@ -24,6 +24,7 @@
 	/** When the run ends if its gang is still incomplete. */
 	readonly gangTimeoutAt: number;
 	speedLimitPercent: number;
+	isReady: boolean;
 };
 
 export type WorkerModel = ReturnType<typeof createWorkerModel>;
@@ -98,9 +99,27 @@
 		}
 	};
 
+	const isStarted = (row: Run, now: number): boolean => getWorkDone(row, now) >= startupMilliseconds;
+
+	const reportReadyRuns = (now: number): void => {
+		for (const row of runs.values()) {
+			if (row.work.longRunning && !row.isReady && isStarted(row, now)) {
+				row.isReady = true;
+				onEvent({type: 'ready', task: row.task, run: row.run}, now);
+			}
+		}
+	};
+
+	const reportDisplaced = ({task, run}: Run, isDelayed: boolean, now: number): void => {
+		onEvent({
+			type: 'displaced', task, run, isDelayed,
+		}, now);
+	};
+
 	/** Ends all runs that are due by `now`, in chronological order. */
 	const advance = (now: number): void => {
 		endDueRuns(now);
+		reportReadyRuns(now);
 		reportLeaseExpiry(now);
 	};
 
@@ -189,7 +208,7 @@
 		const restoredMilliseconds = readCheckpoint(checkpoint);
 		const row: Run = {
 			task, run, work, workingSince: isGang ? undefined : now, doneMilliseconds: restoredMilliseconds > 0 ? restoredMilliseconds - options.restoreCostMilliseconds : 0,
-			stopsAt: undefined, gangTimeoutAt: now + options.gangTimeoutMilliseconds, speedLimitPercent: 100,
+			stopsAt: undefined, gangTimeoutAt: now + options.gangTimeoutMilliseconds, speedLimitPercent: 100, isReady: false,
 		};
 		runs.set(formatKey(task, run), row);
 		onEvent({
@@ -245,7 +264,7 @@
 			return 'started';
 		},
 		/** Returns false if the caller's fencing token is outdated. */
-		stop(call: {readonly task: string; readonly run: number; readonly fencingToken: number}, now: number): boolean {
+		stop(call: {readonly task: string; readonly run: number; readonly fencingToken: number; readonly isDelayed?: boolean}, now: number): boolean {
 			advance(now);
 			if (!acceptFencingToken(call.fencingToken)) {
 				return false;
@@ -253,8 +272,9 @@
 
 			highestFinalRuns.set(call.task, Math.max(highestFinalRuns.get(call.task) ?? 0, call.run));
 			const row = runs.get(formatKey(call.task, call.run));
-			if (row) {
-				row.stopsAt ??= now + options.stopDurationMilliseconds;
+			if (row && row.stopsAt === undefined) {
+				row.stopsAt = now + options.stopDurationMilliseconds;
+				reportDisplaced(row, call.isDelayed ?? false, now);
 			}
 
 			return true;
@@ -298,7 +318,7 @@
 				incarnation, ended: ended.slice(0, maximumEndedRunsPerReport), hasMoreEnded: ended.length > maximumEndedRunsPerReport,
 				running: [...runs.values()].map(row => {
 					const done = getWorkDone(row, now);
-					const percent = row.work.longRunning ? (done >= startupMilliseconds ? 100 : 0) : Math.floor(100 * done / Math.max(1, row.work.durationMilliseconds));
+					const percent = row.work.longRunning ? (isStarted(row, now) ? 100 : 0) : Math.floor(100 * done / Math.max(1, row.work.durationMilliseconds));
 					return {
 						task: row.task, run: row.run, checkpoint: createCheckpoint(row, now), percent: Math.min(100, percent),
 						latencyOrCpuUsage: row.work.longRunning ? 0 : row.work.resources.cpuMillis,
@@ -324,6 +344,15 @@
 			advance(now);
 			endProcess(now);
 		},
+		/** Ends the worker process by an order for its machine. */
+		terminate(isDelayed: boolean, now: number): void {
+			advance(now);
+			for (const row of runs.values()) {
+				reportDisplaced(row, isDelayed, now);
+			}
+
+			endProcess(now);
+		},
 		countRunning: () => runs.size,
 		getUsedCpuMillis: () => capacity.cpuMillis - getFreeCapacity().cpuMillis,
 	};
--- a/packages/tools/experiment/src/main.ts
+++ b/packages/tools/experiment/src/main.ts
@@ -4,11 +4,11 @@
 import {parseArgs} from 'node:util';
 import type {Load, SimulationResult, SimulationPolicy} from './index.js';
 import {
-	createRandom, drawFaults, runEvacuationSchedule, runSchedule, runSimulation, smallLoad, rotatingPeaksLoad, defaultPolicy,
+	createRandom, drawFaults, runEvacuationSchedule, runSchedule, runSimulation, runWaveSchedule, smallLoad, rotatingPeaksLoad, defaultPolicy,
 } from './index.js';
 
 const usage = `Usage: npm run experiment -- [--load turns|small] [--policy NAME]... [--seeds N] [--faults N] [--json]
-       npm run experiment -- --schedules N [--evacuations] [--from SEED] [--json]
+       npm run experiment -- --schedules N [--evacuations|--waves] [--from SEED] [--json]
 Policies: usual, long-lease, five-instances, two-instances, dispatchers.
 Schedules run under the first policy.
 `;
@@ -39,6 +39,7 @@
 				faults: {type: 'string', default: '0'},
 				schedules: {type: 'string'},
 				evacuations: {type: 'boolean', default: false},
+				waves: {type: 'boolean', default: false},
 				from: {type: 'string', default: '1'},
 				json: {type: 'boolean', default: false},
 			},
@@ -91,13 +92,21 @@
 	return rows.every(({violations, unfinished}) => violations === 0 && unfinished === 0);
 };
 
+const runScheduleOfKind = async (seed: number): Promise<SimulationResult> => {
+	if (values.evacuations) {
+		return runEvacuationSchedule(seed);
+	}
+
+	return values.waves ? runWaveSchedule(seed) : runSchedule(seed, policies.get(values.policy[0] ?? 'usual') ?? exitWithUsage('unknown policy'));
+};
+
 const runSchedules = async (count: number): Promise<boolean> => {
 	const from = parseCount('from', values.from);
 	const failedSchedules: Array<Record<string, unknown>> = [];
 	for (let seed = from; seed < from + count; seed += 1) {
 		printProgress(`schedule ${seed}, ${failedSchedules.length} failed`);
 		// eslint-disable-next-line no-await-in-loop -- Virtual time replaces the global timers of the process.
-		const figures = await (values.evacuations ? runEvacuationSchedule(seed) : runSchedule(seed, policies.get(values.policy[0] ?? 'usual') ?? exitWithUsage('unknown policy')));
+		const figures = await runScheduleOfKind(seed);
 		const [first] = figures.violations;
 		if (first !== undefined || figures.unfinished.length > 0) {
 			failedSchedules.push({
--- a/packages/tools/experiment/src/schedules.ts
+++ b/packages/tools/experiment/src/schedules.ts
@@ -133,6 +133,26 @@
 	return [evacuation, ownerChange, ...drawFaults(random, faultsBesideEvacuation)].toSorted((left, right) => left.at - right.at);
 };
 
+/** Two waves over most machines, overlapping changes of the owner, and a slow store: the counts of tasks that are away have to survive each takeover. */
+export const drawWaveFaults = (random: () => number): Fault[] => {
+	const drawInteger = (low: number, high: number): number => Math.round(low + (random() * (high - low)));
+	const waves = [2000, 13_000].map((at): Fault => ({
+		type: 'wave', at: at + drawInteger(0, 2000), milliseconds: drawInteger(9000, 14_000), share: 0.8, maximumAtOnce: drawInteger(2, 4),
+	}));
+	const ownerChanges = [4000, 9000, 15_000, 19_000].map((at): Fault => ({
+		type: (['kill', 'freeze', 'stop'] as const)[Math.floor(random() * 3)]!, at: at + drawInteger(0, 3000), milliseconds: drawInteger(500, 3000), target: 'owner',
+	}));
+	const slowStore: Fault = {
+		type: 'store', at: drawInteger(2000, 16_000), milliseconds: 6000, target: 'all', effect: 'slow', share: 1,
+	};
+	return [...waves, ...ownerChanges, slowStore].toSorted((left, right) => left.at - right.at);
+};
+
+/** Runs the schedule of a seed with waves during changes of the owner. */
+export const runWaveSchedule = async (seed: number): Promise<SimulationResult> => runSimulation({
+	load: smallLoad, faults: drawWaveFaults(createRandom(seed * faultSeedFactor)), seed, ...defaultPolicy,
+});
+
 /** Runs the schedule of a seed with an evacuation during a change of the owner. */
 export const runEvacuationSchedule = async (seed: number): Promise<SimulationResult> => runSimulation({
 	load: smallLoad, faults: drawEvacuationFaults(createRandom(seed * faultSeedFactor)), seed, ...defaultPolicy,
--- a/packages/tools/experiment/src/simulated-clients.ts
+++ b/packages/tools/experiment/src/simulated-clients.ts
@@ -23,10 +23,15 @@
 /** Interval at which a waiting heartbeat call checks for ended runs. */
 const waitPollMilliseconds = 10;
 
+/** An order that arrives later than this after it was sent was held up in the network. */
+const delayedMilliseconds = 1000;
+
+const isDelayed = (sentAt: number, now: number): boolean => now - sentAt > delayedMilliseconds;
+
 const toError = (kind: WorkerCallErrorKind): WorkerCallError => ({kind, message: kind});
 
-export const createWorkerClient = (options: {readonly network: Network; readonly time: VirtualTime; readonly workers: ReadonlyMap<string, SimulatedWorker>}): WorkerClient => {
-	const {network, time, workers} = options;
+export const createWorkerClient = (options: {readonly network: Network; readonly time: VirtualTime; readonly workers: ReadonlyMap<string, SimulatedWorker>; readonly advanceWorkers: () => void}): WorkerClient => {
+	const {network, time, workers, advanceWorkers} = options;
 
 	/** True if another worker process listens at the address. */
 	const isReplaced = (target: WorkerTarget): boolean =>
@@ -88,8 +93,14 @@
 			return started.map(({response, ...rest}) => ({...rest, rejection: response === 'started' ? undefined : response}));
 		},
 		async stop({worker, task, run, fencingToken}) {
+			const sentAt = time.now();
 			const stopped = await call<{isAccepted: boolean; clockMilliseconds: number; incarnation: number}>(worker, workerTimeoutMilliseconds, (model, respond) => {
-				respond({isAccepted: model.stop({task, run, fencingToken}, time.now()), ...describeProcess(model)});
+				advanceWorkers();
+				respond({
+					isAccepted: model.stop({
+						task, run, fencingToken, isDelayed: isDelayed(sentAt, time.now()),
+					}, time.now()), ...describeProcess(model),
+				});
 			});
 			return stopped.andThen(({isAccepted, ...rest}) => isAccepted ? ok(rest) : err(toError(WorkerCallErrorKind.Fenced)));
 		},
@@ -129,12 +140,13 @@
 
 export const createMachineClient = (options: {readonly network: Network; readonly time: VirtualTime; readonly machines: MachineModel; readonly oracle: Oracle}): MachineClient => {
 	const {network, time, machines, oracle} = options;
-	const callMachine = async (machine: string, ownership: {readonly holder: string; readonly fencingToken: number}, operation: () => MachineResponse): Promise<MachineOutcome> => {
+	const callMachine = async (machine: string, ownership: {readonly holder: string; readonly fencingToken: number}, operation: (isDelayed: boolean) => MachineResponse): Promise<MachineOutcome> => {
+		const sentAt = time.now();
 		const outcome = await network.call<MachineResponse>({
 			service: Service.Machines, callee: machine, latency: machinesOneWayMilliseconds, timeout: machinesTimeoutMilliseconds,
 			execute(respond) {
 				oracle.recordMachineOrder({machine, ...ownership, now: time.now()});
-				respond(operation());
+				respond(operation(isDelayed(sentAt, time.now())));
 			},
 		});
 		switch (outcome.type) {
@@ -163,11 +175,11 @@
 			return outcome.type === 'answered' ? outcome.response : undefined;
 		},
 		async move({machine, pool, ...ownership}) {
-			return callMachine(machine, ownership, () => machines.move({machine, pool}, time.now()));
+			return callMachine(machine, ownership, isDelayed => machines.move({machine, pool, isDelayed}, time.now()));
 		},
 		async startMaintenance({machine, wave, ...ownership}) {
-			return callMachine(machine, ownership, () => {
-				const response = machines.maintain({machine, wave}, time.now());
+			return callMachine(machine, ownership, isDelayed => {
+				const response = machines.maintain({machine, wave, isDelayed}, time.now());
 				oracle.recordMaintenance([...machines.machines.values()].filter(row => row.maintenanceWave === wave).length, wave, time.now());
 				return response;
 			});
--- a/packages/tools/experiment/src/simulated-cluster.ts
+++ b/packages/tools/experiment/src/simulated-cluster.ts
@@ -141,10 +141,18 @@
 		return id;
 	};
 
-	const removeWorker = (id: string): void => {
+	/** An order that ends a run is judged by the state of all workers at that time. */
+	const advanceWorkers = (): void => {
+		for (const {model} of workers.values()) {
+			model.advance(time.now());
+		}
+	};
+
+	const removeWorker = (id: string, isDelayed: boolean): void => {
 		const worker = workers.get(id);
 		if (worker) {
-			worker.model.crash(time.now());
+			advanceWorkers();
+			worker.model.terminate(isDelayed, time.now());
 			workers.delete(id);
 			time.scheduleAfter(registrationExpiryMilliseconds, () => {
 				remove(workerPrefix + id);
@@ -154,9 +162,9 @@
 
 	const machines = createMachineModel({
 		moveMilliseconds: 1500, maintenanceMilliseconds: 2000,
-		endWorker(machine) {
+		endWorker(machine, isDelayed) {
 			if (machine.worker !== undefined) {
-				removeWorker(machine.worker);
+				removeWorker(machine.worker, isDelayed);
 			}
 		},
 		startWorker,
@@ -190,7 +198,9 @@
 				peers: createSimulatedPeers({
 					name, network, time, findInstance: other => instances.get(other),
 				}),
-				workerClient: createWorkerClient({network, time, workers}), adviceClient: undefined,
+				workerClient: createWorkerClient({
+					network, time, workers, advanceWorkers,
+				}), adviceClient: undefined,
 				machineClient: createMachineClient({
 					network, time, machines, oracle,
 				}),
--- a/packages/tools/experiment/test/fault-schedules.test.ts
+++ b/packages/tools/experiment/test/fault-schedules.test.ts
@@ -1,7 +1,7 @@
 /** Guards against job services that violate a rule of the oracle or lose an accepted job under overlapping faults; runs in virtual time. */
 import test from 'ava';
 import {
-	runEvacuationSchedule, runSchedule, runSimulation, smallLoad, defaultPolicy,
+	runEvacuationSchedule, runSchedule, runSimulation, runWaveSchedule, smallLoad, defaultPolicy,
 } from '../src/index.js';
 
 /** Fixed seeds make the test reproducible; `npm run experiment -- --schedules` runs more. */
@@ -67,3 +67,19 @@
 		t.deepEqual(unfinished, []);
 	});
 }
+
+/** Seeds that violated a rule in an earlier version. */
+const waveSeeds: ReadonlyArray<readonly [number, string]> = [
+	[11, 'a moved task was not ready when the next one left the machine'],
+	[45, 'a task of a maintained machine was not ready when the next one left the machine'],
+	[77, 'a task was moved to a machine that was cordoned directly after it'],
+];
+
+// Guards against more tasks of a service away than it allows, and against tasks that run twice, when waves take machines down while the owner changes.
+for (const [seed, cause] of waveSeeds) {
+	test.serial.failing(`no rule is violated under wave schedule ${seed}, in which the owner changes (${cause})`, async t => {
+		const {violations, unfinished} = await runWaveSchedule(seed);
+		t.deepEqual(violations, []);
+		t.deepEqual(unfinished, []);
+	});
+}
