Count tasks on the same machine when one of them is moved

Cause: the limit had two rules. Before a whole worker is taken down, its tasks count as lost, ready or not. The same count was used when one run is moved off it, so neighbours that were not at work counted as present. Ruled out here: an order older than its count (the unavailable task was in the count's own line), unwanted runs and machine moves (no such event before the violations).

There is one rule now, mayLoseTasks: the tasks that would be lost, together with all that are unavailable on any worker, may not exceed the limit. Orders for a worker and for a run both use it; of the runs that may leave, one that is not at work goes first.

The module test landed with a mistake: it threw before its assertion, since its tasks were on two workers. Corrected, it fails on at the assertion and passes now.

--- a/packages/jobs/scheduler/src/availability.ts
+++ b/packages/jobs/scheduler/src/availability.ts
@@ -57,6 +57,38 @@
 	return absence;
 };
 
+/**
+ * True if a step may lose these tasks now: with them, no more are unavailable than it allows. They count even if the
+ * newest report does not show them as ready, since they may be by the time an order arrives.
+ */
+export const mayLoseTasks = (step: StepRow, lost: ReadonlySet<TaskRow>, now: number): boolean => {
+	const {maximumAway} = step.declaration;
+	return maximumAway === undefined || step.tasks.filter(task => lost.has(task) || findAbsence(task, now) !== undefined).length <= maximumAway;
+};
+
+/** The tasks with runs on the worker, of steps that limit how many may be unavailable. */
+const listLimitedTasks = (worker: WorkerRow): Map<StepRow, Set<TaskRow>> => {
+	const tasksByStep = new Map<StepRow, Set<TaskRow>>();
+	for (const {task} of worker.runs.values()) {
+		if (task.step.declaration.maximumAway !== undefined) {
+			tasksByStep.set(task.step, (tasksByStep.get(task.step) ?? new Set()).add(task));
+		}
+	}
+
+	return tasksByStep;
+};
+
+/** True if all runs on the worker may be interrupted now. */
+export const isDisruptionAllowed = (worker: WorkerRow, now: number): boolean =>
+	[...listLimitedTasks(worker)].every(([step, tasks]) => mayLoseTasks(step, tasks, now));
+
+/** A run that may be stopped now, on a worker with more tasks of its step than may be lost at once. A run that is not at work goes first, since its stop makes no further task unavailable. */
+export const chooseRunToMove = (worker: WorkerRow, now: number): RunRow | undefined => {
+	const candidates = [...listLimitedTasks(worker)].filter(([step, tasks]) => !mayLoseTasks(step, tasks, now)).flatMap(([step]) =>
+		[...worker.runs.values()].filter(row => row.task.step === step && row.phase === RunPhase.Running && !row.isEvacuating && mayLoseTasks(step, new Set([row.task]), now)));
+	return candidates.find(({task}) => findAbsence(task, now) !== undefined) ?? candidates[0];
+};
+
 const describeTask = (task: TaskRow, absence: AbsenceCause, now: number): string => {
 	const rows = [...task.runs.values()].map(({run, worker, percent}) =>
 		` run ${run} on ${worker.registration.id} ${percent}% ${Number.isFinite(worker.lastContactAt) ? `${Math.round(now - worker.lastContactAt)} ms` : 'no report'}`);
@@ -65,20 +97,13 @@
 
 /** For each step with a limit and tasks on the worker: the limit, the indices of these tasks, and the unavailable tasks on any worker. */
 const describeSteps = (worker: WorkerRow, now: number): string[] => {
-	const tasksByStep = new Map<StepRow, Set<number>>();
-	for (const {task} of worker.runs.values()) {
-		if (task.step.declaration.maximumAway !== undefined) {
-			tasksByStep.set(task.step, (tasksByStep.get(task.step) ?? new Set()).add(task.index));
-		}
-	}
-
-	return [...tasksByStep].map(([step, onWorker]) => {
+	return [...listLimitedTasks(worker)].map(([step, tasks]) => {
 		const unavailable = step.tasks.flatMap(task => {
 			const absence = findAbsence(task, now);
 			return absence === undefined ? [] : [describeTask(task, absence, now)];
 		});
 		return `${step.job.declaration.id}.${step.occurrence}.${step.index} allows ${step.declaration.maximumAway}, `
-			+ `on the worker: ${[...onWorker].slice(0, maximumDescribedTasks).join(' ')}; unavailable: ${unavailable.slice(0, maximumDescribedTasks).join('; ')}`;
+			+ `on the worker: ${[...tasks].slice(0, maximumDescribedTasks).map(({index}) => index).join(' ')}; unavailable: ${unavailable.slice(0, maximumDescribedTasks).join('; ')}`;
 	});
 };
 
--- a/packages/jobs/scheduler/src/index.ts
+++ b/packages/jobs/scheduler/src/index.ts
@@ -14,7 +14,8 @@
 export {
 	computeLatestLeaseExpiry, isEarlierIncarnation, isWithinCapacity, minimumWorkerClockRate,
 } from './workers.js';
-export {isDisruptionAllowed, planWave} from './waves.js';
+export {isDisruptionAllowed} from './availability.js';
+export {planWave} from './waves.js';
 export type {WaveMachine, WaveRow} from './waves.js';
 export * from './pools.js';
 export type {ZoneEvacuationStatus} from './zone-evacuation.js';
--- a/packages/jobs/scheduler/src/waves.ts
+++ b/packages/jobs/scheduler/src/waves.ts
@@ -4,9 +4,8 @@
  * The least loaded machines go first while there is time, and no long-running
  * step has more tasks unavailable at once than it allows.
  */
-import {hasRecentReport} from './availability.js';
-import type {RunRow, StepRow, WorkerRow} from './model.js';
-import {RunPhase} from './model.js';
+import {chooseRunToMove, isDisruptionAllowed} from './availability.js';
+import type {RunRow, WorkerRow} from './model.js';
 
 /** Finite tasks on a cordoned machine get this time to finish; maintenance interrupts those that remain. */
 const maximumDrainMilliseconds = 2500;
@@ -43,63 +42,6 @@
 	readonly down: Set<string>;
 };
 
-/**
- * Counts the tasks of a step on the worker, and the unavailable ones elsewhere. A run on the worker counts
- * even if the latest report does not show it as ready: it may be ready when the maintenance order arrives. A run
- * elsewhere counts as available only by a recent report.
- */
-const countUnavailable = (step: StepRow, worker: WorkerRow, now: number): {unavailable: number; onWorker: number} => {
-	let unavailable = 0;
-	let onWorker = 0;
-	for (const task of step.tasks) {
-		const rows = [...task.runs.values()].filter(row => row.phase !== RunPhase.Stopping && !row.isEvacuating && (row.worker === worker || !row.worker.isTerminating));
-		if (rows.some(row => row.worker === worker)) {
-			onWorker += 1;
-		} else if (!rows.some(row => row.phase === RunPhase.Running && row.percent === 100 && hasRecentReport(row.worker, now))) {
-			unavailable += 1;
-		}
-	}
-
-	return {unavailable, onWorker};
-};
-
-/** True if all runs on the worker may be interrupted now. */
-export const isDisruptionAllowed = (worker: WorkerRow, now: number): boolean => {
-	const steps = new Set<StepRow>();
-	for (const row of worker.runs.values()) {
-		if (row.task.step.declaration.maximumAway !== undefined) {
-			steps.add(row.task.step);
-		}
-	}
-
-	for (const step of steps) {
-		const {unavailable, onWorker} = countUnavailable(step, worker, now);
-		if (onWorker > 0 && unavailable + onWorker > (step.declaration.maximumAway ?? 0)) {
-			return false;
-		}
-	}
-
-	return true;
-};
-
-/** A run that may be stopped first, on a worker with more tasks of a step than may be unavailable at once. */
-const chooseEvacuation = (worker: WorkerRow, now: number): RunRow | undefined => {
-	for (const row of worker.runs.values()) {
-		const {step} = row.task;
-		const {maximumAway} = step.declaration;
-		if (maximumAway === undefined || row.phase !== RunPhase.Running || row.isEvacuating) {
-			continue;
-		}
-
-		const {unavailable, onWorker} = countUnavailable(step, worker, now);
-		if (unavailable + onWorker > maximumAway && unavailable + 1 <= maximumAway) {
-			return row;
-		}
-	}
-
-	return undefined;
-};
-
 const getLoad = (worker: WorkerRow): number => worker.used.cpuMillis / Math.max(1, worker.registration.capacity.cpuMillis);
 
 const hasFiniteRuns = (worker: WorkerRow): boolean => [...worker.runs.values()].some(row => !row.task.step.declaration.longRunning);
@@ -133,7 +75,7 @@
 	const rows: RunRow[] = [];
 	for (const machine of wave.cordonedSince.keys()) {
 		const worker = machines.get(machine)?.worker;
-		const row = worker && !worker.isTerminating ? chooseEvacuation(worker, now) : undefined;
+		const row = worker && !worker.isTerminating ? chooseRunToMove(worker, now) : undefined;
 		if (row) {
 			row.isEvacuating = true;
 			rows.push(row);
--- a/packages/jobs/scheduler/test/waves.test.ts
+++ b/packages/jobs/scheduler/test/waves.test.ts
@@ -50,10 +50,9 @@
 });
 
 // Guards against a service with more tasks away than it allows: a task on the same machine that is still starting counted as available.
-test.failing('no task at work is moved off a machine while another task of its step there is not ready', t => {
+test('no task at work is moved off a machine while another task of its step there is not ready', t => {
 	const scheduler = createTestScheduler();
 	const worker = addWorker(scheduler, createRegistration('w1'));
-	addWorker(scheduler, createRegistration('w2'));
 	scheduler.addJob(createJob('service', [createStep({taskCount: 2, longRunning: true, maximumAway: 1})]), {isRestored: false, now: 0, wallNow: 0});
 	startAll(scheduler, 1);
 	const [first, second] = [...worker.runs.values()];
@@ -70,7 +69,7 @@
 	const plan = planWave({
 		wave: createWave(['m1']), machines, workers: scheduler.workers.values(), backlogged: new Set(), now: 10,
 	});
-	t.false(plan.evacuated.includes(first!));
+	t.deepEqual(plan.evacuated, [second!]);
 });
 
 // Guards against an overdue wave that exceeds its limit.
--- a/packages/tools/experiment/test/fault-schedules.test.ts
+++ b/packages/tools/experiment/test/fault-schedules.test.ts
@@ -77,7 +77,7 @@
 
 // Guards against more tasks of a service away than it allows, and against tasks that run twice, when waves take machines down while the owner changes.
 for (const [seed, cause] of waveSeeds) {
-	test.serial.failing(`no rule is violated under wave schedule ${seed}, in which the owner changes (${cause})`, async t => {
+	test.serial(`no rule is violated under wave schedule ${seed}, in which the owner changes (${cause})`, async t => {
 		const {violations, unfinished} = await runWaveSchedule(seed);
 		t.deepEqual(violations, []);
 		t.deepEqual(unfinished, []);
