Keep the record of a maintenance order until its outcome is known

It ends tasks of services as well: the worker that is given up by mistake loses its lease 3.5 s later.

Cause: a record of what may have happened was replaced by what the present owner does itself. The same for an order without an answer, once the next status is written. Now a machine stays in the record until the outcome of its order is known. Looked for elsewhere: an accepted move of a machine always means that the worker of the old pool has ended, so moves need no such record.

--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -24,7 +24,7 @@
 type WaveProgress = {
 	/** Machines whose maintenance has started or is not needed. */
 	readonly begun: readonly string[];
-	/** Machines for which an order was about to be sent; its outcome was not known when this was stored. */
+	/** Machines for which this or a previous owner may have sent an order whose outcome it does not know. */
 	readonly ordered: readonly string[];
 };
 
@@ -56,7 +56,8 @@
 	let plannedAt = Number.NEGATIVE_INFINITY;
 
 	const writeStatus = async (wave: WaveRow, isCompleted: boolean): Promise<void> => {
-		const progress: WaveProgress = {begun: [...wave.begun], ordered: [...wave.ordered]};
+		const mayBeOrdered = (machine: string): boolean => !wave.begun.has(machine) && (wave.ordered.has(machine) || uncertainMachines.has(machine));
+		const progress: WaveProgress = {begun: [...wave.begun], ordered: wave.machines.filter(machine => mayBeOrdered(machine))};
 		await commit([
 			{type: 'put', key: waveProgressPrefix + wave.wave, value: JSON.stringify(progress)},
 			{type: 'put', ...recordCodec.encodeWaveStatus({wave: wave.wave, isCompleted})},
--- a/packages/jobs/job-service/test/maintenance.test.ts
+++ b/packages/jobs/job-service/test/maintenance.test.ts
@@ -95,6 +95,17 @@
 	t.is(worker.unansweredCalls, 1);
 });
 
+// Guards against tasks that run twice after two changes of the owner: the second owner overwrote the record of the first one's order, so the third took the acceptance for its own.
+test('an owner keeps the record of an order that a previous owner may have sent', async t => {
+	const {steps, tick} = createFixture(['refused', 'unknown'], [{key: `${waveProgressPrefix}1`, value: '{"begun":[],"ordered":["m1"]}', modifiedRevision: 1}]);
+	await tick(1000);
+	await tick(3000);
+	await tick(1000);
+	await tick(1000);
+	t.is(steps.filter(step => step === 'maintenance').length, 2);
+	t.deepEqual(new Set(steps), new Set(['{"begun":[],"ordered":["m1"]}', 'maintenance']));
+});
+
 test('the worker is not retired if an earlier order had an unknown outcome', async t => {
 	const {steps, tick} = createFixture(['unknown', 'accepted']);
 	await tick(1000);
--- a/packages/tools/experiment/test/fault-schedules.test.ts
+++ b/packages/tools/experiment/test/fault-schedules.test.ts
@@ -72,6 +72,8 @@
 const waveSeeds: ReadonlyArray<readonly [number, string]> = [
 	[11, 'a moved task was not ready when the next one left the machine'],
 	[45, 'a task of a maintained machine was not ready when the next one left the machine'],
+	[44, 'the third owner of a wave did not know that the first one had ordered a machine'],
+	[56, 'as 44, for several tasks'],
 	[77, 'a task was moved to a machine that was cordoned directly after it'],
 ];
 
