--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -310,7 +310,7 @@
 	},
 	[LogEvent.RunStop]: {
 		level: LogLevel.Information,
-		message: 'A run is being stopped, or the call that stops it has ended',
+		message: 'A run is being stopped or is not moved after all, or the call that stops it has ended',
 		action: none,
 	},
 	[LogEvent.RunsDisrupted]: {
--- a/packages/jobs/scheduler/src/events.ts
+++ b/packages/jobs/scheduler/src/events.ts
@@ -62,6 +62,8 @@
 		| PlaceWaitEvent
 		| FullPoolEvent
 		| DisruptionEvent
+		/** The run was to leave its worker, but its step may not lose it any more. */
+		| {readonly type: 'move-withheld'; readonly task: string; readonly run: number; readonly worker: string}
 		| {readonly type: 'stop-planned'; readonly task: string; readonly run: number; readonly worker: string; readonly cause: StopCause}
 		| {readonly type: 'run-ended'; readonly task: string; readonly run: number; readonly worker: string; readonly reason: EndReason | 'lost' | 'not-run'}
 		| {readonly type: 'run-adopted'; readonly task: string; readonly run: number; readonly worker: string}
--- a/packages/jobs/scheduler/src/stops.ts
+++ b/packages/jobs/scheduler/src/stops.ts
@@ -1,4 +1,5 @@
 /** Decides which runs to stop. */
+import {mayLoseTasks} from './availability.js';
 import type {SchedulerEvent} from './events.js';
 import {StopCause} from './events.js';
 import {isActive} from './jobs.js';
@@ -19,6 +20,10 @@
 	readonly plannedAt: number;
 };
 
+/** What was known of the other tasks when the run was chosen may have changed, by a pause of this process in particular. */
+const mayStillMove = ({phase, task, isEvacuating}: RunRow, now: number): boolean =>
+	!isEvacuating || phase !== RunPhase.Running || !isActive(task.step.job) || task.done || mayLoseTasks(task.step, new Set([task]), now);
+
 const findCause = ({phase, task, isEvacuating}: RunRow): StopCause => {
 	if (phase === RunPhase.Stopping) {
 		return StopCause.Repeated;
@@ -80,6 +85,14 @@
 
 			for (const worker of workers.workers.values()) {
 				for (const row of worker.runs.values()) {
+					if (!mayStillMove(row, now)) {
+						row.isEvacuating = false;
+						emit({
+							type: 'move-withheld', task: row.task.name, run: row.run, worker: worker.registration.id,
+						});
+						continue;
+					}
+
 					if (needsStop(row, now)) {
 						const cause = findCause(row);
 						row.stopInFlight = true;
--- a/packages/jobs/scheduler/test/waves.test.ts
+++ b/packages/jobs/scheduler/test/waves.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import type {WaveMachine, WaveRow} from '../src/index.js';
-import {isDisruptionAllowed, planWave} from '../src/index.js';
+import {isDisruptionAllowed, planWave, RunPhase} from '../src/index.js';
 import {
 	addWorker, createJob, createRegistration, createStep, createTestScheduler, respond, startAll,
 } from './support/builders.js';
@@ -72,6 +72,21 @@
 	t.deepEqual(plan.evacuated, [second!]);
 });
 
+// Guards against an owner that was paused between the decision to move a run and its stop: what it knew of the other tasks is out of date.
+test('a run that was chosen to leave a machine stays if its step may not lose it any more when the stop is sent', t => {
+	const {scheduler, workers} = createService(6, 1, 2);
+	const worker = workers[0]!;
+	const machines = new Map<string, WaveMachine>([['m1', {
+		machine: 'm1', pool: worker.registration.pool, isUp: true, worker,
+	}]]);
+	const [row] = planWave({
+		wave: createWave(['m1']), machines, workers: scheduler.workers.values(), backlogged: new Set(), now: 10,
+	}).evacuated;
+	t.deepEqual(scheduler.plan({now: 3010, wallNow: 0, mayStart: true}), []);
+	t.false(row!.isEvacuating);
+	t.is(row!.phase, RunPhase.Running);
+});
+
 // Guards against an overdue wave that exceeds its limit.
 test('no more machines are cordoned at once than the wave allows', t => {
 	const {scheduler, workers} = createService(0, 1, 1);
