Do not move a machine whose worker has reported runs meanwhile

A machine is moved if its worker has no runs when the move is planned; the order follows up to 0.4 s later, once it is stored, and ends whatever runs there.

The runs of the worker are looked at again directly before the order. The test fails before (the order is sent although a report showed a run) and passes now. Tests of job-service and telemetry pass.

--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -315,7 +315,7 @@
 	},
 	[LogEvent.RunsDisrupted]: {
 		level: LogLevel.Information,
-		message: 'An order for maintenance, a move or an evacuation is about to end runs; the fields tell which tasks of their steps count as unavailable',
+		message: 'Maintenance, a wave or an evacuation is about to end runs; the fields tell which tasks of their steps count as unavailable',
 		action: 'If a service had more tasks unavailable than it allows, compare this with what events 8511, 8512 and 8514 say of its tasks.',
 	},
 	[LogEvent.StepWaiting]: {
--- a/packages/jobs/job-service/src/pool-moves.ts
+++ b/packages/jobs/job-service/src/pool-moves.ts
@@ -2,7 +2,7 @@
 import type {
 	PoolMachine, PoolMove, Scheduler, WorkerRow,
 } from '@turmericbay/scheduler';
-import {createPoolPlanner, DisruptionCause} from '@turmericbay/scheduler';
+import {createPoolPlanner} from '@turmericbay/scheduler';
 import type {MachineList} from './machine-list.js';
 import {createMachineZones} from './machine-zones.js';
 import type {MachineOrderGuard} from './machine-order-guard.js';
@@ -64,8 +64,8 @@
 
 		targetPools.set(machine, to);
 		movedAt.set(machine, Number.POSITIVE_INFINITY);
-		// The zone may have been evacuated while the order was being stored.
-		if (!await orderGuard.recordOrder(machine) || isEvacuated(machine)) {
+		// While the order was being stored, the zone may have been evacuated, and the worker may have reported runs.
+		if (!await orderGuard.recordOrder(machine) || isEvacuated(machine) || (worker && worker.runs.size > 0)) {
 			targetPools.delete(machine);
 			movedAt.delete(machine);
 			if (worker) {
@@ -75,10 +75,6 @@
 			return;
 		}
 
-		if (worker && worker.runs.size > 0) {
-			scheduler.reportDisruption({cause: DisruptionCause.MachineMove, worker, now: clock.now()});
-		}
-
 		machineList.markOrdered(machine);
 		const outcome = await machineClient.move({
 			machine, pool: to, holder, fencingToken: epoch,
--- a/packages/jobs/job-service/test/pool-moves.test.ts
+++ b/packages/jobs/job-service/test/pool-moves.test.ts
@@ -14,13 +14,13 @@
 });
 
 /** A pool whose only worker is full, and a machine of the same rack in standby. */
-const createFixture = async () => {
+const createFixture = async ({spareWorker}: {readonly spareWorker?: string} = {}) => {
 	let now = 10_000;
 	const moves: PoolMove[] = [];
 	const ordered: string[] = [];
 	let stored: () => void = () => undefined;
 	const machineClient: MachineClient = {
-		list: async () => [createRecord('m1', 'pool-1', 'w1'), createRecord('m2', 'standby', undefined)],
+		list: async () => [createRecord('m1', 'pool-1', 'w1'), createRecord('m2', 'standby', spareWorker)],
 		async move({machine}) {
 			ordered.push(machine);
 			return 'accepted';
@@ -102,3 +102,23 @@
 	await store();
 	t.deepEqual(ordered, []);
 });
+
+// Guards against tasks that are ended by a move of their machine: the worker reported a run while the order was being stored.
+test('a machine is not moved if its worker turns out to have runs', async t => {
+	const {scheduler, ordered, tick, store} = await createFixture({spareWorker: 'w2'});
+	const worker = scheduler.registerWorker({
+		registration: createRegistration({id: 'w2', pool: 'standby'}), isRegistered: true, isReconciled: true, latestLeaseExpiry: 1_000_000,
+	});
+	await tick();
+	t.true(worker.isCordoned);
+	scheduler.applyRunReport({
+		worker, sentAt: 10_200, now: 10_200, report: {
+			incarnation: undefined, ended: [], hasMoreEnded: false, running: [{
+				task: 'job.0.0.0', run: 1, checkpoint: '', percent: 10, latencyOrCpuUsage: 0,
+			}],
+		},
+	});
+	await store();
+	t.deepEqual(ordered, []);
+	t.false(worker.isCordoned);
+});
--- a/packages/jobs/scheduler/src/events.ts
+++ b/packages/jobs/scheduler/src/events.ts
@@ -31,7 +31,6 @@
 	Maintenance = 'maintenance',
 	/** A run leaves a worker whose machine is due for maintenance. */
 	Wave = 'wave',
-	MachineMove = 'machine-move',
 	ZoneEvacuation = 'zone-evacuation',
 }
 
