--- a/packages/jobs/scheduler/src/availability.ts
+++ b/packages/jobs/scheduler/src/availability.ts
@@ -23,7 +23,7 @@
 	OldReport = 'old-report',
 }
 
-export const hasRecentReport = (worker: WorkerRow, now: number): boolean =>
+const hasRecentReport = (worker: WorkerRow, now: number): boolean =>
 	worker.unansweredCalls === 0 && worker.lastContactAt >= now - maximumReportAgeMilliseconds;
 
 const isLeaving = (row: RunRow): boolean => row.phase === RunPhase.Stopping || row.isEvacuating || row.worker.isTerminating;
@@ -45,7 +45,7 @@
 };
 
 /** Why the task counts as unavailable; undefined if a recent report shows a run of it as ready that is to stay. */
-export const findAbsence = (task: TaskRow, now: number): AbsenceCause | undefined => {
+const findAbsence = (task: TaskRow, now: number): AbsenceCause | undefined => {
 	let absence: AbsenceCause | undefined = AbsenceCause.NoRun;
 	for (const row of task.runs.values()) {
 		absence = findRunAbsence(row, now);
@@ -57,13 +57,16 @@
 	return absence;
 };
 
+/** True if a recent report shows a run of the task as ready that is to stay. */
+export const isAvailable = (task: TaskRow, now: number): boolean => findAbsence(task, now) === undefined;
+
 /**
  * True if a step may lose these tasks now: with them, no more are unavailable than it allows. They count even if the
  * newest report does not show them as ready, since they may be by the time an order arrives.
  */
 export const mayLoseTasks = (step: StepRow, lost: ReadonlySet<TaskRow>, now: number): boolean => {
 	const {maximumAway} = step.declaration;
-	return maximumAway === undefined || step.tasks.filter(task => lost.has(task) || findAbsence(task, now) !== undefined).length <= maximumAway;
+	return maximumAway === undefined || step.tasks.filter(task => lost.has(task) || !isAvailable(task, now)).length <= maximumAway;
 };
 
 /** The tasks with runs on the worker, of steps that limit how many may be unavailable. */
@@ -86,7 +89,7 @@
 export const chooseRunToMove = (worker: WorkerRow, now: number): RunRow | undefined => {
 	const candidates = [...listLimitedTasks(worker)].filter(([step, tasks]) => !mayLoseTasks(step, tasks, now)).flatMap(([step]) =>
 		[...worker.runs.values()].filter(row => row.task.step === step && row.phase === RunPhase.Running && !row.isEvacuating && mayLoseTasks(step, new Set([row.task]), now)));
-	return candidates.find(({task}) => findAbsence(task, now) !== undefined) ?? candidates[0];
+	return candidates.find(({task}) => !isAvailable(task, now)) ?? candidates[0];
 };
 
 const describeTask = (task: TaskRow, absence: AbsenceCause, now: number): string => {
@@ -96,16 +99,14 @@
 };
 
 /** For each step with a limit and tasks on the worker: the limit, the indices of these tasks, and the unavailable tasks on any worker. */
-const describeSteps = (worker: WorkerRow, now: number): string[] => {
-	return [...listLimitedTasks(worker)].map(([step, tasks]) => {
-		const unavailable = step.tasks.flatMap(task => {
-			const absence = findAbsence(task, now);
-			return absence === undefined ? [] : [describeTask(task, absence, now)];
-		});
-		return `${step.job.declaration.id}.${step.occurrence}.${step.index} allows ${step.declaration.maximumAway}, `
-			+ `on the worker: ${[...tasks].slice(0, maximumDescribedTasks).map(({index}) => index).join(' ')}; unavailable: ${unavailable.slice(0, maximumDescribedTasks).join('; ')}`;
+const describeSteps = (worker: WorkerRow, now: number): string[] => [...listLimitedTasks(worker)].map(([step, tasks]) => {
+	const unavailable = step.tasks.flatMap(task => {
+		const absence = findAbsence(task, now);
+		return absence === undefined ? [] : [describeTask(task, absence, now)];
 	});
-};
+	return `${step.job.declaration.id}.${step.occurrence}.${step.index} allows ${step.declaration.maximumAway}, `
+		+ `on the worker: ${[...tasks].slice(0, maximumDescribedTasks).map(({index}) => index).join(' ')}; unavailable: ${unavailable.slice(0, maximumDescribedTasks).join('; ')}`;
+});
 
 /** `row` is the run that is stopped; undefined if all runs on the worker end. */
 export const describeDisruption = (options: {readonly cause: DisruptionCause; readonly worker: WorkerRow; readonly row?: RunRow; readonly now: number}): DisruptionEvent => {
--- a/packages/jobs/scheduler/src/evacuation-moves.ts
+++ b/packages/jobs/scheduler/src/evacuation-moves.ts
@@ -2,7 +2,7 @@
  * Decides which runs leave an evacuated zone now: long-running tasks within the number that may be away,
  * and checkpointing tasks that still take long. Nothing leaves unless it fits on a worker elsewhere.
  */
-import {hasRecentReport} from './availability.js';
+import {isAvailable} from './availability.js';
 import type {DurationEstimator} from './durations.js';
 import {isActive} from './jobs.js';
 import type {
@@ -48,9 +48,6 @@
 	accelerators: left.accelerators + (sign * right.accelerators),
 });
 
-const isAvailable = (task: TaskRow, now: number): boolean => [...task.runs.values()].some(row => row.phase === RunPhase.Running
-	&& row.percent === 100 && !row.isEvacuating && !row.worker.isTerminating && hasRecentReport(row.worker, now));
-
 const isMovable = (row: RunRow): boolean => row.phase === RunPhase.Running && !row.isEvacuating && !row.task.done && row.task.runs.size === 1
 	&& isActive(row.task.step.job) && !row.worker.isTerminating && row.worker.unansweredCalls === 0;
 
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -9,7 +9,6 @@
 import {createDemandEstimator} from './demand.js';
 import {createDurationEstimator} from './durations.js';
 import type {SchedulerEvent} from './events.js';
-import {DisruptionCause} from './events.js';
 import {createFailJob} from './job-failures.js';
 import {createJobTable, isActive} from './jobs.js';
 import type {GetMovableCapacity} from './load-figures.js';
@@ -120,11 +119,6 @@
 		countsHalvedAt = isHalving ? now : countsHalvedAt;
 	};
 
-	/** Logs an order that ends runs, before it changes the tables. */
-	const reportDisruption = (disruption: Parameters<typeof describeDisruption>[0]): void => {
-		emit(describeDisruption(disruption));
-	};
-
 	/** Moves runs out of evacuated zones, with the capacity that the placement of this tick has left. */
 	const planEvacuation = (now: number): Order[] => {
 		const plan = zoneEvacuation.plan({
@@ -134,13 +128,7 @@
 			mayShare: (task, worker) => placement.mayShare(task, worker, now),
 			mayRestart: task => task.notBefore <= now && task.crashDelayUntil <= now && placement.isWithinWorkspaceLimit(task, 0),
 		});
-		for (const row of plan.moved) {
-			reportDisruption({
-				cause: DisruptionCause.ZoneEvacuation, worker: row.worker, row, now,
-			});
-		}
-
-		zoneEvacuation.apply(plan);
+		zoneEvacuation.apply(plan, now);
 		const adviceOrders = [...plan.unadvised].flatMap(([step, usable]) => createAdviceOrders(step, usable, now));
 		// Stopped in this tick, so that the count of tasks that are away is still true when the orders are sent.
 		return plan.moved.length > 0 ? [...adviceOrders, ...stopPlanner.plan(now)] : adviceOrders;
@@ -270,7 +258,10 @@
 			change.worker.unansweredCalls = 0;
 		},
 		recordStartOutcome: startOutcomes.record,
-		reportDisruption,
+		/** Logs an order that is about to end runs. */
+		reportDisruption(disruption: Parameters<typeof describeDisruption>[0]): void {
+			emit(describeDisruption(disruption));
+		},
 		recordStopOutcome(row: RunRow, isAnswered: boolean, now: number): void {
 			row.stopInFlight = false;
 			if (isAnswered) {
--- a/packages/jobs/scheduler/src/zone-evacuation.ts
+++ b/packages/jobs/scheduler/src/zone-evacuation.ts
@@ -1,5 +1,7 @@
 /** The zones that the operator has evacuated, and how far their evacuation is. */
-import type {ZoneEvacuationEvent} from './events.js';
+import {describeDisruption} from './availability.js';
+import type {DisruptionEvent, ZoneEvacuationEvent} from './events.js';
+import {DisruptionCause} from './events.js';
 import type {EvacuationContext, EvacuationPlan} from './evacuation-moves.js';
 import {planEvacuationMoves} from './evacuation-moves.js';
 import {isActive} from './jobs.js';
@@ -27,7 +29,7 @@
 	readonly workers: ReadonlyMap<string, WorkerRow>;
 	/** False for the first owner, whose counts of tasks that are away lack no orders of another. */
 	readonly hasPreviousOwner: boolean;
-	readonly emit: (event: ZoneEvacuationEvent) => void;
+	readonly emit: (event: ZoneEvacuationEvent | DisruptionEvent) => void;
 }) => {
 	const {workers, hasPreviousOwner, emit} = options;
 	let movesFrom = hasPreviousOwner ? undefined : Number.NEGATIVE_INFINITY;
@@ -98,8 +100,11 @@
 			return mayMove ? planEvacuationMoves({...context, leaving}) : {moved: [], unadvised: new Map()};
 		},
 		/** Marks the runs of the plan; they are stopped, and placement starts their tasks elsewhere. */
-		apply(plan: EvacuationPlan): void {
+		apply(plan: EvacuationPlan, now: number): void {
 			for (const row of plan.moved) {
+				emit(describeDisruption({
+					cause: DisruptionCause.ZoneEvacuation, worker: row.worker, row, now,
+				}));
 				row.isEvacuating = true;
 				leaving.add(row.task);
 			}
