Store the owner's changes in the order in which they were queued

A cause that fits, found by reading: a newer value of a queued key moved to the end of the queue. With more than 30 changes queued, as while the store is slow or away, the record of a run that had ended was deleted in one transaction and the progress that says so was stored in a later one. An owner that was lost in between left neither the run nor its end, and the next one started the task again. The deletion of a job's progress dropped the queued progress in the same way, and the four operations that end a job could fall into two transactions.

Now a newer value takes the place of the queued one, a deletion is queued behind it, and the operations of one call are stored in one transaction.

--- a/packages/jobs/job-service/src/commit-queue.ts
+++ b/packages/jobs/job-service/src/commit-queue.ts
@@ -12,6 +12,13 @@
 const firstRetryMilliseconds = 50;
 const longestRetryMilliseconds = 1000;
 
+type QueuedOperation = {
+	operation: StoreOperation;
+	readonly position: number;
+	/** Operations of one unit are stored in one transaction. */
+	readonly unit: number;
+};
+
 export type CommitQueue = ReturnType<typeof createCommitQueue>;
 
 export const createCommitQueue = (options: {
@@ -28,11 +35,13 @@
 	let sequence = 0;
 	let isEnded = false;
 	let isWriting = false;
-	/** Newest operation for each key, in ascending order of its position. */
-	const queuedOperations = new Map<string, {readonly operation: StoreOperation; readonly position: number}>();
+	let queue: QueuedOperation[] = [];
+	/** The newest queued operation for each key. */
+	const newestByKey = new Map<string, QueuedOperation>();
 	let lastPosition = 0;
+	let lastUnit = 0;
 	/** Each resolves once all operations up to its position are stored. */
-	let waiters: Array<{position: number; readonly resolve: () => void}> = [];
+	let waiters: Array<{readonly position: number; readonly resolve: () => void}> = [];
 
 	const getKey = (operation: StoreOperation): string => operation.type === 'delete-prefix' ? operation.prefix : operation.key;
 
@@ -87,20 +96,31 @@
 		}
 	};
 
+	/** Removes the next operations from the queue: whole units, and the newest operation for each key among them. */
+	const takeBatch = (): StoreOperation[] => {
+		// A unit that does not fit into this transaction as a whole is left for the next one. No unit is larger than a transaction.
+		const nextUnit = queue.at(operationsPerCommit)?.unit;
+		const end = nextUnit === undefined ? queue.length : queue.findIndex(({unit}, index) => unit === nextUnit || index === operationsPerCommit);
+		const batch = new Map(queue.slice(0, end).map(queued => [getKey(queued.operation), queued]));
+		queue = queue.slice(end);
+		for (const [key, queued] of batch) {
+			if (newestByKey.get(key) === queued) {
+				newestByKey.delete(key);
+			}
+		}
+
+		return [...batch.values()].map(({operation}) => operation);
+	};
+
 	const drainQueue = async (): Promise<void> => {
 		if (isWriting) {
 			return;
 		}
 
 		isWriting = true;
-		while (queuedOperations.size > 0 && !isEnded) {
-			const batch = [...queuedOperations.entries()].slice(0, operationsPerCommit);
-			for (const [key] of batch) {
-				queuedOperations.delete(key);
-			}
-
+		while (queue.length > 0 && !isEnded) {
 			// eslint-disable-next-line no-await-in-loop -- One transaction at a time.
-			if (!await writeBatch(batch.map(([, {operation}]) => operation))) {
+			if (!await writeBatch(takeBatch())) {
 				if (!isEnded) {
 					isEnded = true;
 					onFenced();
@@ -109,7 +129,7 @@
 				break;
 			}
 
-			const [oldest] = queuedOperations.values();
+			const [oldest] = queue;
 			waiters = waiters.filter(waiter => {
 				const isStored = oldest === undefined || waiter.position < oldest.position;
 				if (isStored) {
@@ -123,22 +143,23 @@
 		isWriting = false;
 	};
 
-	const enqueue = (operation: StoreOperation): void => {
+	const enqueue = (operation: StoreOperation, unit: number): void => {
 		const key = getKey(operation);
-		const older = queuedOperations.get(key);
-		lastPosition += 1;
-		// A newer operation replaces a queued one for the same key and moves to the end of the queue; waiters for the older one wait for the newer.
-		queuedOperations.delete(key);
-		queuedOperations.set(key, {operation, position: lastPosition});
-		if (older) {
-			for (const waiter of waiters) {
-				waiter.position = waiter.position >= older.position ? lastPosition : waiter.position;
-			}
+		const newest = newestByKey.get(key);
+		if (newest?.operation.type === 'put' && operation.type === 'put') {
+			// Takes the place of the older value: operations queued after that one may rely on it.
+			newest.operation = operation;
+			return;
 		}
+
+		lastPosition += 1;
+		const queued: QueuedOperation = {operation, position: lastPosition, unit};
+		queue.push(queued);
+		newestByKey.set(key, queued);
 	};
 
 	const flush = async (): Promise<void> => {
-		if (queuedOperations.size === 0 && !isWriting) {
+		if (queue.length === 0 && !isWriting) {
 			return;
 		}
 
@@ -150,10 +171,11 @@
 	};
 
 	return {
-		/** Resolves once all operations are stored. Never resolves if the owner is fenced first. */
+		/** Stores the operations in one transaction if they fit into one, after those of earlier calls. Resolves once they are stored; never if the owner is fenced first. */
 		async commit(operations: readonly StoreOperation[]): Promise<void> {
-			for (const operation of operations) {
-				enqueue(operation);
+			for (const [index, operation] of operations.entries()) {
+				lastUnit += index % operationsPerCommit === 0 ? 1 : 0;
+				enqueue(operation, lastUnit);
 			}
 
 			await flush();
--- a/packages/jobs/job-service/test/commit-queue.test.ts
+++ b/packages/jobs/job-service/test/commit-queue.test.ts
@@ -116,3 +116,67 @@
 	await stored;
 	t.is(transactions.length, 2);
 });
+
+const remove = (key: string): StoreOperation => ({type: 'delete', key});
+/** As many operations as fit into one transaction beside the commit key. */
+const fullTransaction = Array.from({length: 30}, (_, index) => put(`other-${index}`, ''));
+
+/** The operations on keys of one letter, in the order of their transactions. */
+const listStored = (transactions: readonly Transaction[]): StoreOperation[] => transactions.flatMap(({operations}) =>
+	operations.filter(operation => operation.type === 'delete' || (operation.type === 'put' && operation.key.length === 1)));
+
+const respondToAll = async (transactions: readonly Transaction[]): Promise<void> => {
+	for (const [index, transaction] of transactions.entries()) {
+		transaction.respond({type: 'committed', revision: index + 2});
+		// eslint-disable-next-line no-await-in-loop -- One transaction at a time.
+		await settle();
+	}
+};
+
+// Guards against tasks that run again after a change of the owner: the record of their run was deleted in an earlier transaction than the one that stored their end.
+test('a newer value of a queued key is not stored after operations that were queued in between', async t => {
+	const {store, transactions} = createManualStore();
+	const commitQueue = createTestQueue(store);
+	void commitQueue.commit([put('first', '')]);
+	void commitQueue.commit([put('p', 'one task done')]);
+	void commitQueue.commit([remove('s')]);
+	void commitQueue.commit(fullTransaction);
+	void commitQueue.commit([put('p', 'two tasks done')]);
+	await respondToAll(transactions);
+	t.deepEqual(listStored(transactions), [put('p', 'two tasks done'), remove('s')]);
+});
+
+// Guards against the same if the job ends: the deletion of its progress replaced the queued progress, and came in a later transaction.
+test('the deletion of a key does not drop a queued value that has to be stored first', async t => {
+	const {store, transactions} = createManualStore();
+	const commitQueue = createTestQueue(store);
+	void commitQueue.commit([put('first', '')]);
+	void commitQueue.commit([put('p', 'all tasks done')]);
+	void commitQueue.commit([remove('s')]);
+	void commitQueue.commit(fullTransaction);
+	void commitQueue.commit([put('r', 'completed'), remove('p')]);
+	await respondToAll(transactions);
+	t.deepEqual(listStored(transactions), [put('p', 'all tasks done'), remove('s'), put('r', 'completed'), remove('p')]);
+});
+
+// Guards against a job whose result is stored although its record is still there: the next owner ran its tasks again.
+test('the operations of one commit are stored in one transaction', async t => {
+	const {store, transactions} = createManualStore();
+	const commitQueue = createTestQueue(store);
+	void commitQueue.commit([put('first', '')]);
+	void commitQueue.commit(fullTransaction.slice(1));
+	void commitQueue.commit([put('r', 'completed'), remove('p')]);
+	await respondToAll(transactions);
+	t.deepEqual(transactions.map(({operations}) => operations.length - 1), [1, 29, 2]);
+});
+
+// Guards against a transaction that changes a key twice.
+test('only the newest operation for a key is part of a transaction', async t => {
+	const {store, transactions} = createManualStore();
+	const commitQueue = createTestQueue(store);
+	void commitQueue.commit([put('first', '')]);
+	void commitQueue.commit([put('p', 'all tasks done')]);
+	void commitQueue.commit([put('r', 'completed'), remove('p')]);
+	await respondToAll(transactions);
+	t.deepEqual(listStored(transactions), [remove('p'), put('r', 'completed')]);
+});
