Queue the ends of runs before the deletion of their records

After a report that was requested beside a long poll, the ends are queued by the tick only, so the deletion of the record went first, in a transaction of its own.

--- a/packages/jobs/job-service/src/owned-jobs.ts
+++ b/packages/jobs/job-service/src/owned-jobs.ts
@@ -56,7 +56,7 @@
 		}
 
 		pendingResults.add(id);
-		// The result is written first: if the operations fall into two transactions, a job may be found twice but never not at all.
+		// One transaction, so that the next owner finds either the job with its progress or the result.
 		await commitQueue.commit([
 			{
 				type: 'put', key: resultPrefix + id, value: state, ...(resultLeaseId !== undefined && {leaseId: resultLeaseId}),
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -123,7 +123,7 @@
 		store, commitQueue, scheduler, clock, onChange: requestTick, log,
 	});
 	const runRecords = createRunRecords({
-		commitQueue, epoch: ownership.epoch, now: clock.now, onUnreadable: log.recordUnreadable,
+		commitQueue, epoch: ownership.epoch, now: clock.now, persistChanges: jobs.persistChanges, onUnreadable: log.recordUnreadable,
 	});
 	const workers: OwnedWorkers = createOwnedWorkers({
 		scheduler, runRecords, recordCodec, workerClient, clock, tookOverAt, workerLeaseMilliseconds, onChange: requestTick, log,
--- a/packages/jobs/job-service/src/run-records.ts
+++ b/packages/jobs/job-service/src/run-records.ts
@@ -42,9 +42,11 @@
 	readonly commitQueue: CommitQueue;
 	readonly epoch: number;
 	readonly now: () => number;
+	/** Queues the changes of jobs for the store. Called before segments are deleted: otherwise the next owner may find neither the run of a task nor its end. */
+	readonly persistChanges: () => Promise<void>;
 	readonly onUnreadable: (key: string) => void;
 }) => {
-	const {commitQueue, epoch, now, onUnreadable} = options;
+	const {commitQueue, epoch, now, persistChanges, onUnreadable} = options;
 	let segments: Segment[] = [];
 	let pendingSegment: {readonly rows: RunRow[]; readonly stored: Promise<void>} | undefined;
 	let segmentCount = 0;
@@ -113,6 +115,10 @@
 				}
 			}
 
+			if (ended.length > 0 || old.length > 1) {
+				void persistChanges();
+			}
+
 			segments = segments.filter(segment => !ended.includes(segment));
 			if (ended.length > 0) {
 				void commitQueue.commit(ended.map(({key}) => ({type: 'delete', key})));
--- a/packages/jobs/job-service/test/owned-workers.test.ts
+++ b/packages/jobs/job-service/test/owned-workers.test.ts
@@ -23,7 +23,7 @@
 	const ownedWorkers = createOwnedWorkers({
 		scheduler, recordCodec, workerClient, clock, tookOverAt: 0, workerLeaseMilliseconds: 3500, onChange: () => undefined,
 		runRecords: createRunRecords({
-			commitQueue: {commit: async () => undefined, flush: async () => undefined, end: () => undefined}, epoch: 2, now: clock.now, onUnreadable: unused,
+			commitQueue: {commit: async () => undefined, flush: async () => undefined, end: () => undefined}, epoch: 2, now: clock.now, persistChanges: async () => undefined, onUnreadable: unused,
 		}),
 		createSession: () => ({grantLease: () => undefined, wake: () => undefined, end: () => undefined}),
 		log: {
--- a/packages/jobs/job-service/test/run-records.test.ts
+++ b/packages/jobs/job-service/test/run-records.test.ts
@@ -12,6 +12,8 @@
 	let now = 0;
 	const store = new Map<string, string>();
 	const transactions: StoreOperation[][] = [];
+	/** For each time that changes of jobs were queued, the number of transactions before. */
+	const persistedBefore: number[] = [];
 	const {scheduler, worker} = createSchedulerWithWorker(2);
 	const reportEnded = (ended: readonly string[]) => {
 		scheduler.applyRunReport({
@@ -25,6 +27,9 @@
 
 	const records = createRunRecords({
 		epoch: 2, now: () => now, onUnreadable: () => undefined,
+		async persistChanges() {
+			persistedBefore.push(transactions.length);
+		},
 		commitQueue: {
 			async commit(operations) {
 				transactions.push([...operations]);
@@ -40,7 +45,7 @@
 		},
 	});
 	return {
-		scheduler, worker, store, transactions, records, reportEnded,
+		scheduler, worker, store, transactions, persistedBefore, records, reportEnded,
 		planStarts(id: string, taskCount: number): RunRow[] {
 			scheduler.addJob(createDeclaration(id, taskCount), {isRestored: false, now, wallNow: 0});
 			return scheduler.plan({now, wallNow: 0, mayStart: true}).flatMap(order => order.type === 'start' ? [order.row] : []);
@@ -109,3 +114,14 @@
 	advance(2500);
 	t.is(store.size, 0);
 });
+
+// Guards against tasks that run again after a change of the owner: the next owner found neither their run nor their end.
+test('the ends of runs are queued for the store before their segment is deleted', async t => {
+	const {planStarts, records, transactions, persistedBefore, reportEnded, advance} = createFixture();
+	await Promise.all(planStarts('job', 1).map(async row => records.record(row)));
+	reportEnded(['job.0.0.0']);
+	advance(600);
+	await settle();
+	t.is(transactions.findIndex(operations => operations[0]?.type === 'delete'), 1);
+	t.deepEqual(persistedBefore, [1]);
+});
