--- a/packages/tools/experiment/src/main.ts
+++ b/packages/tools/experiment/src/main.ts
@@ -97,7 +97,8 @@
 		return runEvacuationSchedule(seed);
 	}
 
-	return values.waves ? runWaveSchedule(seed) : runSchedule(seed, policies.get(values.policy[0] ?? 'usual') ?? exitWithUsage('unknown policy'));
+	const policy = policies.get(values.policy[0] ?? 'usual') ?? exitWithUsage('unknown policy');
+	return values.waves ? runWaveSchedule(seed, policy) : runSchedule(seed, policy);
 };
 
 const runSchedules = async (count: number): Promise<boolean> => {
--- a/packages/tools/experiment/src/schedules.ts
+++ b/packages/tools/experiment/src/schedules.ts
@@ -149,8 +149,8 @@
 };
 
 /** Runs the schedule of a seed with waves during changes of the owner. */
-export const runWaveSchedule = async (seed: number): Promise<SimulationResult> => runSimulation({
-	load: smallLoad, faults: drawWaveFaults(createRandom(seed * faultSeedFactor)), seed, ...defaultPolicy,
+export const runWaveSchedule = async (seed: number, policy: SimulationPolicy = defaultPolicy): Promise<SimulationResult> => runSimulation({
+	load: smallLoad, faults: drawWaveFaults(createRandom(seed * faultSeedFactor)), seed, ...policy,
 });
 
 /** Runs the schedule of a seed with an evacuation during a change of the owner. */
