--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,105 +1,108 @@
 /**
- * TWICE: the machine that holds the jobs is turned away by the store and then stopped. It acknowledges the end of a subtask that it
- * could not store, so the next holder runs the subtask again.
+ * LOST: one consumer hands in a job that recurs each second and whose first time lies a day back. From then on the machines that hold the
+ * jobs end by themselves in turn, and accepted jobs of other consumers are not run.
  */
 import {runCase} from '../lib/case.mjs';
-import {wait, waitFor} from '../lib/tools.mjs';
+import {wait} from '../lib/tools.mjs';
 
-const rounds = 4;
-const workMilliseconds = 1500;
-/** The store turns the holder away this long before the subtask ends. */
-const leadMilliseconds = 100;
-/** SIGTERM comes this long after the subtask has ended. */
-const stopMilliseconds = 300;
-/** For this long in all the store turns the machine away: 9.0 s are allowed (site file: platform_down, how "nodes"). */
-const turnedAwayMilliseconds = 4000;
-/** A consumer asks for the state until then. */
-const patienceMilliseconds = 14_000;
+const runnerCount = 6;
+const runnerCpu = 16_000;
+const sampleMilliseconds = 20;
+const intervalMilliseconds = 1000;
+const dayMilliseconds = 86_400_000;
+const otherJobCount = 30;
+const otherIntervalMilliseconds = 600;
+/** A job has nothing running for this long, while less than half of the capacity is in use. */
+const lostMilliseconds = 3000;
+/** Twice `finish_s`. */
+const finishMilliseconds = 28_000;
+/** A process that ends by itself is started again after a short delay. */
+const restartMilliseconds = 500;
 
 await runCase(import.meta.dirname, {
 	instanceCount: 3,
-	services: [{name: 'abholung', count: 6}],
+	services: [{name: 'abholung', count: runnerCount}],
 	routes: [{name: 'pickup-quote', prefix: '/pickup/', service: 'abholung'}],
-	getWork: () => ({milliseconds: workMilliseconds, cpu: 880, memMb: 1300}),
+	getWork: () => ({milliseconds: 640, cpu: 880, memMb: 1300}),
 }, async ({deployment, record, hasTrouble, observe}) => {
-	const {store, instances, call} = deployment;
-	/** What each subtask has done: ends `done` that were taken note of, and starts after them. */
-	const ackedDone = new Map();
-	const lapsed = new Set();
-	let isBroken = false;
-	let running;
+	const {instances, runners, call} = deployment;
+	const started = new Set();
+	let ownEnds = 0;
 	observe(event => {
 		if (event.type === 'started') {
-			running = event;
-			const acked = ackedDone.get(event.task);
-			if (acked !== undefined && !lapsed.has(event.task)) {
-				isBroken = true;
-				record(`BROKEN TWICE: ${event.task} starts as run ${event.run}, though run ${acked} has ended done and its end was taken note of`);
-			}
-		}
-
-		if (event.type === 'ended' && event.how === 'lapsed') {
-			lapsed.add(event.task);
-		}
-
-		if (event.type === 'acked' && event.how === 'done') {
-			ackedDone.set(event.task, event.run);
+			started.add(event.task.split('.', 1)[0]);
 		}
 	});
-
 	if (!await deployment.isReady()) {
 		return 'not-run';
 	}
 
-	for (let round = 0; round < rounds; round += 1) {
-		/* eslint-disable no-await-in-loop -- Rounds run one after the other. */
-		await wait(3000);
-		const id = `000000000000a${round.toString().padStart(3, '0')}`;
-		running = undefined;
-		const accepted = await deployment.submit('pickup-quote', id, {
-			spec: 'quote', steps: [{
-				count: 1, cpu: 880, memMb: 1300, estimateMs: workMilliseconds,
-			}],
-		});
-		if (!accepted || !await waitFor(() => running !== undefined, 5000)) {
-			return 'not-run';
-		}
+	for (const instance of instances) {
+		instance.onExit = () => {
+			ownEnds += 1;
+			setTimeout(instance.start, restartMilliseconds);
+		};
+	}
 
-		const holder = deployment.findOwner();
-		record(`holder: ${holder?.name}`);
-		const endsAt = running.at + workMilliseconds;
-		if (hasTrouble) {
-			await wait(endsAt - leadMilliseconds - performance.now());
-			record(`store: turns ${holder.name} away (503)`);
-			holder.link.turnAway(true);
-			const servedAgain = wait(turnedAwayMilliseconds).then(() => {
-				holder.link.turnAway(false);
-				record(`store: serves ${holder.name} again`);
-			});
-			await wait(endsAt + stopMilliseconds - performance.now());
-			holder.signal('SIGTERM');
-			await Promise.all([servedAgain, holder.exited()]);
-			holder.start();
-		}
+	const step = {
+		count: 1, cpu: 880, memMb: 1300, estimateMs: 640,
+	};
+	const isAccepted = await deployment.submit('pickup-quote', 'ffffffffffffffff', {
+		spec: 'each second', steps: [step], repetitions: 2 * dayMilliseconds / intervalMilliseconds, intervalMs: intervalMilliseconds, startAtMs: Date.now() + (hasTrouble ? -dayMilliseconds : 1000),
+	});
+	if (!isAccepted) {
+		record('the job is refused, as it may be');
+		return 'held';
+	}
 
-		const deadline = performance.now() + patienceMilliseconds;
-		let state;
-		while (state !== 'completed' && performance.now() < deadline) {
-			await wait(500);
-			const asked = instances.find(instance => instance.isRunning());
-			const answer = await call(asked, 'GET', 'pickup-quote', id);
-			state = answer.body?.state;
-			record(`consumer: GET ${id} at ${asked.name} -> ${answer.status} ${state}`);
+	/** The newest time at which half of the service's capacity was in use. */
+	let halfUsedAt = performance.now();
+	const sampler = setInterval(() => {
+		const running = runners.flatMap(runner => runner.listRuns()).length;
+		if (running * step.cpu >= runnerCount * runnerCpu / 2) {
+			halfUsedAt = performance.now();
 		}
+	}, sampleMilliseconds);
 
-		if (state !== 'completed') {
-			record(`${id} isn't completed`);
-			return 'not-run';
-		}
+	const accepted = [];
+	const submitted = [];
+	for (let count = 1; count <= otherJobCount; count += 1) {
+		/* eslint-disable no-await-in-loop -- One job after the other. */
+		await wait(otherIntervalMilliseconds);
+		const id = count.toString(16).padStart(16, '0');
+		submitted.push(deployment.submit('pickup-quote', id, {spec: 'quote', steps: [step]}).then(isStored => {
+			if (isStored) {
+				accepted.push(id);
+			}
+		}));
+	}
 
-		record(`store holder now: ${store.read('turmericbay/owner')?.instance}`);
+	await Promise.all(submitted);
+	const deadline = performance.now() + finishMilliseconds;
+	let open = accepted;
+	while (open.length > 0 && performance.now() < deadline) {
+		await wait(1000);
+		const asked = await Promise.all(open.map(async id => call(instances[Number.parseInt(id, 16) % instances.length], 'GET', 'pickup-quote', id)));
+		open = open.filter((_, index) => asked[index].body?.state !== 'completed');
 		/* eslint-enable no-await-in-loop */
 	}
 
-	return isBroken ? 'broken' : 'held';
+	clearInterval(sampler);
+	for (const instance of instances) {
+		instance.onExit = undefined;
+	}
+
+	const waiting = open.filter(id => !started.has(id));
+	const unusedMilliseconds = performance.now() - halfUsedAt;
+	record(`processes that ended by themselves: ${ownEnds}; accepted jobs: ${accepted.length}, not completed ${finishMilliseconds / 1000} s after the last: ${open.length}, of which never started: ${waiting.length}; less than half of the capacity has been in use for ${(unusedMilliseconds / 1000).toFixed(1)} s`);
+	const isLost = waiting.length > 0 && unusedMilliseconds > lostMilliseconds;
+	if (isLost) {
+		record(`BROKEN LOST: ${waiting.join(' ')}`);
+	}
+
+	if (ownEnds >= 3) {
+		record('BROKEN: processes end by themselves again and again');
+	}
+
+	return isLost ? 'broken' : 'held';
 });
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -144,13 +144,13 @@
 
 	/** One call of a consumer over a new or kept channel to one machine; the status is undefined if there was no answer. */
 	// eslint-disable-next-line max-params -- Reads like the call itself.
-	const call = async (instance, method, route, id, body) => new Promise(resolve => {
+	const call = async (instance, method, route, id, body, key = apiKey) => new Promise(resolve => {
 		const [hostname, port] = instance.front.split(':');
 		const payload = body === undefined ? undefined : JSON.stringify(body);
 		const sent = request({
 			agent, hostname, port, method, path: `${routes.find(({name}) => name === route).prefix}${id}`, timeout: 3000,
 			headers: {
-				host: routeHost, authorization: `Bearer ${apiKey}`, 'x-timeout-ms': '3000',
+				host: routeHost, authorization: `Bearer ${key}`, 'x-timeout-ms': '3000',
 				...(payload !== undefined && {'content-type': 'application/json', 'content-length': payload.length}),
 			},
 		}, async response => {
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -11,6 +11,9 @@
 const pageItems = 500;
 const longestWatchMilliseconds = 30_000;
 const answerMilliseconds = 4;
+/** The settings: `valueBytes`, `writesPerS`. */
+const valueBytes = 1_048_576;
+const writesPerSecond = 400;
 
 export const createStore = () => {
 	const items = new Map();
@@ -54,12 +57,25 @@
 		return true;
 	};
 
+	let writeTimes = [];
+	/** All machines together may write this often. */
+	const isBeyondRate = () => {
+		const now = performance.now();
+		writeTimes = writeTimes.filter(at => at > now - 1000);
+		writeTimes.push(now);
+		return writeTimes.length > writesPerSecond;
+	};
+
 	const transact = ({expectedRev = [], writes = [], remove: removals = []}) => {
 		const isExpected = expectedRev.every(({key, revision: expected}) => (items.get(key)?.revision ?? 0) === expected);
 		if (!isExpected) {
 			return [412, {items: expectedRev.flatMap(({key}) => items.has(key) ? [items.get(key)] : [])}];
 		}
 
+		if (writes.some(({value}) => Buffer.byteLength(value, 'base64') > valueBytes)) {
+			return [413, {}];
+		}
+
 		if (writes.some(({lease = 0}) => lease !== 0 && !leases.has(lease))) {
 			return [404, {}];
 		}
@@ -109,7 +125,7 @@
 		}
 
 		if (pathname === '/-/kv-txn') {
-			return transact(body);
+			return isBeyondRate() ? [429, {}] : transact(body);
 		}
 
 		if (pathname === '/-/kv-lease') {
