--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -82,6 +82,19 @@
 		leaveGang(run, how);
 	};
 
+	/** Ends up to `ackedUpto` are forgotten. */
+	const forget = (current, ackedUpto) => {
+		for (const [number, task, run, how] of current === boot ? current.ended : []) {
+			if (number <= ackedUpto) {
+				observe({
+					type: 'acked', runner: id, task, run, how,
+				});
+			}
+		}
+
+		current.ended = current.ended.filter(([number]) => number > ackedUpto);
+	};
+
 	const leaveGang = (run, how) => {
 		if (run.work.gangSize === undefined) {
 			return;
@@ -219,23 +232,17 @@
 
 	const hold = async (current, {ackedUpto = 0, untilMs, waitMs = 0}) => {
 		extend(current, untilMs);
-		for (const [number, task, run, how] of current.ended) {
-			if (number <= ackedUpto) {
-				observe({
-					type: 'acked', runner: id, task, run, how,
-				});
-			}
-		}
-
-		current.ended = current.ended.filter(([number]) => number > ackedUpto);
+		forget(current, ackedUpto);
 		const deadline = performance.now() + Math.min(longestWaitMilliseconds, waitMs);
-		const isCurrent = () => current === boot;
-		while (isCurrent() && current.ended.length === 0 && performance.now() < deadline) {
+		const hasNews = () => current !== boot || current.ended.some(([number]) => number > ackedUpto);
+		while (!hasNews() && performance.now() < deadline) {
 			// eslint-disable-next-line no-await-in-loop -- Waits for an end.
 			await wait(tickMilliseconds);
 			advance(current);
 		}
 
+		// The answer, too, returns the ends beyond `ackedUpto` only.
+		forget(current, ackedUpto);
 		return [200, {
 			running: [...current.runs.values()].map(run => [run.task, run.run, getSaved(run, false), getPercent(run), run.work.cpu ?? 0]),
 			ended: current.ended.slice(0, endsPerAnswer),
@@ -276,7 +283,18 @@
 		}
 	};
 
-	const up = async () => {
+	/** An entry each `heartbeatMs`. */
+	const beat = (current, milliseconds) => {
+		heartbeatTimer = setTimeout(() => {
+			if (current === boot) {
+				writeEntry();
+				beat(current, bounds.heartbeatMs);
+			}
+		}, milliseconds);
+	};
+
+	/** `entryDelayMilliseconds`: when the first entry of this boot is written. */
+	const up = async (entryDelayMilliseconds = 0) => {
 		const current = {
 			born: Date.now(), startedAt: performance.now(), runs: new Map(), finals: new Map(), ended: [], lastEnd: 0, fence: 0, until: 0,
 		};
@@ -301,8 +319,7 @@
 		current.timer = setInterval(() => {
 			advance(current);
 		}, tickMilliseconds);
-		writeEntry();
-		heartbeatTimer = setInterval(writeEntry, bounds.heartbeatMs);
+		beat(current, entryDelayMilliseconds);
 		observe({type: 'up', runner: id});
 	};
 
@@ -315,7 +332,7 @@
 
 		boot = undefined;
 		clearInterval(ended.timer);
-		clearInterval(heartbeatTimer);
+		clearTimeout(heartbeatTimer);
 		server.closeAllConnections();
 		server.close();
 		observe({type: 'down', runner: id});
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -161,9 +161,10 @@
 		/** Opens an address for one machine. */
 		async open() {
 			let isTurnedAway = false;
+			let slowness = 1;
 			const server = createServer(async (request, response) => {
 				const body = request.method === 'POST' && request.headers['content-length'] !== '0' && request.headers['content-type'] ? await json(request) : {};
-				await wait(answerMilliseconds);
+				await wait(answerMilliseconds * slowness);
 				const [status, answer] = isTurnedAway ? [503, {}] : await handle(request, body);
 				response.writeHead(status, {'content-type': 'application/json'});
 				response.end(JSON.stringify(answer));
@@ -172,6 +173,10 @@
 			const address = await listen(server);
 			return {
 				address,
+				/** Answers take this many times as long. */
+				slowDown(next) {
+					slowness = next;
+				},
 				/** 503 to all calls of this machine: nothing is done. */
 				turnAway(next) {
 					isTurnedAway = next;
