--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -35,16 +35,22 @@
 const toTomlValue = value => Array.isArray(value) ? `[${value.map(entry => toTomlValue(entry)).join(',')}]` : JSON.stringify(value);
 const toToml = table => Object.entries(table).map(([key, value]) => `${key} = ${toTomlValue(value)}`).join('\n');
 
-/** Below the ports that systems give to outgoing channels, so that none takes the port before the process listens. */
+/**
+ * Below the ports that systems give to outgoing channels, so that none takes the port before the process listens. Each script has a part
+ * of its own, so that scripts that run at the same time don't take each other's.
+ */
 const lowestPort = 12_000;
-const highestPort = 30_000;
+const portsPerScript = 200;
+const parts = 90;
+let nextPort = lowestPort + ((process.pid % parts) * portsPerScript);
 
 const findFreeAddress = async () => {
 	for (;;) {
 		const server = createServer();
+		nextPort += 1;
 		try {
 			// eslint-disable-next-line no-await-in-loop -- Until a port is free.
-			const address = await listen(server, lowestPort + Math.floor(Math.random() * (highestPort - lowestPort)));
+			const address = await listen(server, nextPort);
 			// eslint-disable-next-line no-await-in-loop -- As above.
 			await new Promise(resolve => {
 				server.close(resolve);
