Log how many changes an owner leaves unstored when it ends

Cause of the gap: the commit queue gives up its writes silently when the owner ends.

The queue counts positions: those queued, and those known to be stored.

No change of behaviour.

--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -68,6 +68,7 @@
 	MachineMoved = 8536,
 	RecordUnreadable = 8541,
 	SettingsReloaded = 8542,
+	ChangesNotStored = 8543,
 	DispatcherGained = 8561,
 	DispatcherLost = 8562,
 	DispatchEnded = 8563,
@@ -393,6 +394,11 @@
 		message: 'This instance does not call workers for an owner of the jobs any more',
 		action: none,
 	},
+	[LogEvent.ChangesNotStored]: {
+		level: LogLevel.Warning,
+		message: 'The owner of the jobs has ended before all its changes were stored',
+		action: 'None: workers report the ends of runs again to the next owner. If it happens at planned stops, look for a slow store or one that rejects this instance.',
+	},
 	[LogEvent.ZoneEvacuationBegun]: {
 		level: LogLevel.Warning,
 		message: 'The operator has evacuated a zone; its workers get no new runs',
--- a/packages/jobs/job-service/src/commit-queue.ts
+++ b/packages/jobs/job-service/src/commit-queue.ts
@@ -39,6 +39,8 @@
 	/** The newest queued operation for each key. */
 	const newestByKey = new Map<string, QueuedOperation>();
 	let lastPosition = 0;
+	/** All operations up to this position are stored. */
+	let storedPosition = 0;
 	let lastUnit = 0;
 	/** Each resolves once all operations up to its position are stored. */
 	let waiters: Array<{readonly position: number; readonly resolve: () => void}> = [];
@@ -96,12 +98,13 @@
 		}
 	};
 
-	/** Removes the next operations from the queue: whole units, and the newest operation for each key among them. */
-	const takeBatch = (): StoreOperation[] => {
+	/** Removes the next operations from the queue: whole units, and the newest operation for each key among them. `position` is that of the last one. */
+	const takeBatch = (): {readonly operations: readonly StoreOperation[]; readonly position: number} => {
 		// A unit that does not fit into this transaction as a whole is left for the next one. No unit is larger than a transaction.
 		const nextUnit = queue.at(operationsPerCommit)?.unit;
 		const end = nextUnit === undefined ? queue.length : queue.findIndex(({unit}, index) => unit === nextUnit || index === operationsPerCommit);
-		const batch = new Map(queue.slice(0, end).map(queued => [getKey(queued.operation), queued]));
+		const taken = queue.slice(0, end);
+		const batch = new Map(taken.map(queued => [getKey(queued.operation), queued]));
 		queue = queue.slice(end);
 		for (const [key, queued] of batch) {
 			if (newestByKey.get(key) === queued) {
@@ -109,7 +112,19 @@
 			}
 		}
 
-		return [...batch.values()].map(({operation}) => operation);
+		return {operations: [...batch.values()].map(({operation}) => operation), position: taken.at(-1)!.position};
+	};
+
+	const markStored = (position: number): void => {
+		storedPosition = position;
+		waiters = waiters.filter(waiter => {
+			const isStored = waiter.position <= position;
+			if (isStored) {
+				waiter.resolve();
+			}
+
+			return !isStored;
+		});
 	};
 
 	const drainQueue = async (): Promise<void> => {
@@ -119,8 +134,9 @@
 
 		isWriting = true;
 		while (queue.length > 0 && !isEnded) {
+			const {operations, position} = takeBatch();
 			// eslint-disable-next-line no-await-in-loop -- One transaction at a time.
-			if (!await writeBatch(takeBatch())) {
+			if (!await writeBatch(operations)) {
 				if (!isEnded) {
 					isEnded = true;
 					onFenced();
@@ -129,15 +145,7 @@
 				break;
 			}
 
-			const [oldest] = queue;
-			waiters = waiters.filter(waiter => {
-				const isStored = oldest === undefined || waiter.position < oldest.position;
-				if (isStored) {
-					waiter.resolve();
-				}
-
-				return !isStored;
-			});
+			markStored(position);
 		}
 
 		isWriting = false;
@@ -182,8 +190,10 @@
 		},
 		/** Resolves once all operations of earlier calls of `commit` are stored. */
 		flush,
-		end(): void {
+		/** Starts no further transaction. Returns the number of operations that are not known to be stored. */
+		end(): number {
 			isEnded = true;
+			return lastPosition - storedPosition;
 		},
 	};
 };
--- a/packages/jobs/job-service/src/owner-log.ts
+++ b/packages/jobs/job-service/src/owner-log.ts
@@ -19,6 +19,8 @@
 	ownerDelayed(milliseconds: number): void;
 	jobsLoaded(summary: {jobs: number; workers: number; milliseconds: number}): void;
 	recordUnreadable(key: string): void;
+	/** The owner has ended with this number of changes that are not known to be stored. */
+	changesNotStored(epoch: number, changes: number): void;
 	/** State of the evacuated zones; empty once none is left. */
 	evacuationsMeasured(zones: readonly ZoneEvacuationStatus[]): void;
 };
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -281,7 +281,11 @@
 		clearInterval(timer);
 		clearTimeout(pendingTick);
 		leaseRenewal.end();
-		commitQueue.end();
+		const unstoredChanges = commitQueue.end();
+		if (unstoredChanges > 0) {
+			log.changesNotStored(ownership.epoch, unstoredChanges);
+		}
+
 		storedState.stop();
 		evacuations.end();
 
--- a/packages/jobs/job-service/test/owned-workers.test.ts
+++ b/packages/jobs/job-service/test/owned-workers.test.ts
@@ -23,12 +23,12 @@
 	const ownedWorkers = createOwnedWorkers({
 		scheduler, recordCodec, workerClient, clock, tookOverAt: 0, workerLeaseMilliseconds: 3500, onChange: () => undefined,
 		runRecords: createRunRecords({
-			commitQueue: {commit: async () => undefined, flush: async () => undefined, end: () => undefined}, epoch: 2, now: clock.now, persistChanges: async () => undefined, onUnreadable: unused,
+			commitQueue: {commit: async () => undefined, flush: async () => undefined, end: () => 0}, epoch: 2, now: clock.now, persistChanges: async () => undefined, onUnreadable: unused,
 		}),
 		createSession: () => ({grantLease: () => undefined, wake: () => undefined, end: () => undefined}),
 		log: {
 			schedulerEvent: unused, startAttempted: unused, stopAttempted: unused, workerCallFailed: unused, workerRecovered: unused, jobFinished: unused, storeCallFailed: unused,
-			jobsLoaded: unused, evacuationsMeasured: unused, ownerDelayed: unused, recordUnreadable: unused, waveProgressed: unused, moveAttempted: unused,
+			jobsLoaded: unused, evacuationsMeasured: unused, ownerDelayed: unused, recordUnreadable: unused, changesNotStored: unused, waveProgressed: unused, moveAttempted: unused,
 			dispatcherGained: unused, dispatcherLost: unused, workerCallsCounted: unused, dispatchersCounted: unused,
 		},
 	});
--- a/packages/jobs/job-service/test/run-records.test.ts
+++ b/packages/jobs/job-service/test/run-records.test.ts
@@ -41,7 +41,7 @@
 					}
 				}
 			},
-			flush: async () => undefined, end: () => undefined,
+			flush: async () => undefined, end: () => 0,
 		},
 	});
 	return {
--- a/packages/tools/experiment/src/simulation-log.ts
+++ b/packages/tools/experiment/src/simulation-log.ts
@@ -65,6 +65,9 @@
 		dispatchEnded(reason) {
 			write('dispatch-ended', reason);
 		},
+		changesNotStored(epoch, changes) {
+			write('changes-not-stored', {epoch, changes});
+		},
 		ownershipGained(epoch) {
 			write('ownership-gained', String(epoch));
 		},
