Count changes as stored only once their transaction is confirmed

Cause: a batch leaves the commit queue when its transaction begins. An owner that ends during a retry gives the batch up; `flush` took the empty queue as proof that all was stored. For 1.7 s after a planned stop the heartbeats still ask it, so the owner acknowledged ends that it had not stored, the worker forgot them, and the next owner ran their tasks again. The loss of ownership to another owner leaves the same state.

Change: positions of queued and of stored operations; a call resolves once all operations queued before it are stored, and never if the queue ends first. Starts, results and machine orders wait for a commit of their own and were right before.

--- a/packages/jobs/job-service/src/commit-queue.ts
+++ b/packages/jobs/job-service/src/commit-queue.ts
@@ -167,7 +167,8 @@
 	};
 
 	const flush = async (): Promise<void> => {
-		if (queue.length === 0 && !isWriting) {
+		// An empty queue is no proof: its last operations may have left it without being stored, when the owner ended.
+		if (storedPosition === lastPosition) {
 			return;
 		}
 
@@ -179,7 +180,7 @@
 	};
 
 	return {
-		/** Stores the operations in one transaction if they fit into one, after those of earlier calls. Resolves once they are stored; never if the owner is fenced first. */
+		/** Stores the operations in one transaction if they fit into one, after those of earlier calls. Resolves once they and those of all earlier calls are stored; never if the queue ends or the owner is fenced first. */
 		async commit(operations: readonly StoreOperation[]): Promise<void> {
 			for (const [index, operation] of operations.entries()) {
 				lastUnit += index % operationsPerCommit === 0 ? 1 : 0;
@@ -188,7 +189,7 @@
 
 			await flush();
 		},
-		/** Resolves once all operations of earlier calls of `commit` are stored. */
+		/** Resolves once all operations of earlier calls of `commit` are stored; never if the queue ends or the owner is fenced first. */
 		flush,
 		/** Starts no further transaction. Returns the number of operations that are not known to be stored. */
 		end(): number {
