Open the due occurrences of a recurring job as earlier ones start and end

Cause: `openDueOccurrences` creates the rows of all due occurrences in one tick (86,400 steps and tasks), each tick walks through all of them, and the stored progress lists them all.

Ruled out: the listing that a new owner reads and the length of the queue of commits; both are small until the tick.

Change: an occurrence is opened only while fewer than 32 open ones wait for their first run and the open ones have at most 4,096 steps and tasks. The others are numbers: `nextOccurrence` is already part of the progress, so a backlog survives a change of the owner and is worked off in order. Occurrences with a step without an end are all opened as before.

Still open: steps with very many tasks, and values that are too large for the store.

--- a/packages/jobs/scheduler/src/jobs.ts
+++ b/packages/jobs/scheduler/src/jobs.ts
@@ -3,6 +3,7 @@
 	JobDeclaration, JobRow, QueuePolicy, StepRow, TaskRow,
 } from './model.js';
 import {formatTaskName, JobState} from './model.js';
+import {countOpenableOccurrences} from './occurrence-window.js';
 import type {JobProgress} from './progress.js';
 
 export const isFinalState = (state: JobState): boolean => state !== JobState.Queued && state !== JobState.Running;
@@ -63,6 +64,9 @@
 		return steps;
 	};
 
+	const isNextOccurrenceDue = ({declaration: {repetitions, firstDueAt, intervalMilliseconds}, nextOccurrence}: JobRow, wallNow: number): boolean =>
+		nextOccurrence < repetitions && firstDueAt + (nextOccurrence * intervalMilliseconds) <= wallNow;
+
 	const occurrenceCount = (job: JobRow): number => Math.max(1, job.declaration.repetitions);
 
 	const finishJobIfComplete = (job: JobRow): void => {
@@ -178,12 +182,11 @@
 
 			return job;
 		},
-		/** Creates the tasks of all occurrences of recurring jobs that have become due. */
+		/** Creates the tasks of occurrences of recurring jobs that are due, the earliest first; those of a backlog as earlier ones start and end. */
 		openDueOccurrences(wallNow: number): void {
 			for (const job of jobs.values()) {
-				const {repetitions, firstDueAt, intervalMilliseconds} = job.declaration;
-				if (isActive(job)) {
-					while (job.nextOccurrence < repetitions && firstDueAt + (job.nextOccurrence * intervalMilliseconds) <= wallNow) {
+				if (isActive(job) && isNextOccurrenceDue(job, wallNow)) {
+					for (let openable = countOpenableOccurrences(job); openable > 0 && isNextOccurrenceDue(job, wallNow); openable -= 1) {
 						openOccurrence(job, job.nextOccurrence);
 						job.nextOccurrence += 1;
 						markChanged(job);
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -200,9 +200,9 @@
 
 export type JobRow = {
 	readonly declaration: JobDeclaration;
-	/** Steps of the occurrences that are due and not finished. */
+	/** Steps of the occurrences that are open: due, not finished, and not held back by earlier ones. */
 	readonly occurrences: Map<number, StepRow[]>;
-	/** The first occurrence that is not yet due. */
+	/** The first occurrence that has not been opened yet. */
 	nextOccurrence: number;
 	finishedOccurrences: number;
 	state: JobState;
