Refuse jobs with more tasks than the owner can hold or the store can record

Cause: nothing bounds the number of tasks. Each has rows in the owner's tables (about 1 KB) and, once it has failed, crashed or saved a checkpoint, up to about 250 bytes in the one stored value of the job's progress.

Change: a job may have 4,096 steps and tasks at a time, or fewer where `platform.valueBytes` of the settings is below 1 MiB (256 bytes for each); its record has to fit into one value. Recurring jobs are judged by one occurrence, those with a step without an end by all of them, since these stay open. A larger job is refused at once, before anything is stored, with status 413, the reason, its size and the bound, and without Retry-After. The window of open occurrences takes the same bound.

--- a/packages/jobs/job-service/src/index.ts
+++ b/packages/jobs/job-service/src/index.ts
@@ -12,6 +12,8 @@
 export type {Refusal} from './admission.js';
 export {RefusalCause} from './admission.js';
 export {createFiguresCache} from './known-figures.js';
+export type {SizeRefusal} from './job-size.js';
+export {SizeCause} from './job-size.js';
 export type {OwnerClient} from './owner-client.js';
 export {createOwnerDispatch} from './owner-dispatch.js';
 export type {OwnerLog} from './owner-log.js';
--- a/packages/jobs/job-service/src/job-operations.ts
+++ b/packages/jobs/job-service/src/job-operations.ts
@@ -13,6 +13,8 @@
 import type {AdmissionControl} from './admission-control.js';
 import type {Refusal} from './admission.js';
 import {decisionShare} from './admission.js';
+import type {SizeRefusal} from './job-size.js';
+import {checkJobSize} from './job-size.js';
 import {createJobStoring, retryMilliseconds} from './job-storing.js';
 import {createRefusalRecords} from './refusal-records.js';
 
@@ -20,7 +22,7 @@
 const maximumCachedStates = 20_000;
 
 /** A refused job is not stored and never runs. */
-export type SubmitOutcome = 'accepted' | 'not-stored' | 'unknown' | Refusal;
+export type SubmitOutcome = 'accepted' | 'not-stored' | 'unknown' | Refusal | SizeRefusal;
 export type CancelOutcome = 'cancelled' | 'unknown-job' | 'unavailable';
 export type JobStateOutcome = {readonly type: 'known'; readonly state: JobState} | {readonly type: 'unknown-job'} | {readonly type: 'unavailable'};
 
@@ -42,13 +44,15 @@
 	readonly ownerClient: OwnerClient;
 	readonly clock: Clock;
 	readonly admission: AdmissionControl;
+	/** Largest value that the store takes. */
+	readonly maximumValueBytes: number;
 	readonly random: () => number;
 	/** Time by which the store had reached the revision; undefined if no response has shown it. */
 	readonly getReachedTime: (revision: number) => number | undefined;
 	readonly log: AdmissionLog;
 	readonly onUnreadable: (key: string) => void;
 }) => {
-	const {store, health, ownerClient, clock, admission, random, getReachedTime, log, onUnreadable} = options;
+	const {store, health, ownerClient, clock, admission, maximumValueBytes, random, getReachedTime, log, onUnreadable} = options;
 	const refusalRecords = createRefusalRecords({store, clock, wait});
 	const storeJob = createJobStoring({
 		store, health, clock, wait, getReachedTime,
@@ -130,10 +134,15 @@
 
 	return {
 		/**
-		 * Stores a job, unless it is refused because it could not be of use. `receivedAt`: when the caller's
+		 * Stores a job, unless it is refused because it is too large or could not be of use. `receivedAt`: when the caller's
 		 * request arrived. If the refusal cannot be recorded in time, the job is handled like an admitted one.
 		 */
 		async submit(declaration: JobDeclaration, deadline: number, receivedAt = clock.now()): Promise<SubmitOutcome> {
+			const tooLarge = checkJobSize(declaration, maximumValueBytes);
+			if (tooLarge) {
+				return tooLarge;
+			}
+
 			if (health.unavailableMilliseconds() !== undefined) {
 				return 'not-stored';
 			}
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -4,6 +4,7 @@
 import type {KeyValueStore, StoredEntry} from '@turmericbay/types';
 import {createCommitQueue} from './commit-queue.js';
 import {createFencingTokens} from './fencing-tokens.js';
+import {computeMaximumRows} from './job-size.js';
 import {createMachineManagement} from './machine-management.js';
 import {createOrderExecutor} from './order-executor.js';
 import {createOwnedEvacuations} from './owned-evacuations.js';
@@ -42,6 +43,8 @@
 
 export type OwnerOptions = {
 	readonly store: KeyValueStore;
+	/** Largest value that the store takes. */
+	readonly maximumValueBytes: number;
 	readonly recordCodec: PlatformRecordCodec;
 	readonly ownership: Ownership;
 	readonly leaseRenewal: LeaseRenewal;
@@ -68,7 +71,7 @@
 
 /** Returns undefined if the ownership was lost while the stored jobs were being read. */
 export const createOwner = async (options: OwnerOptions) => {
-	const {store, recordCodec, ownership, leaseRenewal, adviceClient, machineClient, instance, clock, configuration, workerLeaseMilliseconds, evacuationMilliseconds, farFactor, getReachedTime, onLost, log} = options;
+	const {store, maximumValueBytes, recordCodec, ownership, leaseRenewal, adviceClient, machineClient, instance, clock, configuration, workerLeaseMilliseconds, evacuationMilliseconds, farFactor, getReachedTime, onLost, log} = options;
 	const tookOverAt = clock.now();
 	let isEnded = false;
 	let isLoaded = false;
@@ -76,7 +79,7 @@
 	let handoverEndsAt = Number.POSITIVE_INFINITY;
 
 	const scheduler = createScheduler({
-		epoch: ownership.epoch, farFactor, emit(event) {
+		epoch: ownership.epoch, farFactor, maximumOpenRows: computeMaximumRows(maximumValueBytes), emit(event) {
 			log.schedulerEvent(event);
 		},
 	});
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -49,6 +49,8 @@
 	readonly zone: string;
 	readonly peers: PeerTransport;
 	readonly store: JobStore;
+	/** Largest value that the store takes. */
+	readonly maximumValueBytes: number;
 	readonly recordCodec: PlatformRecordCodec;
 	readonly workerClient: WorkerClient;
 	readonly adviceClient: AdviceClient | undefined;
@@ -66,7 +68,7 @@
 	readonly largestDirectFleet?: number;
 	readonly log: ServiceLog;
 }) => {
-	const {instance, zone, peers, recordCodec, workerClient, adviceClient, machineClient, clock, random, cores, workerLeaseMilliseconds, evacuationMilliseconds, farFactor, log} = options;
+	const {instance, zone, peers, maximumValueBytes, recordCodec, workerClient, adviceClient, machineClient, clock, random, cores, workerLeaseMilliseconds, evacuationMilliseconds, farFactor, log} = options;
 	const {address} = peers;
 	const {store, health} = monitorStore(options);
 	let owner: NonNullable<Owner> | undefined;
@@ -178,7 +180,7 @@
 		};
 
 		const created = await createOwner({
-			store, recordCodec, ownership, leaseRenewal, workerClient, openDispatchChannel: peers.openDispatchChannel, adviceClient, machineClient, instance, clock,
+			store, maximumValueBytes, recordCodec, ownership, leaseRenewal, workerClient, openDispatchChannel: peers.openDispatchChannel, adviceClient, machineClient, instance, clock,
 			configuration: () => configuration.current() ?? current, ...(options.largestDirectFleet !== undefined && {largestDirectFleet: options.largestDirectFleet}),
 			workerLeaseMilliseconds, evacuationMilliseconds, farFactor, getReachedTime: revisionTimes.getReachedTime, onLost, log,
 		});
@@ -265,7 +267,7 @@
 
 	return {
 		jobs: createJobOperations({
-			store, health, ownerClient, clock, random, log, onUnreadable: log.configurationUnreadable,
+			store, health, maximumValueBytes, ownerClient, clock, random, log, onUnreadable: log.configurationUnreadable,
 			getReachedTime: revisionTimes.getReachedTime,
 			admission: createAdmissionControl({
 				clock, random, getFigures: ownerClient.getLoadFigures, getPolicy: queue => configuration.current()?.queues.get(queue),
--- a/packages/jobs/job-service/test/job-operations.test.ts
+++ b/packages/jobs/job-service/test/job-operations.test.ts
@@ -35,7 +35,7 @@
 		registerDispatcher: () => undefined,
 	};
 	const operations = createJobOperations({
-		store, health, ownerClient, clock, random: () => 0, getReachedTime: () => undefined, onUnreadable: () => undefined,
+		store, health, maximumValueBytes: 1_048_576, ownerClient, clock, random: () => 0, getReachedTime: () => undefined, onUnreadable: () => undefined,
 		admission: createAdmissionControl({
 			clock, random: () => 0, getFigures: () => undefined, getPolicy: () => undefined,
 		}),
--- a/packages/jobs/job-service/test/owner-handover.test.ts
+++ b/packages/jobs/job-service/test/owner-handover.test.ts
@@ -52,7 +52,7 @@
 		},
 	};
 	const owner = await createOwner({
-		store, clock, adviceClient: undefined, machineClient: undefined, instance: 'i1', workerLeaseMilliseconds: 3500, evacuationMilliseconds: undefined, farFactor: undefined,
+		store, maximumValueBytes: 1_048_576, clock, adviceClient: undefined, machineClient: undefined, instance: 'i1', workerLeaseMilliseconds: 3500, evacuationMilliseconds: undefined, farFactor: undefined,
 		openDispatchChannel: () => ({send: () => undefined, bufferedBytes: () => 0, close: () => undefined}),
 		ownership: {epoch: 1, leaseId: 'lease-1', commitRevision: 1}, configuration: () => configuration, getReachedTime: () => undefined, onLost: () => undefined,
 		leaseRenewal: {
--- a/packages/jobs/job-service/test/refusals.test.ts
+++ b/packages/jobs/job-service/test/refusals.test.ts
@@ -39,7 +39,7 @@
 			},
 		};
 		return createJobOperations({
-			store, health, clock, admission, random: Math.random, onUnreadable: () => undefined,
+			store, health, clock, admission, maximumValueBytes: 1_048_576, random: Math.random, onUnreadable: () => undefined,
 			getReachedTime: revision => reached.find(sample => sample.revision >= revision)?.at,
 			ownerClient: {
 				notifyJobStored: () => undefined, notifyJobCancelled: () => undefined, getJobState: async () => undefined, countPending: async () => undefined,
--- a/packages/jobs/scheduler/src/index.ts
+++ b/packages/jobs/scheduler/src/index.ts
@@ -7,6 +7,7 @@
 export type {ThrottleOrder} from './throttling.js';
 export type {AdviceOrder} from './advice.js';
 export type {StartOrder} from './placement.js';
+export {countOccurrenceRows, isEndless, largestJobRows} from './occurrence-window.js';
 export * from './progress.js';
 export * from './scheduler.js';
 export type {StartOutcome} from './start-outcomes.js';
--- a/packages/jobs/scheduler/src/jobs.ts
+++ b/packages/jobs/scheduler/src/jobs.ts
@@ -3,7 +3,7 @@
 	JobDeclaration, JobRow, QueuePolicy, StepRow, TaskRow,
 } from './model.js';
 import {formatTaskName, JobState} from './model.js';
-import {countOpenableOccurrences} from './occurrence-window.js';
+import {countOpenableOccurrences, largestJobRows} from './occurrence-window.js';
 import type {JobProgress} from './progress.js';
 
 export const isFinalState = (state: JobState): boolean => state !== JobState.Queued && state !== JobState.Running;
@@ -49,7 +49,8 @@
 
 export type JobTable = ReturnType<typeof createJobTable>;
 
-export const createJobTable = () => {
+/** `maximumOpenRows`: most steps and tasks in the open occurrences of a recurring job. */
+export const createJobTable = (maximumOpenRows = largestJobRows) => {
 	const jobs = new Map<string, JobRow>();
 	/** Jobs with changes that are not yet persisted. */
 	const changedJobs = new Set<JobRow>();
@@ -186,7 +187,7 @@
 		openDueOccurrences(wallNow: number): void {
 			for (const job of jobs.values()) {
 				if (isActive(job) && isNextOccurrenceDue(job, wallNow)) {
-					for (let openable = countOpenableOccurrences(job); openable > 0 && isNextOccurrenceDue(job, wallNow); openable -= 1) {
+					for (let openable = countOpenableOccurrences(job, maximumOpenRows); openable > 0 && isNextOccurrenceDue(job, wallNow); openable -= 1) {
 						openOccurrence(job, job.nextOccurrence);
 						job.nextOccurrence += 1;
 						markChanged(job);
--- a/packages/jobs/scheduler/src/occurrence-window.ts
+++ b/packages/jobs/scheduler/src/occurrence-window.ts
@@ -4,8 +4,8 @@
  */
 import type {JobDeclaration, JobRow, StepRow} from './model.js';
 
-/** Most steps and tasks in the open occurrences of a job, except that one occurrence is always open. The tables take about 1 KB for each. */
-export const maximumOpenRows = 4096;
+/** Most steps and tasks that a job may have at a time. The tables take about 1 KB for each. */
+export const largestJobRows = 4096;
 /** Occurrences that are open ahead of free capacity. Each tick reads all of them, and they are part of the stored progress. */
 const maximumWaitingOccurrences = 32;
 
@@ -25,8 +25,11 @@
 /** False once a task of the occurrence has run. */
 const isWaiting = (steps: readonly StepRow[]): boolean => steps.every(({waiting, declaration}) => waiting === declaration.taskCount);
 
-/** Number of further occurrences that may be opened now, if they are due; may be negative. */
-export const countOpenableOccurrences = (job: JobRow): number => {
+/**
+ * Number of further occurrences that may be opened now, if they are due; may be negative. The open ones have at most `maximumRows` steps and tasks,
+ * except that one occurrence is always open.
+ */
+export const countOpenableOccurrences = (job: JobRow, maximumRows: number): number => {
 	if (isEndless(job.declaration)) {
 		// The end of an earlier occurrence cannot be waited for; the size of such a job is bounded when it is accepted.
 		return Number.POSITIVE_INFINITY;
@@ -37,6 +40,6 @@
 		waiting += isWaiting(steps) ? 1 : 0;
 	}
 
-	const maximumOpen = Math.max(1, Math.floor(maximumOpenRows / countOccurrenceRows(job.declaration)));
+	const maximumOpen = Math.max(1, Math.floor(maximumRows / countOccurrenceRows(job.declaration)));
 	return Math.min(maximumOpen - job.occurrences.size, maximumWaitingOccurrences - waiting);
 };
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -59,15 +59,17 @@
 	readonly epoch: number;
 	/** How many times as long a task takes away from its preferred rack; 1 if unknown, and then no task waits for a rack. */
 	readonly farFactor?: number;
+	/** Most steps and tasks in the open occurrences of a recurring job. */
+	readonly maximumOpenRows?: number;
 	/** Replaces the comparison of expected ends; used to compare it with other rules. */
 	readonly decidePlace?: DecidePlace;
 	readonly emit: (event: SchedulerEvent) => void;
 }) => {
-	const {epoch, farFactor = 1, decidePlace = compareExpectedEnds, emit} = options;
+	const {epoch, farFactor = 1, maximumOpenRows, decidePlace = compareExpectedEnds, emit} = options;
 	let policies: Policies = {queues: new Map(), pools: new Map(), workspaces: new Map()};
 	let countsHalvedAt = Number.NEGATIVE_INFINITY;
 	let healthCheckedAt = Number.NEGATIVE_INFINITY;
-	const jobs = createJobTable();
+	const jobs = createJobTable(maximumOpenRows);
 	const workers = createWorkerTable();
 	const firstRunOfEpoch = ((epoch - 1) * runsPerEpoch) + 1;
 	const failJob = createFailJob({jobs, emit});
--- a/packages/tools/experiment/src/simulated-cluster.ts
+++ b/packages/tools/experiment/src/simulated-cluster.ts
@@ -62,6 +62,9 @@
 	registration: WorkerRegistration;
 };
 
+/** Largest value that the users' store takes. */
+const maximumValueBytes = 1_048_576;
+
 const encodeRegistration = (registration: WorkerRegistration): string => JSON.stringify(registration);
 
 export type SimulatedCluster = ReturnType<typeof createSimulatedCluster>;
@@ -192,7 +195,7 @@
 		const process = time.createProcess(name);
 		time.runInProcess(process, () => {
 			const service = createJobService({
-				instance: name, zone: 'zone', store: createRemoteStore({
+				instance: name, zone: 'zone', maximumValueBytes, store: createRemoteStore({
 					engine, network, time, listingBytesPerSecond: options.listingBytesPerSecond,
 				}), recordCodec: createRecordCodec(getConfiguration),
 				peers: createSimulatedPeers({
