Keep one large progress from blocking the changes of all jobs

Cause: the size of the progress was never compared with `platform.valueBytes`, and a transaction took up to 30 values of any size, so on a slow link it might never end within the store's deadline.

A transaction ends at 128 KiB, with whole units; a single larger unit goes alone.

--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -69,6 +69,7 @@
 	RecordUnreadable = 8541,
 	SettingsReloaded = 8542,
 	ChangesNotStored = 8543,
+	ProgressTooLarge = 8544,
 	DispatcherGained = 8561,
 	DispatcherLost = 8562,
 	DispatchEnded = 8563,
@@ -399,6 +400,11 @@
 		message: 'The owner of the jobs has ended before all its changes were stored',
 		action: 'None: workers report the ends of runs again to the next owner. If it happens at planned stops, look for a slow store or one that rejects this instance.',
 	},
+	[LogEvent.ProgressTooLarge]: {
+		level: LogLevel.Warning,
+		message: 'The progress of a job is larger than a value in the store may be',
+		action: 'Look at the outcome: without checkpoints, tasks of the job repeat work when they start again; a job that failed has to be submitted again in parts.',
+	},
 	[LogEvent.ZoneEvacuationBegun]: {
 		level: LogLevel.Warning,
 		message: 'The operator has evacuated a zone; its workers get no new runs',
--- a/packages/jobs/job-service/src/commit-queue.ts
+++ b/packages/jobs/job-service/src/commit-queue.ts
@@ -3,12 +3,15 @@
  * time. Each transaction is conditional on the previous one, so a write whose response was lost
  * cannot be applied after a newer one, and a previous owner can write nothing.
  */
+import {Buffer} from 'node:buffer';
 import type {KeyValueStore, StoreOperation} from '@turmericbay/types';
 import type {CommitRecord} from './records.js';
 import {commitKey, parseCommit} from './records.js';
 
 /** The platform limits a transaction to 32 entries; the condition on the commit key and its new value take two. */
 const operationsPerCommit = 30;
+/** Keys and values of one transaction, except that a single unit may be larger: over a slow link, a transaction with many large values would not end within the store's deadline, however often it is repeated. */
+const bytesPerCommit = 131_072;
 const firstRetryMilliseconds = 50;
 const longestRetryMilliseconds = 1000;
 
@@ -19,6 +22,27 @@
 	readonly unit: number;
 };
 
+const getKey = (operation: StoreOperation): string => operation.type === 'delete-prefix' ? operation.prefix : operation.key;
+
+/** Number of operations at the head of the queue that fit into one transaction: whole units, and at least one. */
+const findBatchEnd = (queue: readonly QueuedOperation[]): number => {
+	let bytes = 0;
+	let end = 0;
+	for (const [index, {operation, unit}] of queue.entries()) {
+		if (index > 0 && unit !== queue[index - 1]!.unit) {
+			end = index;
+		}
+
+		bytes += getKey(operation).length + (operation.type === 'put' ? Buffer.byteLength(operation.value) : 0);
+		const isFull = index >= operationsPerCommit || bytes > bytesPerCommit;
+		if (isFull && end > 0) {
+			return end;
+		}
+	}
+
+	return queue.length;
+};
+
 export type CommitQueue = ReturnType<typeof createCommitQueue>;
 
 export const createCommitQueue = (options: {
@@ -45,8 +69,6 @@
 	/** Each resolves once all operations up to its position are stored. */
 	let waiters: Array<{readonly position: number; readonly resolve: () => void}> = [];
 
-	const getKey = (operation: StoreOperation): string => operation.type === 'delete-prefix' ? operation.prefix : operation.key;
-
 	/** Retries one batch until its outcome is known. Returns false if this owner is fenced. */
 	const writeBatch = async (batch: readonly StoreOperation[]): Promise<boolean> => {
 		let operations = batch;
@@ -100,9 +122,7 @@
 
 	/** Removes the next operations from the queue: whole units, and the newest operation for each key among them. `position` is that of the last one. */
 	const takeBatch = (): {readonly operations: readonly StoreOperation[]; readonly position: number} => {
-		// A unit that does not fit into this transaction as a whole is left for the next one. No unit is larger than a transaction.
-		const nextUnit = queue.at(operationsPerCommit)?.unit;
-		const end = nextUnit === undefined ? queue.length : queue.findIndex(({unit}, index) => unit === nextUnit || index === operationsPerCommit);
+		const end = findBatchEnd(queue);
 		const taken = queue.slice(0, end);
 		const batch = new Map(taken.map(queued => [getKey(queued.operation), queued]));
 		queue = queue.slice(end);
--- a/packages/jobs/job-service/src/owned-jobs.ts
+++ b/packages/jobs/job-service/src/owned-jobs.ts
@@ -1,5 +1,8 @@
 /** The jobs that the owner runs: loaded from the store into the scheduler, with their progress and results written back. */
-import type {JobDeclaration, JobRow, Scheduler} from '@turmericbay/scheduler';
+import {Buffer} from 'node:buffer';
+import type {
+	JobDeclaration, JobProgress, JobRow, Scheduler,
+} from '@turmericbay/scheduler';
 import {captureProgress, isActive, JobState} from '@turmericbay/scheduler';
 import type {KeyValueStore, StoredEntry, StoreOperation} from '@turmericbay/types';
 import type {CommitQueue} from './commit-queue.js';
@@ -24,12 +27,14 @@
 export const createOwnedJobs = (options: {
 	readonly store: KeyValueStore;
 	readonly commitQueue: CommitQueue;
+	/** Largest value that the store takes. */
+	readonly maximumValueBytes: number;
 	readonly scheduler: Scheduler;
 	readonly clock: Clock;
 	readonly onChange: () => void;
 	readonly log: OwnerLog;
 }) => {
-	const {store, commitQueue, scheduler, clock, onChange, log} = options;
+	const {store, commitQueue, maximumValueBytes, scheduler, clock, onChange, log} = options;
 	/** Final states that are stored, by job. Only these are reported to callers. */
 	const storedResults = new Map<string, {readonly state: FinalState; readonly at: number}>();
 	/** Jobs whose result is being stored. */
@@ -71,6 +76,22 @@
 		onChange();
 	};
 
+	/** Undefined if the store would not take it even without checkpoints. */
+	const encodeProgress = (job: JobRow): string | undefined => {
+		const progress = captureProgress(job);
+		const complete = JSON.stringify(progress);
+		const bytes = Buffer.byteLength(complete);
+		if (bytes <= maximumValueBytes) {
+			return complete;
+		}
+
+		// Without its checkpoint, a task only repeats work when it starts again.
+		const reduced = JSON.stringify({...progress, checkpoints: {}} satisfies JobProgress);
+		const fits = Buffer.byteLength(reduced) <= maximumValueBytes;
+		log.progressTooLarge(job, bytes, fits ? 'stored without checkpoints' : 'job failed');
+		return fits ? reduced : undefined;
+	};
+
 	const add = (declaration: JobDeclaration, isRestored: boolean, progress?: StoredEntry): void => {
 		const {id} = declaration;
 		if (scheduler.jobs.has(id) || storedResults.has(id)) {
@@ -114,10 +135,16 @@
 			const writes: Array<Promise<void>> = [];
 			const operations: StoreOperation[] = [];
 			for (const job of scheduler.changedJobs) {
+				const value = isActive(job) ? encodeProgress(job) : undefined;
+				if (value === undefined) {
+					// A value that the store never takes would keep all later changes from being stored.
+					scheduler.failJob(job);
+				}
+
 				const state = toFinalState(job.state);
-				if (state === undefined) {
-					operations.push({type: 'put', key: progressPrefix + job.declaration.id, value: JSON.stringify(captureProgress(job))});
-				} else if (!storedResults.has(job.declaration.id)) {
+				if (value !== undefined) {
+					operations.push({type: 'put', key: progressPrefix + job.declaration.id, value});
+				} else if (state !== undefined && !storedResults.has(job.declaration.id)) {
 					writes.push(storeResult(job, state));
 				}
 			}
--- a/packages/jobs/job-service/src/owner-log.ts
+++ b/packages/jobs/job-service/src/owner-log.ts
@@ -19,6 +19,8 @@
 	ownerDelayed(milliseconds: number): void;
 	jobsLoaded(summary: {jobs: number; workers: number; milliseconds: number}): void;
 	recordUnreadable(key: string): void;
+	/** The progress of the job has more bytes than a value in the store may have. */
+	progressTooLarge(job: JobRow, bytes: number, outcome: string): void;
 	/** The owner has ended with this number of changes that are not known to be stored. */
 	changesNotStored(epoch: number, changes: number): void;
 	/** State of the evacuated zones; empty once none is left. */
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -125,7 +125,7 @@
 		store, recordCodec, clock, evacuationMilliseconds, scheduler, onChange: requestTick, log,
 	});
 	const jobs = createOwnedJobs({
-		store, commitQueue, scheduler, clock, onChange: requestTick, log,
+		store, commitQueue, maximumValueBytes, scheduler, clock, onChange: requestTick, log,
 	});
 	const runRecords = createRunRecords({
 		commitQueue, epoch: ownership.epoch, now: clock.now, persistChanges: jobs.persistChanges, onUnreadable: log.recordUnreadable,
--- a/packages/jobs/job-service/test/commit-queue.test.ts
+++ b/packages/jobs/job-service/test/commit-queue.test.ts
@@ -180,3 +180,21 @@
 	await respondToAll(transactions);
 	t.deepEqual(listStored(transactions), [remove('p'), put('r', 'completed')]);
 });
+
+// Guards against a transaction that never ends within the store's deadline on a slow link: the changes of all jobs waited for it.
+test('large values are spread over several transactions, in whole units', async t => {
+	const {store, transactions} = createManualStore();
+	const commitQueue = createTestQueue(store);
+	const large = 'x'.repeat(50_000);
+	void commitQueue.commit([put('first', '')]);
+	void commitQueue.commit([put('a', large), put('b', large)]);
+	void commitQueue.commit([put('c', large), put('d', large), put('e', large), put('f', large)]);
+	void commitQueue.commit([put('g', large)]);
+	let isStored = false;
+	void commitQueue.commit([remove('h')]).then(() => {
+		isStored = true;
+	});
+	await respondToAll(transactions);
+	t.deepEqual(transactions.map(({operations}) => operations.slice(0, -1).map(operation => operation.type === 'delete-prefix' ? '' : operation.key).join('')), ['first', 'ab', 'cdef', 'gh']);
+	t.true(isStored);
+});
--- a/packages/jobs/job-service/test/owned-workers.test.ts
+++ b/packages/jobs/job-service/test/owned-workers.test.ts
@@ -28,7 +28,7 @@
 		createSession: () => ({grantLease: () => undefined, wake: () => undefined, end: () => undefined}),
 		log: {
 			schedulerEvent: unused, startAttempted: unused, stopAttempted: unused, workerCallFailed: unused, workerRecovered: unused, jobFinished: unused, storeCallFailed: unused,
-			jobsLoaded: unused, evacuationsMeasured: unused, ownerDelayed: unused, recordUnreadable: unused, changesNotStored: unused, waveProgressed: unused, moveAttempted: unused,
+			jobsLoaded: unused, evacuationsMeasured: unused, ownerDelayed: unused, recordUnreadable: unused, changesNotStored: unused, progressTooLarge: unused, waveProgressed: unused, moveAttempted: unused,
 			dispatcherGained: unused, dispatcherLost: unused, workerCallsCounted: unused, dispatchersCounted: unused,
 		},
 	});
--- a/packages/jobs/scheduler/src/occurrence-window.ts
+++ b/packages/jobs/scheduler/src/occurrence-window.ts
@@ -4,7 +4,7 @@
  */
 import type {JobDeclaration, JobRow, StepRow} from './model.js';
 
-/** Most steps and tasks that a job may have at a time. The tables take about 1 KB for each. */
+/** Most steps and tasks that a job may have at a time. The tables take less than 1 KB for each. */
 export const largestJobRows = 4096;
 /** Occurrences that are open ahead of free capacity. Each tick reads all of them, and they are part of the stored progress. */
 const maximumWaitingOccurrences = 32;
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -200,6 +200,13 @@
 				jobs.markChanged(job);
 			}
 		},
+		/** Fails a job whose progress cannot be stored. */
+		failJob(job: JobRow): void {
+			if (isActive(job)) {
+				job.state = JobState.Failed;
+				jobs.markChanged(job);
+			}
+		},
 		/** True if the job has no runs, not even unconfirmed ones. */
 		hasNoRuns(job: JobRow): boolean {
 			for (const steps of job.occurrences.values()) {
--- a/packages/tools/experiment/src/simulation-log.ts
+++ b/packages/tools/experiment/src/simulation-log.ts
@@ -65,6 +65,9 @@
 		dispatchEnded(reason) {
 			write('dispatch-ended', reason);
 		},
+		progressTooLarge(job, bytes, outcome) {
+			write('progress-too-large', `${job.declaration.id} ${bytes} ${outcome}`);
+		},
 		changesNotStored(epoch, changes) {
 			write('changes-not-stored', {epoch, changes});
 		},
