Read long lists of dependencies without a call argument for each

What callers saw: a job of two steps, the second of which names the first 125,000 times in `after` (250 KB, within the body limit), was answered 504, was stored, and ended every owner in turn; other accepted jobs were not started (LOST).

Cause: `Math.max(0, ...after)` in `estimateCriticalPath`, and the same in the order of full pools: with more than about 120,000 elements the call exceeds the stack, and the error ends the process when the owner adds the job.

--- a/packages/jobs/scheduler/src/jobs.ts
+++ b/packages/jobs/scheduler/src/jobs.ts
@@ -1,6 +1,6 @@
 /** The table of jobs with their occurrences, steps and tasks, and the state changes when tasks end. */
 import type {
-	JobDeclaration, JobRow, QueuePolicy, StepRow, TaskRow,
+	JobDeclaration, JobRow, QueuePolicy, StepDeclaration, StepRow, TaskRow,
 } from './model.js';
 import {formatTaskName, JobState} from './model.js';
 import {countOpenableOccurrences, largestJobRows} from './occurrence-window.js';
@@ -32,15 +32,27 @@
 	return step;
 };
 
+/** Latest end of the steps that the step depends on, by their indices; 0 if there are none. The list may be too long for a call with an argument for each. */
+export const findLatestEnd = ({after}: StepDeclaration, ends: readonly number[]): number => {
+	let latest = 0;
+	for (const index of after) {
+		latest = Math.max(latest, ends[index] ?? 0);
+	}
+
+	return latest;
+};
+
 /** Duration in milliseconds of the longest chain of dependent steps, by the declared estimates. */
 export const estimateCriticalPath = (declaration: JobDeclaration): number => {
 	const finishTimes: number[] = [];
+	let longest = 0;
 	for (const step of declaration.steps) {
-		const startTime = Math.max(0, ...step.after.map(index => finishTimes[index] ?? 0));
-		finishTimes.push(startTime + step.estimateMilliseconds);
+		const finishTime = findLatestEnd(step, finishTimes) + step.estimateMilliseconds;
+		finishTimes.push(finishTime);
+		longest = Math.max(longest, finishTime);
 	}
 
-	return Math.max(0, ...finishTimes);
+	return longest;
 };
 
 /** Time in milliseconds from the submission to the latest end that meets the objective. */
--- a/packages/jobs/scheduler/src/objective-order.ts
+++ b/packages/jobs/scheduler/src/objective-order.ts
@@ -5,6 +5,7 @@
  * workspace's share of the pool.
  */
 import type {DurationEstimator} from './durations.js';
+import {findLatestEnd} from './jobs.js';
 import type {StepRow} from './model.js';
 import type {ReadyJob} from './ready-work.js';
 import {getTaskRequirement} from './ready-work.js';
@@ -30,7 +31,7 @@
 			const duration = step.remaining > 0 ? estimateStep(step, context.durations) : 0;
 			const running = step.remaining - step.waiting;
 			work += (step.waiting + (running * remainingShareOfRun)) * getTaskRequirement(step).cpuMillis * duration;
-			const end = Math.max(0, ...step.declaration.after.map(index => ends[index] ?? 0)) + (step.waiting > 0 ? duration : duration * remainingShareOfRun);
+			const end = findLatestEnd(step.declaration, ends) + (step.waiting > 0 ? duration : duration * remainingShareOfRun);
 			ends.push(end);
 			longestPath = Math.max(longestPath, end);
 		}
