Follow the steps after a step in one pass

One accepted job of 250 KB could keep every owner in turn from planning at all.

Cause: `estimateFollowing`, asked for tasks that prefer a rack without free capacity, follows each path through the later steps by itself. Their number doubles with each step if every step depends on all earlier ones.

Change: one pass from the last step to the first, with the longest chain by step index.

--- a/packages/jobs/scheduler/src/durations.ts
+++ b/packages/jobs/scheduler/src/durations.ts
@@ -77,14 +77,16 @@
 	/** Duration in milliseconds of the longest chain of steps of the same occurrence that depend on this one, without the step itself. */
 	const estimateFollowing = (step: StepRow): number => {
 		const steps = step.job.occurrences.get(step.occurrence) ?? [];
-		let longest = 0;
-		for (const next of steps) {
-			if (next.index > step.index && next.declaration.after.includes(step.index)) {
-				longest = Math.max(longest, estimateTask(next.tasks[0]!) + estimateFollowing(next));
+		/** By step index. A step depends on earlier ones only, so from the last step on each value is complete when it is read. */
+		const following: number[] = [];
+		for (const next of steps.slice(step.index + 1).toReversed()) {
+			const milliseconds = estimateTask(next.tasks[0]!) + (following[next.index] ?? 0);
+			for (const index of next.declaration.after) {
+				following[index] = Math.max(following[index] ?? 0, milliseconds);
 			}
 		}
 
-		return longest;
+		return following[step.index] ?? 0;
 	};
 
 	return {
