--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -34,8 +34,6 @@
 const tickCoalescingMilliseconds = 10;
 /** The time between two ticks is at least this many times the duration of the latest tick, so that planning leaves processor time for the calls of the responses. */
 const tickRestFactor = 2;
-/** At a handover, the longest wait for the store. Meanwhile no task starts anywhere, and the lease of the owner is not renewed. */
-const handoverStoreMilliseconds = 500;
 /** A longer time between two ticks is logged: meanwhile no task was started. */
 const delayedTickMilliseconds = 500;
 
@@ -280,40 +278,26 @@
 		dispatch.end();
 	};
 
-	const stopPlanning = (): void => {
+	/** Stops starting tasks and writing. At a handover the leases of workers are extended until the new owner does so. */
+	const end = (isHandover = false): void => {
 		isEnded = true;
 		clearInterval(timer);
 		clearTimeout(pendingTick);
-		storedState.stop();
-		evacuations.end();
-	};
-
-	const stopWriting = (): void => {
 		leaseRenewal.end();
 		const unstoredChanges = commitQueue.end();
 		if (unstoredChanges > 0) {
 			log.changesNotStored(ownership.epoch, unstoredChanges);
 		}
-	};
 
-	/** Stops starting tasks, writing and calling workers. */
-	const end = (): void => {
-		stopPlanning();
-		stopWriting();
-		handoverEndsAt = Number.NEGATIVE_INFINITY;
-		endWorkerCalls();
-	};
+		storedState.stop();
+		evacuations.end();
 
-	/**
-	 * Stops starting tasks, and resolves once the ownership may be given up: when the changes so far are stored, or when that takes too
-	 * long. The leases of workers are extended until the new owner does so.
-	 */
-	const handOver = async (): Promise<void> => {
-		stopPlanning();
-		handoverEndsAt = clock.now() + handoverExtensionMilliseconds;
-		setTimeout(endWorkerCalls, handoverExtensionMilliseconds);
-		await Promise.race([jobs.persistChanges(), wait(handoverStoreMilliseconds)]);
-		stopWriting();
+		handoverEndsAt = isHandover ? clock.now() + handoverExtensionMilliseconds : Number.NEGATIVE_INFINITY;
+		if (isHandover) {
+			setTimeout(endWorkerCalls, handoverExtensionMilliseconds);
+		} else {
+			endWorkerCalls();
+		}
 	};
 
 	const timer = setInterval(tick, tickIntervalMilliseconds);
@@ -327,7 +311,6 @@
 	return {
 		epoch: ownership.epoch,
 		end,
-		handOver,
 		setConfiguration(next: Configuration): void {
 			scheduler.setPolicies(next);
 			requestTick();
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -74,12 +74,10 @@
 	let owner: NonNullable<Owner> | undefined;
 	let knownOwner: OwnerRecord | undefined;
 	let isAcquiring = false;
-	/** This instance stores the last changes of its ownership. */
-	let isHandingOver = false;
 	let isStopping = false;
 	let electionTimer: NodeJS.Timeout | undefined;
-	/** Ends the ownership, so that another instance can take over once the last changes are stored; undefined if this instance was never the owner. */
-	let handOverOwnership: ((reason: string) => Promise<void>) | undefined;
+	/** Ends the ownership at once, so that another instance can take over; undefined if this instance was never the owner. */
+	let handOverOwnership: ((reason: string) => void) | undefined;
 	let ownedSince = 0;
 
 	const dispatchServer = createDispatchServer({workerClient, clock, onConnectionClosed: log.dispatchEnded});
@@ -106,7 +104,7 @@
 
 	const tryAcquireOwnership = async (): Promise<void> => {
 		const current = configuration.current();
-		const isTaken = owner !== undefined || isHandingOver || (knownOwner !== undefined && knownOwner.instance !== instance);
+		const isTaken = owner !== undefined || (knownOwner !== undefined && knownOwner.instance !== instance);
 		if (isStopping || isAcquiring || isTaken || !current) {
 			return;
 		}
@@ -133,7 +131,15 @@
 		ownedSince = clock.now();
 		dispatchServer.observeEpoch(ownership.epoch);
 		let isLost = false;
-		const releaseOwnership = (): void => {
+		const endOwnership = (reason: string, isHandover: boolean): void => {
+			if (isLost) {
+				return;
+			}
+
+			isLost = true;
+			log.ownershipLost(ownership.epoch, reason);
+			owner?.end(isHandover);
+			owner = undefined;
 			leaseRenewal.end();
 			void store.revokeLease({leaseId: ownership.leaseId});
 			// The next owner may be known already.
@@ -144,39 +150,15 @@
 			scheduleElection(electionRetryMilliseconds);
 		};
 
-		/** Returns false if this ownership has ended before. */
-		const markLost = (reason: string): boolean => {
-			if (isLost) {
-				return false;
-			}
-
-			isLost = true;
-			log.ownershipLost(ownership.epoch, reason);
-			return true;
-		};
-
 		const onLost = (reason: string): void => {
-			if (markLost(reason)) {
-				owner?.end();
-				owner = undefined;
-				releaseOwnership();
-			}
+			endOwnership(reason, false);
 		};
 
 		const leaseRenewal = createLeaseRenewal({
 			store, clock, ownership, renewedAt: acquired.renewedAt, onLost,
 		});
-		handOverOwnership = async reason => {
-			if (!markLost(reason)) {
-				return;
-			}
-
-			const previous = owner;
-			owner = undefined;
-			isHandingOver = true;
-			await previous?.handOver();
-			isHandingOver = false;
-			releaseOwnership();
+		handOverOwnership = reason => {
+			endOwnership(reason, true);
 		};
 
 		const created = await createOwner({
@@ -242,7 +224,7 @@
 	/** Gives the ownership to a larger instance. Ignored shortly after a takeover, and while the jobs are being read. */
 	const yieldOwnership = (epoch: number): void => {
 		if (owner?.epoch === epoch && clock.now() - ownedSince >= minimumTenureMilliseconds) {
-			void handOverOwnership?.('a larger instance takes over');
+			handOverOwnership?.('a larger instance takes over');
 		}
 	};
 
@@ -286,7 +268,7 @@
 			isStopping = true;
 			clearTimeout(electionTimer);
 			dispatchServer.leave();
-			void handOverOwnership?.('this instance is stopping');
+			handOverOwnership?.('this instance is stopping');
 		},
 		close(): void {
 			clearInterval(transferTimer);
