--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,4 +1,4 @@
-/** One order on pace gets no response and is carried out late, after newer ones: the subtask that fills must not go on harming the one that serves. */
+/** Consumers of two tenants, each at a queue and a service of its own, choose the same ID: each must have its own job. */
 import {
 	bounds, capacity, createConfiguration, noMaximum,
 } from '../lib-2/cgw-pnw.mjs';
@@ -6,101 +6,67 @@
 	CannotRunError, runCase, sleep, waitFor,
 } from '../lib-2/site.mjs';
 
-const service = '00000000000000c3';
-const filler = '00000000000000d4';
-const key = 'key-of-the-storefront';
-const targetMilliseconds = 100;
-/** The tail of the serving subtask: below its target without the subtask that fills beside it. */
-const ownTail = 88;
-const tailPerPercent = 0.6;
-const lateMilliseconds = 6000;
-const watchMilliseconds = 25_000;
-
-let lateOrders = 0;
-let lateAt;
-let withLateOrder = false;
-const readTail = runner => {
-	let tail = ownTail;
-	for (const [task, percent] of runner.paces) {
-		tail += task.startsWith(filler) ? percent * tailPerPercent : 0;
-	}
-
-	return tail;
-};
+const ownId = '0000000000000001';
+const otherId = '0000000000000002';
+const makerKey = 'key-of-the-maker';
+const tearoomKey = 'key-of-the-tea-room';
+const waitMilliseconds = 10_000;
 
+const started = {orders: new Set(), wholesale: new Set()};
 await runCase(import.meta.url, {
-	instances: 3, bounds, runnerBounds: {
-		stopMilliseconds: bounds.stopMs, leaseMilliseconds: bounds.holdMaxMs, paceMilliseconds: bounds.paceMs,
-		measure: runner => new Map([[`${service}.0.0.0`, Math.round(readTail(runner))], [`${filler}.0.0.0`, 4000]]),
-		interceptPace() {
-			if (!withLateOrder || lateOrders > 0) {
-				return undefined;
-			}
-
-			lateOrders += 1;
-			lateAt = performance.now() + lateMilliseconds;
-			return lateMilliseconds;
-		},
-	},
+	instances: 3, bounds, runnerBounds: {stopMilliseconds: bounds.stopMs, leaseMilliseconds: bounds.holdMaxMs},
 	configuration: createConfiguration({
-		services: ['storefront'], queues: [{
-			name: 'order-ledger', prefix: '/ledger/', service: 'storefront', sloMs: 2500, maxAttempts: 2,
-		}],
-		tenants: [{
-			name: 'storefront', apiKeys: [key], weight: 1, maximum: noMaximum,
-		}],
+		services: ['orders', 'wholesale'], queues: [{name: 'quote-price', prefix: '/quote/', service: 'orders'}, {name: 'bulk-invoice', prefix: '/bulk/', service: 'wholesale'}],
+		tenants: [
+			{
+				name: 'maker', apiKeys: [makerKey], weight: 1, maximum: noMaximum,
+			},
+			{
+				name: 'tea-room', apiKeys: [tearoomKey], weight: 1, maximum: noMaximum,
+			},
+		],
 	}),
-	// One runner, so that both subtasks share it.
-	runners: [{
-		id: 'runner-0', service: 'storefront', capacity, rack: 'r1-0',
-		createWork: task => ({
-			resources: {cpuMillis: task.startsWith(filler) ? 4000 : 8000, memoryMegabytes: 1000, accelerators: 0}, durationMilliseconds: 0, outcome: 'done',
-			longRunning: true, bestEffort: task.startsWith(filler), checkpointing: false, gangSize: undefined,
+	runners: ['orders', 'wholesale'].flatMap(service => Array.from({length: 4}, (_, index) => ({
+		id: `${service}-${index}`, service, capacity, rack: `r1-${service}`,
+		createWork: () => ({
+			resources: {cpuMillis: 8000, memoryMegabytes: 1000, accelerators: 0}, durationMilliseconds: 20_000, outcome: 'done',
+			longRunning: false, bestEffort: false, checkpointing: false, gangSize: undefined,
 		}),
-	}],
-}, async ({withTrouble, record, runners, request}) => {
-	withLateOrder = withTrouble;
-	const [runner] = runners;
-	const step = {
-		count: 1, memMb: 1000, estimateMs: 1000, longRunning: true,
+		onEvent(event) {
+			if (event.type === 'started') {
+				started[service].add(event.task);
+			}
+		},
+	}))),
+}, async ({withTrouble, request, record}) => {
+	const body = {
+		spec: 'gourds', steps: [{
+			count: 2, cpu: 8000, memMb: 1000, estimateMs: 20_000,
+		}],
 	};
-	const submit = async (job, steps) => {
-		const accepted = await request('entry-1', 'POST', `/ledger/${job}`, {key, body: {spec: 'ledger', steps}});
+	const maker = `/quote/${ownId}`;
+	const tearoom = `/bulk/${withTrouble ? ownId : otherId}`;
+	for (const [target, key] of [[maker, makerKey], [tearoom, tearoomKey]]) {
+		// eslint-disable-next-line no-await-in-loop -- One after the other.
+		const accepted = await request('entry-1', 'POST', target, {key, body});
 		if (accepted?.status !== 200) {
-			throw new CannotRunError('a job was not accepted');
+			throw new CannotRunError(`${target} was not accepted`);
 		}
-	};
-
-	await submit(service, [{
-		...step, cpu: 8000, image: 'ledger', targetMs: targetMilliseconds,
-	}]);
-	await waitFor(() => runner.paces.size === 1, 5000);
-	await sleep(1500);
-	await submit(filler, [{
-		...step, cpu: 4000, image: 'index', fills: true,
-	}]);
-	if (!await waitFor(() => runner.paces.size === 2, 5000)) {
-		throw new CannotRunError('the two subtasks do not run');
-	}
-
-	/** Harm counts where no disturbance is near: not until `contactMs` after the late order was carried out. */
-	const startedAt = performance.now();
-	let harmSince;
-	let longest = 0;
-	while (performance.now() - startedAt < watchMilliseconds) {
-		const now = performance.now();
-		const isCalm = !withTrouble || (lateAt !== undefined && now > lateAt + bounds.contactMs);
-		const isHarmed = isCalm && readTail(runner) > targetMilliseconds;
-		harmSince = isHarmed ? harmSince ?? now : undefined;
-		longest = Math.max(longest, isHarmed ? now - harmSince : 0);
-		// eslint-disable-next-line no-await-in-loop -- Samples.
-		await sleep(50);
-	}
 
-	if (withTrouble && lateOrders === 0) {
-		throw new CannotRunError('there was no order on pace');
+		// eslint-disable-next-line no-await-in-loop -- One after the other.
+		await sleep(1000);
 	}
 
-	record(`paces ${JSON.stringify([...runner.paces])}; tail ${readTail(runner)} ms, ${ownTail} ms without the subtask that fills, target ${targetMilliseconds} ms; longest harm on end in calm ${Math.round(longest)} ms`);
-	return longest > bounds.harmMs ? [`HARM: a subtask is over its target of ${targetMilliseconds} ms for ${Math.round(longest)} ms on end, with ${ownTail} ms without the subtask that fills beside it, which works on`] : [];
+	await waitFor(() => started.wholesale.size > 0, waitMilliseconds);
+	const shown = await request('entry-2', 'GET', tearoom, {key: tearoomKey});
+	// The tea room takes its own job back; the maker's stays.
+	await request('entry-2', 'DELETE', tearoom, {key: tearoomKey});
+	await sleep(bounds.cancel_ms + bounds.stopMs);
+	const makerState = await request('entry-3', 'GET', maker, {key: makerKey});
+	record(`subtasks started for ${maker}: ${started.orders.size}, for ${tearoom}: ${started.wholesale.size}`);
+	return [
+		...(started.wholesale.size === 0 ? [`LOST: ${tearoom} was accepted and had nothing running for ${waitMilliseconds / 1000} s, with all runners of its service idle`] : []),
+		...(started.wholesale.size === 0 && shown?.body.state === 'running' ? [`MIXED: ${tearoom} is shown as running, which is the state of the other tenant's job`] : []),
+		...(makerState?.body.state === 'cancelled' ? [`LOST: ${maker} is shown as cancelled, and no caller of its tenant has cancelled it`] : []),
+	];
 });
