Second review: end every process of a script, and exit with 2 if it could not run

A script that could not load a stand-in ended with 1, and its instances outlived a harness that was killed. Tried: stand-in missing, bundle missing, an error in a timer, run.sh and the harness ended by signals: exit code 2, nothing left.

--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -18,10 +18,14 @@
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
 const host = '127.0.0.1';
+/** Exit codes for run-case.sh. Node uses 1 for errors of its own. */
+const brokenExitCode = 11;
+const failedExitCode = 2;
 /** No case runs longer. */
 const longestRunMilliseconds = 115_000;
 /** `heartbeatMs` of the settings. */
 const heartbeatMilliseconds = 1500;
+const parentCheckMilliseconds = 500;
 const callTimeoutMilliseconds = 3000;
 export const queueHost = 'jobs.example';
 
@@ -154,22 +158,22 @@
 };
 
 /**
- * `body` gets the site and returns the violations of the rule as lines of text. Exit code 1 if there are any, 0 if there are none, 2 if the case could not run.
+ * `body` gets the site and returns the violations of the rule as lines of text. run-case.sh makes exit code 1 of them, 0 if there are none, 2 if the case could not run.
  * `options.stopMilliseconds` and the other bounds are those of the site that the claim names.
  */
 export const runCase = async (folderUrl, options, body) => {
 	const folder = fileURLToPath(new URL('.', folderUrl));
 	const record = createRecord(path.join(folder, 'record.txt'));
-	const work = mkdtempSync(path.join(tmpdir(), 'turmericbay-review-'));
+	const work = process.env.REVIEW_WORK ?? mkdtempSync(path.join(tmpdir(), 'turmericbay-review-'));
 	const withTrouble = process.env.TROUBLE !== '0';
 	const instances = [];
 	const runners = [];
 	const timers = [];
-	let exitCode = 2;
+	let exitCode = failedExitCode;
 	const guard = setTimeout(() => {
 		record('the case took too long');
 		endAll();
-		process.exit(2); // eslint-disable-line unicorn/no-process-exit -- The code is the interface of a case.
+		process.exit(failedExitCode); // eslint-disable-line unicorn/no-process-exit -- The code is the interface of a case.
 	}, longestRunMilliseconds);
 	const endAll = () => {
 		for (const instance of instances) {
@@ -181,10 +185,18 @@
 		}
 	};
 
-	for (const signal of ['SIGTERM', 'SIGINT']) {
+	process.on('exit', endAll);
+	const {ppid} = process;
+	timers.push(setInterval(() => {
+		if (process.ppid !== ppid) {
+			record('run-case.sh has ended');
+			process.exit(failedExitCode); // eslint-disable-line unicorn/no-process-exit -- As above.
+		}
+	}, parentCheckMilliseconds));
+	for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
 		process.on(signal, () => {
 			endAll();
-			process.exit(2);
+			process.exit(failedExitCode);
 		});
 	}
 
@@ -306,14 +318,14 @@
 			process.stdout.write(`${violation}\n`);
 		}
 
-		exitCode = violations.length > 0 ? 1 : 0;
+		exitCode = violations.length > 0 ? brokenExitCode : 0;
 	} catch (error) {
 		record(`the case could not run: ${error instanceof CannotRunError ? error.message : error.stack}`);
 	}
 
 	clearTimeout(guard);
 	endAll();
-	record(`exit code ${exitCode}`);
+	record(exitCode === brokenExitCode ? 'the rule was broken' : (exitCode === 0 ? 'the rule held' : 'the case could not run'));
 	await sleep(200);
 	if (process.env.KEEP === '1') {
 		process.stdout.write(`logs: ${work}\n`);
