--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -59,17 +59,35 @@
 	name = 'CannotRunError';
 }
 
-const findFreePort = async () => new Promise((resolve, reject) => {
+/** Below the ports that the system gives to outgoing connections, which could take a port before its process listens. Each run has a block of its own. */
+const lowestPort = 20_000;
+const portsPerRun = 20;
+const portBlocks = 600;
+let nextPort = lowestPort + ((process.pid % portBlocks) * portsPerRun);
+
+const isFree = async port => new Promise(resolve => {
 	const probe = createTcpServer();
-	probe.on('error', reject);
-	probe.listen(0, host, () => {
-		const {port} = probe.address();
+	probe.on('error', () => {
+		resolve(false);
+	});
+	probe.listen(port, host, () => {
 		probe.close(() => {
-			resolve(port);
+			resolve(true);
 		});
 	});
 });
 
+const findFreePort = async () => {
+	for (;;) {
+		const port = nextPort;
+		nextPort += 1;
+		// eslint-disable-next-line no-await-in-loop -- One port after the other.
+		if (await isFree(port)) {
+			return port;
+		}
+	}
+};
+
 const readDeployCommand = () => {
 	const line = /^run = "(?<command>.+)"$/mv.exec(readFileSync(path.join(root, 'deploy/system.toml'), 'utf8'));
 	if (!line) {
