Review case 8: TWICE, a lease on the clock of a runner's former life

A runner crashes and is back while the owner waits for a slow store. The owner's next call gives the new life a lease of holdMaxMs (10 s), while it reckons with 3.5 s; runs started later on that runner, which is then cut off, are started elsewhere about 2 s too early.

--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,72 +1,138 @@
-/** Consumers of two tenants, each at a queue and a service of its own, choose the same ID: each must have its own job. */
-import {
-	bounds, capacity, createConfiguration, noMaximum,
-} from '../lib-2/cgw-pnw.mjs';
+/**
+ * A runner crashes and is back while the store is slow, and is cut off later: the subtasks that it got after its restart must not be
+ * started elsewhere while it runs them.
+ */
+import process from 'node:process';
+import {createConfiguration, noMaximum} from '../lib-2/cgw-pnw.mjs';
 import {
 	CannotRunError, runCase, sleep, waitFor,
 } from '../lib-2/site.mjs';
+import {startSlowStore} from '../lib-2/slow-store.mjs';
+import {bounds, capacity} from '../lib-2/wr-sued.mjs';
 
-const ownId = '0000000000000001';
-const otherId = '0000000000000002';
-const makerKey = 'key-of-the-maker';
-const tearoomKey = 'key-of-the-tea-room';
-const waitMilliseconds = 10_000;
+const key = 'key-of-the-yard';
+const firstJob = '00000000000000a1';
+const secondJob = '00000000000000b2';
+/** Keeps the other runner of the rack full until the cut. */
+const blockingJob = '00000000000000c3';
+const rack = 'r1-0';
+const otherKind = 'b';
+const secondCount = 3;
+const runnerCount = 8;
+const subtaskCpu = 4000;
+const shortMilliseconds = 640;
+const longMilliseconds = 30_000;
+const storeMilliseconds = 4;
+const slowFactor = 60;
+const slowMilliseconds = 4500;
+const crashAfterMilliseconds = 30;
+const downMilliseconds = 100;
+const cutMilliseconds = 5500;
+const uptimeMilliseconds = 3_600_000;
+/** Parts of the disruption, to tell what each does: slow, crash, cut. */
+const parts = new Set((process.env.PARTS ?? 'slow crash cut').split(' '));
 
-const started = {orders: new Set(), wholesale: new Set()};
+/** Runners of the current runs, by subtask. */
+const running = new Map();
+const doubles = [];
+let firstEnded = false;
+let isSlow = false;
 await runCase(import.meta.url, {
-	instances: 3, bounds, runnerBounds: {stopMilliseconds: bounds.stopMs, leaseMilliseconds: bounds.holdMaxMs},
+	instances: 3, bounds, runnerBounds: {
+		stopMilliseconds: bounds.stopMs, leaseMilliseconds: bounds.holdMaxMs, uptimeMilliseconds, hasLink: true,
+	},
+	wrapStore: async address => startSlowStore(address, () => isSlow ? storeMilliseconds * slowFactor : storeMilliseconds),
 	configuration: createConfiguration({
-		services: ['orders', 'wholesale'], queues: [{name: 'quote-price', prefix: '/quote/', service: 'orders'}, {name: 'bulk-invoice', prefix: '/bulk/', service: 'wholesale'}],
-		tenants: [
-			{
-				name: 'maker', apiKeys: [makerKey], weight: 1, maximum: noMaximum,
-			},
-			{
-				name: 'tea-room', apiKeys: [tearoomKey], weight: 1, maximum: noMaximum,
-			},
-		],
+		services: ['abholung'], queues: [{
+			name: 'pickup-quote', prefix: '/pickup/', service: 'abholung',
+		}],
+		tenants: [{
+			name: 'yard', apiKeys: [key], weight: 1, maximum: noMaximum,
+		}],
 	}),
-	runners: ['orders', 'wholesale'].flatMap(service => Array.from({length: 4}, (_, index) => ({
-		id: `${service}-${index}`, service, capacity, rack: `r1-${service}`,
-		createWork: () => ({
-			resources: {cpuMillis: 8000, memoryMegabytes: 1000, accelerators: 0}, durationMilliseconds: 20_000, outcome: 'done',
+	runners: Array.from({length: runnerCount}, (_, index) => ({
+		id: `runner-${index}`, service: 'abholung', capacity, rack: index < 2 ? rack : 'r1-1', kind: index === 1 ? otherKind : 'a',
+		createWork: task => ({
+			resources: {cpuMillis: subtaskCpu, memoryMegabytes: 1000, accelerators: 0}, durationMilliseconds: task.startsWith(firstJob) ? shortMilliseconds : longMilliseconds, outcome: 'done',
 			longRunning: false, bestEffort: false, checkpointing: false, gangSize: undefined,
 		}),
-		onEvent(event) {
+		onEvent(event, runner) {
 			if (event.type === 'started') {
-				started[service].add(event.task);
+				const others = running.get(event.task) ?? new Map();
+				running.set(event.task, others);
+				if (others.size > 0) {
+					doubles.push(`${event.task} run ${event.run} starts on ${runner.id} while ${[...others].map(([run, id]) => `run ${run} is on ${id}`).join(', ')}`);
+				}
+
+				others.set(event.run, runner.id);
+			} else if (event.type === 'ended') {
+				running.get(event.task)?.delete(event.run);
+				firstEnded ||= event.task.startsWith(firstJob);
 			}
 		},
-	}))),
-}, async ({withTrouble, request, record}) => {
-	const body = {
-		spec: 'gourds', steps: [{
-			count: 2, cpu: 8000, memMb: 1000, estimateMs: 20_000,
-		}],
-	};
-	const maker = `/quote/${ownId}`;
-	const tearoom = `/bulk/${withTrouble ? ownId : otherId}`;
-	for (const [target, key] of [[maker, makerKey], [tearoom, tearoomKey]]) {
-		// eslint-disable-next-line no-await-in-loop -- One after the other.
-		const accepted = await request('entry-1', 'POST', target, {key, body});
+	})),
+}, async ({withTrouble, record, request, runners}) => {
+	const hasPart = name => withTrouble && parts.has(name);
+	const submit = async (id, count, estimateMs, requirements = rack) => {
+		const accepted = await request('entry-1', 'POST', `/pickup/${id}`, {
+			key, body: {
+				spec: 'a pickup', steps: [{
+					count, cpu: subtaskCpu, memMb: 1000, estimateMs, requirements,
+				}],
+			},
+		});
 		if (accepted?.status !== 200) {
-			throw new CannotRunError(`${target} was not accepted`);
+			throw new CannotRunError('a job was not accepted');
 		}
+	};
+
+	const [runner] = runners;
+	const listRunners = id => [...running].filter(([task]) => task.startsWith(id)).flatMap(([, runs]) => [...runs.values()]);
+	await submit(blockingJob, capacity.cpu / subtaskCpu, longMilliseconds, otherKind);
+	if (!await waitFor(() => listRunners(blockingJob).length === capacity.cpu / subtaskCpu, 5000)) {
+		throw new CannotRunError('the other runner of the rack is not full');
+	}
+
+	if (hasPart('slow')) {
+		isSlow = true;
+		record(`the store takes ${storeMilliseconds * slowFactor} ms for an answer`);
+		setTimeout(() => {
+			isSlow = false;
+			record(`the store takes ${storeMilliseconds} ms for an answer`);
+		}, slowMilliseconds);
+	}
+
+	await submit(firstJob, 1, shortMilliseconds);
+	if (!await waitFor(() => firstEnded, 5000, 5)) {
+		throw new CannotRunError('the first job does not run');
+	}
+
+	await sleep(crashAfterMilliseconds);
+	if (hasPart('crash')) {
+		await runner.crash(downMilliseconds);
+	}
+
+	// The runner has answered calls with its new `born` by now.
+	await sleep(2500);
+	await submit(secondJob, secondCount, longMilliseconds);
+	if (!await waitFor(() => listRunners(secondJob).length === secondCount, 3000, 5)) {
+		throw new CannotRunError('the second job does not run');
+	}
+
+	record(`the second job runs on ${listRunners(secondJob).join(' ')}`);
+	await sleep(300);
+	if (hasPart('cut')) {
+		record(`${runner.id} is cut off`);
+		runner.link.cut();
+	}
 
-		// eslint-disable-next-line no-await-in-loop -- One after the other.
-		await sleep(1000);
+	await request('entry-2', 'DELETE', `/pickup/${blockingJob}`, {key});
+	await sleep(cutMilliseconds);
+	if (hasPart('cut')) {
+		record(`${runner.id} is in touch again`);
+		runner.link.restore();
 	}
 
-	await waitFor(() => started.wholesale.size > 0, waitMilliseconds);
-	const shown = await request('entry-2', 'GET', tearoom, {key: tearoomKey});
-	// The tea room takes its own job back; the maker's stays.
-	await request('entry-2', 'DELETE', tearoom, {key: tearoomKey});
-	await sleep(bounds.cancel_ms + bounds.stopMs);
-	const makerState = await request('entry-3', 'GET', maker, {key: makerKey});
-	record(`subtasks started for ${maker}: ${started.orders.size}, for ${tearoom}: ${started.wholesale.size}`);
-	return [
-		...(started.wholesale.size === 0 ? [`LOST: ${tearoom} was accepted and had nothing running for ${waitMilliseconds / 1000} s, with all runners of its service idle`] : []),
-		...(started.wholesale.size === 0 && shown?.body.state === 'running' ? [`MIXED: ${tearoom} is shown as running, which is the state of the other tenant's job`] : []),
-		...(makerState?.body.state === 'cancelled' ? [`LOST: ${maker} is shown as cancelled, and no caller of its tenant has cancelled it`] : []),
-	];
+	await sleep(4000);
+	return doubles.filter(text => text.startsWith(secondJob)).map(text => `TWICE: ${text}`);
 });
--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import {createGangs, createWorkerModel} from '../../packages/jobs/worker-model/dist/src/index.js';
+import {startLink} from './link.mjs';
 
 const pollMilliseconds = 10;
 const advanceMilliseconds = 10;
@@ -20,12 +21,13 @@
  * `createWork(task)` tells what a run does. `measure(running)` returns the fifth entry of each row of `running`, by the task's name; without it 0.
  * `interceptPace(call)` returns the delay in milliseconds of an order on pace that is carried out late and gets no response, else undefined.
  * `isTicketValid(call)` is asked for each start.
+ * `uptimeMilliseconds` is the age of the first process. `hasLink` puts a link in front of the runner, which `runner.link` can cut.
  * `onEvent(event, runner)` is called for each event of the worker model.
  */
 export const startRunner = async options => {
 	const {
-		id, host, record, service, rack = `rack-${id}`, capacity, enforcesCapacity = true, stopMilliseconds = 900, leaseMilliseconds = 6000, paceMilliseconds = 100,
-		coldMilliseconds = 0, coldAnswerMilliseconds = 0, createWork, measure, interceptPace, isTicketValid = () => true, onEvent = () => undefined,
+		id, host, record, service, kind = 'a', rack = `rack-${id}`, capacity, enforcesCapacity = true, stopMilliseconds = 900, leaseMilliseconds = 6000, paceMilliseconds = 100,
+		coldMilliseconds = 0, coldAnswerMilliseconds = 0, uptimeMilliseconds = 0, hasLink = false, createWork, measure, interceptPace, isTicketValid = () => true, onEvent = () => undefined,
 	} = options;
 	const now = () => performance.now();
 	const resources = {cpuMillis: capacity.cpu, memoryMegabytes: capacity.memMb, accelerators: capacity.gpu};
@@ -41,8 +43,8 @@
 		/** What the runner writes to the store about itself; undefined while it is down. */
 		describe: () => isUp
 			? {
-				born: model.incarnation, service, address: `${host}:${server.address().port}`, zone: 'south', version: '1', slots: 8, state: 'ready', coldRemainingMs: Math.max(0, Math.round(coldUntil - now())), seq: Math.round(now()),
-				capacity, labels: ['a', rack],
+				born: model.incarnation, service, address: `${host}:${runner.link?.port ?? server.address().port}`, zone: 'south', version: '1', slots: 8, state: 'ready', coldRemainingMs: Math.max(0, Math.round(coldUntil - now())), seq: Math.round(now()),
+				capacity, labels: [kind, rack],
 			}
 			: undefined,
 		/** The process crashes: all that it runs is gone, and nothing is reported. It starts again under the same id. */
@@ -68,8 +70,8 @@
 		},
 	};
 
-	const createModel = () => createWorkerModel({
-		incarnation: Date.now(), capacity: resources, enforcesCapacity, startedAt: now(), clockRate: 1, stopDurationMilliseconds: stopMilliseconds, gangTimeoutMilliseconds: 3000,
+	const createModel = (uptime = 0) => createWorkerModel({
+		incarnation: Date.now(), capacity: resources, enforcesCapacity, startedAt: now() - uptime, clockRate: 1, stopDurationMilliseconds: stopMilliseconds, gangTimeoutMilliseconds: 3000,
 		checkpointIntervalMilliseconds: 500, restoreCostMilliseconds: 600, maximumLeaseMilliseconds: leaseMilliseconds, gangs: createGangs(), createWork,
 		onEvent(event, at) {
 			if (event.type === 'started') {
@@ -212,8 +214,9 @@
 		});
 	};
 
-	model = createModel();
+	model = createModel(uptimeMilliseconds);
 	await listen(0);
+	runner.link = hasLink ? await startLink({host, targetPort: server.address().port}) : undefined;
 	setInterval(() => {
 		if (isUp) {
 			model.advance(now());
