--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -20,11 +20,12 @@
 const secondCount = 3;
 const runnerCount = 8;
 const subtaskCpu = 4000;
-const shortMilliseconds = 640;
+const shortMilliseconds = 1000;
 const longMilliseconds = 30_000;
 const storeMilliseconds = 4;
 const slowFactor = 60;
 const slowMilliseconds = 4500;
+const endAfterRegistrationMilliseconds = 250;
 const crashAfterMilliseconds = 30;
 const downMilliseconds = 100;
 const cutMilliseconds = 5500;
@@ -36,6 +37,7 @@
 const running = new Map();
 const doubles = [];
 let firstEnded = false;
+let chooseDuration = () => shortMilliseconds;
 let isSlow = false;
 await runCase(import.meta.url, {
 	instances: 3, bounds, runnerBounds: {
@@ -53,7 +55,7 @@
 	runners: Array.from({length: runnerCount}, (_, index) => ({
 		id: `runner-${index}`, service: 'abholung', capacity, rack: index < 2 ? rack : 'r1-1', kind: index === 1 ? otherKind : 'a',
 		createWork: task => ({
-			resources: {cpuMillis: subtaskCpu, memoryMegabytes: 1000, accelerators: 0}, durationMilliseconds: task.startsWith(firstJob) ? shortMilliseconds : longMilliseconds, outcome: 'done',
+			resources: {cpuMillis: subtaskCpu, memoryMegabytes: 1000, accelerators: 0}, durationMilliseconds: task.startsWith(firstJob) ? chooseDuration() : longMilliseconds, outcome: 'done',
 			longRunning: false, bestEffort: false, checkpointing: false, gangSize: undefined,
 		}),
 		onEvent(event, runner) {
@@ -71,7 +73,7 @@
 			}
 		},
 	})),
-}, async ({withTrouble, record, request, runners}) => {
+}, async ({withTrouble, record, request, runners, untilRegistration}) => {
 	const hasPart = name => withTrouble && parts.has(name);
 	const submit = async (id, count, estimateMs, requirements = rack) => {
 		const accepted = await request('entry-1', 'POST', `/pickup/${id}`, {
@@ -93,6 +95,8 @@
 		throw new CannotRunError('the other runner of the rack is not full');
 	}
 
+	// The first job ends, and the runner crashes, shortly after the runners have written to the store; the entry of its next life comes a second later.
+	chooseDuration = () => untilRegistration() + endAfterRegistrationMilliseconds;
 	if (hasPart('slow')) {
 		isSlow = true;
 		record(`the store takes ${storeMilliseconds * slowFactor} ms for an answer`);
@@ -110,6 +114,7 @@
 	await sleep(crashAfterMilliseconds);
 	if (hasPart('crash')) {
 		await runner.crash(downMilliseconds);
+		record(`${Math.round(untilRegistration())} ms until the runners write to the store again`);
 	}
 
 	// The runner has answered calls with its new `born` by now.
