--- a/packages/jobs/job-service/src/worker-session.ts
+++ b/packages/jobs/job-service/src/worker-session.ts
@@ -89,6 +89,7 @@
 
 		const now = clock.now();
 		// Recorded before the call is sent: it may be executed although its response is lost.
+		worker.leaseGrantedAt = now;
 		worker.latestLeaseExpiry = Math.max(worker.latestLeaseExpiry, computeLatestLeaseExpiry({now, leaseMilliseconds: workerLeaseMilliseconds}));
 		return Math.round(clockReading.clockMilliseconds + (now - clockReading.at) + workerLeaseMilliseconds);
 	};
--- a/packages/jobs/scheduler/src/events.ts
+++ b/packages/jobs/scheduler/src/events.ts
@@ -55,6 +55,39 @@
 	readonly runs: number;
 };
 
+/** How the owner learned that the process of a worker has ended. */
+export enum ProcessEndEvidence {
+	/** A run report of a later process. */
+	Report = 'report',
+	/** The platform's list names a later process. */
+	Registration = 'registration',
+	/** Another worker answers at the address. */
+	AddressReused = 'address-reused',
+	/** An order for the machine was accepted. */
+	MachineOrder = 'machine-order',
+}
+
+/** What the owner knew when it gave up the runs on a worker. Times are milliseconds before the event; undefined if there was none. */
+export type WorkerKnowledge = {
+	readonly worker: string;
+	/** Start of the worker process whose runs are given up, Unix milliseconds. */
+	readonly incarnation: number | undefined;
+	/** Runs on the worker. */
+	readonly runs: number;
+	/** The newest answered call was sent this long ago. */
+	readonly sinceContact: number | undefined;
+	/** This owner granted the newest lease this long ago; undefined if only a previous owner may have granted one. */
+	readonly sinceLease: number | undefined;
+	/** Calls since the last answered one. */
+	readonly unansweredCalls: number;
+};
+
+/** The runs on a worker are given up, because no lease on it can be valid any more or because its process has ended. */
+export type WorkerGivenUpEvent
+	= | (WorkerKnowledge & {readonly type: 'worker-lapsed'})
+		| (WorkerKnowledge & {readonly type: 'worker-reborn'; readonly evidence: ProcessEndEvidence; readonly nextIncarnation: number | undefined})
+		| (WorkerKnowledge & {readonly type: 'worker-lost'; readonly evidence: ProcessEndEvidence});
+
 export type SchedulerEvent
 	= | StepWaitingEvent
 		| ZoneEvacuationEvent
@@ -67,8 +100,7 @@
 		| {readonly type: 'run-ended'; readonly task: string; readonly run: number; readonly worker: string; readonly reason: EndReason | 'lost' | 'not-run'}
 		| {readonly type: 'run-adopted'; readonly task: string; readonly run: number; readonly worker: string}
 		| {readonly type: 'run-unwanted'; readonly task: string; readonly run: number; readonly worker: string}
-		| {readonly type: 'worker-reborn'; readonly worker: string}
-		| {readonly type: 'worker-lapsed'; readonly worker: string; readonly runs: number}
+		| WorkerGivenUpEvent
 		/** `runs` is the number of runs that count as crashed with the worker. */
 		| {readonly type: 'worker-crashed'; readonly worker: string; readonly runs: number}
 		/** `attempts` is the number of failed runs or of crashes, by `cause`. */
--- a/packages/jobs/scheduler/src/model.ts
+++ b/packages/jobs/scheduler/src/model.ts
@@ -243,6 +243,8 @@
 	isReconciled: boolean;
 	/** Latest time at which a lease granted by this or a previous owner can still be valid. */
 	latestLeaseExpiry: number;
+	/** When this owner granted the newest lease. */
+	leaseGrantedAt: number;
 	/** Send time of the latest call that was answered. */
 	lastContactAt: number;
 	/** Consecutive unanswered calls. */
--- a/packages/jobs/scheduler/src/reconciler.ts
+++ b/packages/jobs/scheduler/src/reconciler.ts
@@ -2,7 +2,7 @@
 import type {CrashTracker} from './crashes.js';
 import type {DurationEstimator} from './durations.js';
 import type {SchedulerEvent} from './events.js';
-import {JobFailureCause} from './events.js';
+import {JobFailureCause, ProcessEndEvidence} from './events.js';
 import type {FailJob} from './job-failures.js';
 import type {JobTable} from './jobs.js';
 import {isActive} from './jobs.js';
@@ -12,6 +12,7 @@
 import {
 	EndReason, formatRunKey, RunPhase,
 } from './model.js';
+import {describeKnowledge} from './worker-knowledge.js';
 import type {WorkerTable} from './workers.js';
 
 /** A run on a worker that has no row and must be stopped. */
@@ -32,6 +33,8 @@
 }) => {
 	const {jobs, workers, crashes, failJob, durations, firstRunOfEpoch, getPolicy, emit} = options;
 	const unwantedRuns: UnwantedRun[] = [];
+	/** Time of the newest report or tick. */
+	let newestTime = 0;
 
 	const dropRun = (row: RunRow, reason: EndReason | 'lost' | 'not-run'): void => {
 		emit({
@@ -114,8 +117,10 @@
 		}
 	};
 
-	const handleRestart = (worker: WorkerRow, incarnation: number | undefined): void => {
-		emit({type: 'worker-reborn', worker: worker.registration.id});
+	const handleRestart = (worker: WorkerRow, incarnation: number | undefined, evidence: ProcessEndEvidence): void => {
+		emit({
+			type: 'worker-reborn', ...describeKnowledge(worker, newestTime), evidence, nextIncarnation: incarnation,
+		});
 		crashes.recordEnd(worker);
 		worker.incarnation = incarnation;
 		worker.generation = workers.nextGeneration(worker.registration.id);
@@ -164,8 +169,9 @@
 		/** Applies the report in the response to a call that was sent at `sentAt`. */
 		applyRunReport(change: {readonly worker: WorkerRow; readonly report: RunReport; readonly sentAt: number; readonly now: number}): void {
 			const {worker, report, sentAt, now} = change;
+			newestTime = now;
 			if (report.incarnation !== undefined && worker.incarnation !== undefined && report.incarnation !== worker.incarnation) {
-				handleRestart(worker, report.incarnation);
+				handleRestart(worker, report.incarnation, ProcessEndEvidence.Report);
 			}
 
 			worker.incarnation = report.incarnation ?? worker.incarnation;
@@ -224,8 +230,19 @@
 				}
 			}
 		},
+		/** Drops the runs of a worker whose process has ended. */
+		dropLostRuns(worker: WorkerRow, evidence: ProcessEndEvidence): void {
+			if (worker.runs.size > 0) {
+				emit({type: 'worker-lost', ...describeKnowledge(worker, newestTime), evidence});
+			}
+
+			for (const row of worker.runs.values()) {
+				dropRun(row, 'lost');
+			}
+		},
 		/** Drops the runs of workers whose leases have expired. */
 		dropExpiredRuns(now: number): void {
+			newestTime = now;
 			for (const worker of workers.workers.values()) {
 				if (now < worker.latestLeaseExpiry) {
 					continue;
@@ -233,7 +250,7 @@
 
 				worker.isReconciled = true;
 				if (worker.runs.size > 0) {
-					emit({type: 'worker-lapsed', worker: worker.registration.id, runs: worker.runs.size});
+					emit({type: 'worker-lapsed', ...describeKnowledge(worker, now)});
 					crashes.recordExpiry(worker, now);
 					for (const row of worker.runs.values()) {
 						dropRun(row, 'lost');
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -9,6 +9,7 @@
 import {createDemandEstimator} from './demand.js';
 import {createDurationEstimator} from './durations.js';
 import type {SchedulerEvent} from './events.js';
+import {ProcessEndEvidence} from './events.js';
 import {createFailJob} from './job-failures.js';
 import {createJobTable, isActive} from './jobs.js';
 import type {GetMovableCapacity} from './load-figures.js';
@@ -230,7 +231,7 @@
 
 			const worker = workers.register(change);
 			if (change.isRegistered && change.registration.incarnation !== undefined && worker.incarnation !== undefined && change.registration.incarnation !== worker.incarnation) {
-				reconciler.handleRestart(worker, change.registration.incarnation);
+				reconciler.handleRestart(worker, change.registration.incarnation, ProcessEndEvidence.Registration);
 			}
 
 			if (change.isRegistered) {
@@ -250,10 +251,7 @@
 			}
 
 			worker.isReconciled = true;
-			for (const row of worker.runs.values()) {
-				reconciler.dropRun(row, 'lost');
-			}
-
+			reconciler.dropLostRuns(worker, isPlanned ? ProcessEndEvidence.MachineOrder : ProcessEndEvidence.AddressReused);
 			worker.latestLeaseExpiry = Number.NEGATIVE_INFINITY;
 		},
 		applyRunReport(change: {readonly worker: WorkerRow; readonly report: RunReport; readonly sentAt: number; readonly now: number}): void {
--- a/packages/jobs/scheduler/src/workers.ts
+++ b/packages/jobs/scheduler/src/workers.ts
@@ -158,7 +158,7 @@
 
 			const row: WorkerRow = {
 				registration, isRegistered, incarnation: registration.incarnation, generation: nextGeneration(registration.id), isReconciled,
-				latestLeaseExpiry, lastContactAt: Number.NEGATIVE_INFINITY, unansweredCalls: 0,
+				latestLeaseExpiry, leaseGrantedAt: Number.NEGATIVE_INFINITY, lastContactAt: Number.NEGATIVE_INFINITY, unansweredCalls: 0,
 				lastAppliedSequence: 0, avoidUntil: 0, isCordoned: false, isZoneEvacuated: false, isStartingSlowly: false, isTerminating: false, runs: new Map(), used: {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0},
 				recentFailures: 0, recentSuccesses: 0, speed: 1,
 			};
