Tests: calls of the owner that reach the next process of a worker

What callers see: a task runs twice (TWICE), one after the other or at the same time, once a worker has crashed and is back between two calls.

Cause: the owner decides on an acknowledgement, a lease or a start for the process that it has a report of, but the call names only the worker's ID and address, which its next process shares. The clock and the numbers of ended runs of that process start anew, so - an acknowledgement makes it drop ended runs that nobody has seen; their tasks start again, - a lease by the former clock is far in its future and lasts as long as the worker permits (10 s) where the owner reckons with 3.5 s, - a start is executed and confirmed, and then counts as lost with the former process; the task starts again beside it. The fencing token does not help: it rises only once the owner has learned of the next process.

The tests use the worker client, a session and the order executor over HTTP on loopback, with a clock that only the test advances, and replace the process between the decision and the call. The stand-in ends its connections for this, as the end of a process does, and keeps its port.

Evidence: run as plain tests, all four fail on this code: - acknowledgement: events of the next process are started, ended, acknowledged, though its end was never reported; - heartbeat, and a start that waited for the store: a run is still executing at the time at which the owner takes its lease for expired (1, expected 0); - start: "TWICE job.0.0.0 runs on worker-1 and worker-1".

The job service exports what the tests need.

--- a/packages/jobs/job-service/src/index.ts
+++ b/packages/jobs/job-service/src/index.ts
@@ -7,6 +7,9 @@
 	AcceptDispatchChannel, ChannelHandlers, DispatchChannel, OpenDispatchChannel,
 } from './dispatch-channel.js';
 export {createDispatchServer} from './dispatch-server.js';
+export {createFencingTokens} from './fencing-tokens.js';
+export {createOrderExecutor} from './order-executor.js';
+export {createWorkerSession} from './worker-session.js';
 export type {CallRoute} from './dispatched-worker-client.js';
 export type {DispatcherRegistration} from './dispatcher-directory.js';
 export type {Refusal} from './admission.js';
