Send calls for one process of a worker only over its own connections

Callers saw tasks run twice, at the same time or one run after the other, once a worker had crashed and was back between two calls of the owner.

Cause: a call to a worker names the worker's ID and address, which the next process of the worker shares, while what the call carries belongs to one process: an expiry on its clock, the numbers of its ended runs, a start that the owner counts among its runs. The fencing token rises only once the owner has learned of the next process.

Change: the target of a call names the process. The client for workers keeps its connections in a pool that knows which process has answered on each, never reopens one, and sends the call only on a connection of that process; a connection cannot outlive it. On a new connection it first asks which process answers, by a heartbeat without lease and acknowledgement. If it is another one, the call fails as not sent. A heartbeat after an unanswered call names no process and carries neither lease nor acknowledgement. Ruled out: a check of the incarnation in responses comes too late, since the call has been executed; a shorter lease only narrows the window; asking before each call doubles the calls and leaves a gap between the two.

--- /dev/null
+++ b/packages/common/http-client/src/connection-pool.ts
@@ -0,0 +1,145 @@
+/**
+ * Connections to the address of a server whose process may be replaced by another one. A call that
+ * is meant for one process travels on a connection on which that process has answered: the
+ * connection ends with it.
+ */
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {HttpConnection} from './connection.js';
+import type {HttpFailure} from './http-call.js';
+import {HttpFailureKind} from './http-call.js';
+
+/** Asks on a new connection which process answers there, by a call that is harmless to any of them. */
+export type IdentifyProcess = (connection: HttpConnection, timeoutMilliseconds: number) => Promise<Result<number | undefined, HttpFailure>>;
+
+/** A connection that is reserved for one call. */
+export type PooledConnection = {
+	readonly connection: HttpConnection;
+	/** The process that has answered on the connection; undefined if none has. */
+	process(): number | undefined;
+	setProcess(process: number | undefined): void;
+	/** Returns the connection to the pool. */
+	release(): void;
+};
+
+export type ConnectionPool = {
+	/** Reserves a connection to `process`, or to any process if that is undefined. Nothing of the intended call has been sent if it fails. */
+	acquire(options: {readonly process: number | undefined; readonly timeoutMilliseconds: number; readonly identify: IdentifyProcess}): Promise<Result<PooledConnection, HttpFailure>>;
+	close(): void;
+};
+
+type Entry = {readonly connection: HttpConnection; process: number | undefined; isReserved: boolean};
+
+const notSent = (message: string): HttpFailure => ({kind: HttpFailureKind.NotSent, message});
+
+export const createConnectionPool = (options: {
+	readonly open: (onClosed: () => void) => HttpConnection;
+	readonly maximumConnections: number;
+	/** Monotonic clock, in milliseconds. */
+	readonly now: () => number;
+}): ConnectionPool => {
+	const {open, maximumConnections, now} = options;
+	const entries = new Set<Entry>();
+	/** Calls that wait for a connection, the longest waiting first. */
+	const waiting = new Set<() => void>();
+
+	const wakeNext = (): void => {
+		const [wake] = waiting;
+		wake?.();
+	};
+
+	const waitForChange = async (timeoutMilliseconds: number): Promise<void> => {
+		await new Promise<void>(resolve => {
+			const wake = (): void => {
+				clearTimeout(timer);
+				waiting.delete(wake);
+				resolve();
+			};
+
+			const timer = setTimeout(wake, timeoutMilliseconds);
+			waiting.add(wake);
+		});
+	};
+
+	const addConnection = (): Entry => {
+		const connection = open(() => {
+			entries.delete(entry);
+			wakeNext();
+		});
+		const entry: Entry = {connection, process: undefined, isReserved: true};
+		entries.add(entry);
+		return entry;
+	};
+
+	const release = (entry: Entry): void => {
+		entry.isReserved = false;
+		wakeNext();
+	};
+
+	const reserve = (entry: Entry): PooledConnection => {
+		entry.isReserved = true;
+		return {
+			connection: entry.connection,
+			process: () => entry.process,
+			setProcess(process) {
+				entry.process = process;
+			},
+			release() {
+				release(entry);
+			},
+		};
+	};
+
+	const findIdle = (isSuitable: (entry: Entry) => boolean): Entry | undefined => [...entries].find(entry => !entry.isReserved && isSuitable(entry));
+
+	return {
+		async acquire({process, timeoutMilliseconds, identify}) {
+			const deadline = now() + timeoutMilliseconds;
+			for (;;) {
+				const idle = findIdle(entry => process === undefined || entry.process === process);
+				if (idle) {
+					return ok(reserve(idle));
+				}
+
+				// A connection to another process would otherwise take the place of a new one.
+				if (entries.size >= maximumConnections) {
+					findIdle(() => true)?.connection.close();
+				}
+
+				if (entries.size < maximumConnections) {
+					const added = addConnection();
+					if (process === undefined) {
+						return ok(reserve(added));
+					}
+
+					// eslint-disable-next-line no-await-in-loop -- Leaves the loop.
+					const identified = await identify(added.connection, Math.max(1, deadline - now()));
+					if (identified.isErr()) {
+						added.connection.close();
+						return err(notSent(`the process behind the address is not known: ${identified.error.message}`));
+					}
+
+					added.process = identified.value;
+					if (added.process === process) {
+						return ok(reserve(added));
+					}
+
+					release(added);
+					return err(notSent('another process answers at the address'));
+				}
+
+				if (now() >= deadline) {
+					return err(notSent('no connection was free before the deadline'));
+				}
+
+				// eslint-disable-next-line no-await-in-loop -- Until a connection is free.
+				await waitForChange(Math.max(1, deadline - now()));
+			}
+		},
+		close() {
+			for (const {connection} of entries) {
+				connection.close();
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/common/http-client/src/connection.ts
@@ -0,0 +1,73 @@
+/** A single connection to a server. It is never replaced by a new one, so all its calls reach the process that accepted it. */
+import type {Result} from 'neverthrow';
+import {err} from 'neverthrow';
+import {buildConnector, Client} from 'undici';
+import type {HttpCall, HttpFailure, HttpResponse} from './http-call.js';
+import {dispatchCall, HttpFailureKind} from './http-call.js';
+
+export type HttpConnection = {
+	/** Fails with `NotSent` once the connection has closed. Connects on the first call. */
+	call(call: Omit<HttpCall, 'address'>): Promise<Result<HttpResponse, HttpFailure>>;
+	isClosed(): boolean;
+	close(): void;
+};
+
+export const openHttpConnection = (options: {
+	readonly address: string;
+	readonly connectTimeoutMilliseconds: number;
+	/** The connection closes after it was idle for this time. */
+	readonly keepAliveMilliseconds: number;
+	/** Called once, when the connection has closed or could not be opened. */
+	readonly onClosed: () => void;
+}): HttpConnection => {
+	const {address, connectTimeoutMilliseconds, keepAliveMilliseconds, onClosed} = options;
+	const connector = buildConnector({timeout: connectTimeoutMilliseconds});
+	let hasConnected = false;
+	let isClosed = false;
+	const markClosed = (): void => {
+		if (!isClosed) {
+			isClosed = true;
+			onClosed();
+		}
+	};
+
+	const createClient = (): Client => {
+		const client = new Client(`http://${address}`, {
+			keepAliveTimeout: keepAliveMilliseconds,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			connect(connectOptions, callback) {
+				// The library replaces a closed connection by a new one, which another process may accept.
+				if (hasConnected) {
+					callback(new Error('the connection has closed'), null);
+					return;
+				}
+
+				hasConnected = true;
+				connector(connectOptions, callback);
+			},
+		});
+		client.on('disconnect', markClosed);
+		client.on('connectionError', markClosed);
+		return client;
+	};
+
+	let client: Client | undefined;
+	return {
+		async call(call) {
+			if (isClosed) {
+				return err({kind: HttpFailureKind.NotSent, message: 'the connection has closed'});
+			}
+
+			return dispatchCall((request, handler) => {
+				client ??= createClient();
+				return client.dispatch(request, handler);
+			}, call);
+		},
+		isClosed: () => isClosed,
+		close() {
+			markClosed();
+			void client?.destroy();
+		},
+	};
+};
--- a/packages/common/http-client/src/index.ts
+++ b/packages/common/http-client/src/index.ts
@@ -1,45 +1,21 @@
-/**
- * HTTP/1.1 client with a deadline for each call. A failure says whether bytes of
- * the request may have been sent, since only an unsent call may be retried freely.
- */
-import {Buffer} from 'node:buffer';
+/** HTTP/1.1 client with a deadline for each call. */
 import type {Result} from 'neverthrow';
-import {err, ok} from 'neverthrow';
-import type {Dispatcher} from 'undici';
 import {Pool} from 'undici';
+import type {HttpConnection} from './connection.js';
+import {openHttpConnection} from './connection.js';
+import type {HttpCall, HttpFailure, HttpResponse} from './http-call.js';
+import {dispatchCall} from './http-call.js';
 
-export enum HttpFailureKind {
-	/** No byte of the request was sent. */
-	NotSent = 'not-sent',
-	/** The connection ended after bytes may have been sent. */
-	ConnectionLost = 'connection-lost',
-	/** The deadline passed after bytes may have been sent. */
-	Timeout = 'timeout',
-}
-
-export type HttpFailure = {readonly kind: HttpFailureKind; readonly message: string};
-
-export type HttpResponse = {
-	readonly status: number;
-	readonly text: string;
-};
-
-export type HttpCall = {
-	/** Address and port, without a scheme. */
-	readonly address: string;
-	readonly method: 'GET' | 'POST' | 'DELETE';
-	readonly path: string;
-	/** Serialized JSON; sent unchanged with the JSON content type. */
-	readonly body?: string;
-	readonly headers?: Readonly<Record<string, string>>;
-	/** From the call to the last byte of the response; with `maximumMilliseconds`, the longest time without any byte of the response. */
-	readonly timeoutMilliseconds: number;
-	/** For responses that may take long over a slow link: a limit on the whole call, during which each received chunk restarts the timeout. */
-	readonly maximumMilliseconds?: number;
-};
+export type {HttpConnection} from './connection.js';
+export type {ConnectionPool, IdentifyProcess, PooledConnection} from './connection-pool.js';
+export {createConnectionPool} from './connection-pool.js';
+export type {HttpCall, HttpFailure, HttpResponse} from './http-call.js';
+export {HttpFailureKind} from './http-call.js';
 
 export type HttpClient = {
 	call(call: HttpCall): Promise<Result<HttpResponse, HttpFailure>>;
+	/** A connection of its own, which the other calls do not use. */
+	openConnection(options: {readonly address: string; readonly onClosed: () => void}): HttpConnection;
 	/** Closes the connections to an address that is no longer used. */
 	disconnect(address: string): void;
 	close(): void;
@@ -54,63 +30,10 @@
 	readonly keepAliveMilliseconds: number;
 };
 
-/** Collects one response; `settle` is called exactly once. */
-const createResponseHandler = (settle: (result: Result<HttpResponse, HttpFailure>) => void, onProgress: () => void) => {
-	let controller: Dispatcher.DispatchController | undefined;
-	let isSettled = false;
-	let status = 0;
-	const chunks: Uint8Array[] = [];
-	const report = (result: Result<HttpResponse, HttpFailure>): void => {
-		if (!isSettled) {
-			isSettled = true;
-			settle(result);
-		}
-	};
-
-	const fail = (kind: HttpFailureKind, message: string): void => {
-		report(err({kind: controller === undefined ? HttpFailureKind.NotSent : kind, message}));
-	};
-
-	const handler: Dispatcher.DispatchHandler = {
-		onRequestStart(started) {
-			if (isSettled) {
-				started.abort(new Error('the deadline passed before the call was sent'));
-				return;
-			}
-
-			controller = started;
-		},
-		onResponseStart(_, statusCode) {
-			status = statusCode;
-		},
-		onResponseData(_, chunk) {
-			chunks.push(chunk);
-			onProgress();
-		},
-		onResponseEnd() {
-			report(ok({status, text: Buffer.concat(chunks).toString('utf8')}));
-		},
-		onResponseError(_, error) {
-			fail(HttpFailureKind.ConnectionLost, error.message);
-		},
-	};
-	return {
-		handler,
-		/** Fails a call that could not be sent. */
-		reject(message: string): void {
-			report(err({kind: HttpFailureKind.NotSent, message}));
-		},
-		/** Ends the call and closes its connection, since the connection itself may be dead. */
-		expire(): void {
-			const sent = controller;
-			fail(HttpFailureKind.Timeout, 'no complete response within the deadline');
-			sent?.abort(new Error('deadline passed'));
-		},
-	};
-};
-
 export const createHttpClient = (options: HttpClientOptions): HttpClient => {
 	const pools = new Map<string, Pool>();
+	/** Connections opened by themselves. */
+	const connections = new Set<HttpConnection>();
 	const getPool = (address: string): Pool => {
 		let pool = pools.get(address);
 		if (pool === undefined) {
@@ -135,35 +58,29 @@
 	};
 
 	return {
-		async call({address, method, path, body, headers, timeoutMilliseconds, maximumMilliseconds}) {
-			return new Promise(resolve => {
-				const {handler, expire, reject} = createResponseHandler(result => {
-					clearTimeout(timer);
-					clearTimeout(limitTimer);
-					resolve(result);
-				}, () => {
-					if (maximumMilliseconds !== undefined) {
-						timer.refresh();
-					}
-				});
-				const timer = setTimeout(expire, timeoutMilliseconds);
-				const limitTimer = maximumMilliseconds === undefined ? undefined : setTimeout(expire, maximumMilliseconds);
-				try {
-					getPool(address).dispatch({
-						method, path, ...(body !== undefined && {body}),
-						headers: body === undefined ? {...headers} : {...headers, 'content-type': 'application/json'},
-					}, handler);
-				} catch (error) {
-					// An address that another writer has registered may not be a valid one.
-					reject(String(error));
-				}
+		async call({address, ...call}) {
+			return dispatchCall((request, handler) => getPool(address).dispatch(request, handler), call);
+		},
+		openConnection({address, onClosed}) {
+			const connection = openHttpConnection({
+				address, connectTimeoutMilliseconds: options.connectTimeoutMilliseconds, keepAliveMilliseconds: options.keepAliveMilliseconds,
+				onClosed() {
+					connections.delete(connection);
+					onClosed();
+				},
 			});
+			connections.add(connection);
+			return connection;
 		},
 		disconnect,
 		close() {
 			for (const address of pools.keys()) {
 				disconnect(address);
 			}
+
+			for (const connection of connections) {
+				connection.close();
+			}
 		},
 	};
 };
--- /dev/null
+++ b/packages/common/http-client/test/connection-pool.test.ts
@@ -0,0 +1,140 @@
+import {once} from 'node:events';
+import type {Server} from 'node:http';
+import {createServer} from 'node:http';
+import type {ExecutionContext} from 'ava';
+import test from 'ava';
+import {err, ok, ResultAsync} from 'neverthrow';
+import type {HttpConnection, PooledConnection} from '../src/index.js';
+import {createConnectionPool, createHttpClient, HttpFailureKind} from '../src/index.js';
+
+const deadlineMilliseconds = 20_000;
+
+/** A server whose process has a number, and records the paths of its calls. Calls of `/wait` are not answered. */
+const startProcess = async (t: ExecutionContext, number: number, port = 0) => {
+	const calls: string[] = [];
+	const server: Server = createServer((request, response) => {
+		calls.push(request.url ?? '');
+		if (request.url !== '/wait') {
+			response.end(JSON.stringify({number}));
+		}
+	});
+	server.listen(port, '127.0.0.1');
+	await once(server, 'listening');
+	const address = server.address();
+	const end = async (): Promise<void> => {
+		server.closeAllConnections();
+		if (server.listening) {
+			server.close();
+			await once(server, 'close');
+		}
+	};
+
+	t.teardown(end);
+	return {port: typeof address === 'object' && address ? address.port : 0, calls, end};
+};
+
+const identify = async (connection: HttpConnection, timeoutMilliseconds: number) => {
+	const answered = await connection.call({method: 'GET', path: '/identify', timeoutMilliseconds});
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Sent by the server above.
+	return answered.map(({text}) => (JSON.parse(text) as {number: number}).number);
+};
+
+const createPool = (t: ExecutionContext, port: number, maximumConnections = 2) => {
+	const client = createHttpClient({connections: 1, connectTimeoutMilliseconds: 5000, keepAliveMilliseconds: 30_000});
+	t.teardown(client.close);
+	const pool = createConnectionPool({
+		open: onClosed => client.openConnection({address: `127.0.0.1:${port}`, onClosed}), maximumConnections, now: () => performance.now(),
+	});
+	return {
+		pool,
+		async acquire(process?: number): Promise<PooledConnection> {
+			const acquired = await pool.acquire({process, timeoutMilliseconds: deadlineMilliseconds, identify});
+			return acquired._unsafeUnwrap();
+		},
+		async fail(process: number, timeoutMilliseconds = deadlineMilliseconds): Promise<HttpFailureKind> {
+			const acquired = await pool.acquire({process, timeoutMilliseconds, identify});
+			return acquired._unsafeUnwrapErr().kind;
+		},
+	};
+};
+
+const call = async ({connection}: PooledConnection, path: string) => connection.call({method: 'GET', path, timeoutMilliseconds: deadlineMilliseconds});
+
+// Guards against calls that reach the next process of a server because the library replaced a closed connection.
+test('a connection is not replaced once it has closed', async t => {
+	const first = await startProcess(t, 1);
+	const {acquire} = createPool(t, first.port);
+	const pooled = await acquire(1);
+	const answered = await call(pooled, '/a');
+	t.true(answered.isOk());
+	await first.end();
+	const next = await startProcess(t, 2, first.port);
+	const failed = await call(pooled, '/b');
+	t.true(failed.isErr());
+	t.deepEqual([first.calls, next.calls], [['/identify', '/a'], []]);
+});
+
+// Guards against a worker that executes a call that was meant for its previous process.
+test('a call for a process that has ended is not sent to the next one', async t => {
+	const first = await startProcess(t, 1);
+	const {pool, acquire} = createPool(t, first.port);
+	const known = await acquire(1);
+	known.release();
+	await first.end();
+	const next = await startProcess(t, 2, first.port);
+	// The end of the first connection may not have been noticed before the first of these calls.
+	for (const _ of [1, 2]) {
+		// eslint-disable-next-line no-await-in-loop -- One call at a time.
+		const acquired = await pool.acquire({process: 1, timeoutMilliseconds: deadlineMilliseconds, identify});
+		// eslint-disable-next-line no-await-in-loop -- One call at a time.
+		const answered = await acquired.asyncAndThen(pooled => new ResultAsync(call(pooled, '/a')));
+		t.true(answered.isErr());
+	}
+
+	t.deepEqual(next.calls, ['/identify']);
+	const current = await acquire(2);
+	t.is(current.process(), 2);
+});
+
+// Guards against calls that fail for want of a connection after another process has answered on all of them.
+test('connections to an earlier process make room for one to the current process', async t => {
+	const {port} = await startProcess(t, 2);
+	const {acquire} = createPool(t, port, 1);
+	const other = await acquire();
+	other.setProcess(1);
+	other.release();
+	const current = await acquire(2);
+	t.is(current.process(), 2);
+});
+
+// Guards against a call that never ends because all connections of the pool are in use.
+test('a call waits for a free connection until its deadline', async t => {
+	const {port, calls} = await startProcess(t, 1);
+	const {acquire, fail} = createPool(t, port, 1);
+	const pooled = await acquire(1);
+	t.is(await fail(1, 1), HttpFailureKind.NotSent);
+	const waiting = acquire(1);
+	pooled.release();
+	await t.notThrowsAsync(waiting);
+	t.deepEqual(calls, ['/identify']);
+});
+
+// Guards against a pool that stays full of connections that have closed.
+test('a closed connection makes room for a waiting call', async t => {
+	const {port} = await startProcess(t, 1);
+	const {acquire} = createPool(t, port, 1);
+	const pooled = await acquire(1);
+	const waiting = acquire(1);
+	pooled.connection.close();
+	await t.notThrowsAsync(waiting);
+});
+
+// Guards against a call to a process that nobody has identified.
+test('no connection is handed out if the process behind it cannot be identified', async t => {
+	const {port} = await startProcess(t, 1);
+	const {pool} = createPool(t, port, 1);
+	const refused = await pool.acquire({process: 1, timeoutMilliseconds: deadlineMilliseconds, identify: async () => err({kind: HttpFailureKind.Timeout, message: 'no answer'})});
+	t.is(refused._unsafeUnwrapErr().kind, HttpFailureKind.NotSent);
+	const identified = await pool.acquire({process: 1, timeoutMilliseconds: deadlineMilliseconds, identify: async () => ok(1)});
+	t.true(identified.isOk());
+});
--- a/packages/jobs/job-service/src/order-executor.ts
+++ b/packages/jobs/job-service/src/order-executor.ts
@@ -12,6 +12,7 @@
 } from './ports.js';
 import {WorkerCallErrorKind} from './ports.js';
 import type {WorkerSession} from './worker-session.js';
+import {describeTarget} from './worker-target.js';
 
 /** Delay before advice is requested again after a failure; the service rejects requests while too many are waiting. */
 const adviceRetryMilliseconds = 200;
@@ -50,8 +51,6 @@
 	readonly onStopAttempted: (order: StopOrder, outcome: string, milliseconds: number) => void;
 }) => {
 	const {scheduler, workerClient, adviceClient, clock, fencingTokens, getSession, recordRun, mayStart, onFenced, onChange, onStartAttempted, onStopAttempted} = options;
-	const toTarget = (worker: WorkerRow) => ({id: worker.registration.id, address: worker.registration.address});
-
 	const handleFenced = (worker: WorkerRow, fencingToken: number): void => {
 		if (!fencingTokens.isSuperseded(worker, fencingToken)) {
 			onFenced();
@@ -78,7 +77,7 @@
 		const fencingToken = fencingTokens.get(worker);
 		row.isSent = true;
 		const started = await workerClient.start({
-			worker: toTarget(row.worker), task: row.task.name, run: row.run, payload: row.task.step.job.declaration.payload,
+			worker: describeTarget(row.worker, true), task: row.task.name, run: row.run, payload: row.task.step.job.declaration.payload,
 			leaseExpiresAt, fencingToken, checkpoint: row.task.checkpoint, ticket,
 		});
 		const now = clock.now();
@@ -136,7 +135,7 @@
 		const {worker} = order;
 		const fencingToken = fencingTokens.get(worker);
 		const stopped = await workerClient.stop({
-			worker: toTarget(worker), task: order.task, run: order.run, fencingToken,
+			worker: describeTarget(worker, true), task: order.task, run: order.run, fencingToken,
 		});
 		const failure = describeStopFailure(stopped, worker);
 		const now = clock.now();
@@ -156,7 +155,7 @@
 	const throttle = async (order: ThrottleOrder): Promise<void> => {
 		const {row, percent} = order;
 		const throttled = await workerClient.throttle({
-			worker: toTarget(row.worker), task: row.task.name, run: row.run, percent, fencingToken: fencingTokens.get(row.worker),
+			worker: describeTarget(row.worker, true), task: row.task.name, run: row.run, percent, fencingToken: fencingTokens.get(row.worker),
 		});
 		scheduler.recordThrottleOutcome(row, percent, throttled.isOk());
 	};
--- a/packages/jobs/job-service/src/ports.ts
+++ b/packages/jobs/job-service/src/ports.ts
@@ -42,7 +42,12 @@
 
 export type WorkerCallError = {readonly kind: WorkerCallErrorKind; readonly message: string};
 
-export type WorkerTarget = {readonly id: string; readonly address: string};
+export type WorkerTarget = {
+	readonly id: string;
+	readonly address: string;
+	/** If set, the call reaches only this process of the worker. It fails with NotSent if another process answers at the address. */
+	readonly incarnation?: number;
+};
 
 export type WorkerResponse = {
 	/** Monotonic clock of the worker. */
@@ -59,6 +64,7 @@
 export type StartRejection = 'fenced' | 'superseded' | 'late' | 'room' | 'ticket';
 
 export type WorkerClient = {
+	/** The target has to name an incarnation where workers restart under their name: the lease is on its clock. */
 	start(options: {
 		readonly worker: WorkerTarget;
 		readonly task: string;
@@ -71,7 +77,7 @@
 		readonly ticket: string | undefined;
 	}): Promise<Result<WorkerResponse & {readonly rejection: StartRejection | undefined}, WorkerCallError>>;
 	stop(options: {readonly worker: WorkerTarget; readonly task: string; readonly run: number; readonly fencingToken: number}): Promise<Result<WorkerResponse, WorkerCallError>>;
-	/** Extends the lease, acknowledges ended runs and reads the run report. The worker responds once a run ends, or after `waitMilliseconds`. */
+	/** Extends the lease, acknowledges ended runs and reads the run report. A target without an incarnation may be given neither a lease nor an acknowledgement where workers restart under their name. The worker responds once a run ends, or after `waitMilliseconds`. */
 	heartbeat(options: {
 		readonly worker: WorkerTarget;
 		readonly fencingToken: number;
--- a/packages/jobs/job-service/src/worker-session.ts
+++ b/packages/jobs/job-service/src/worker-session.ts
@@ -2,6 +2,7 @@
 import type {Scheduler, WorkerRow} from '@turmericbay/scheduler';
 import {computeLatestLeaseExpiry, isEarlierIncarnation} from '@turmericbay/scheduler';
 import type {FencingTokens} from './fencing-tokens.js';
+import {describeTarget} from './worker-target.js';
 import type {
 	Clock, WorkerCallError, WorkerClient, WorkerResponse,
 } from './ports.js';
@@ -126,19 +127,19 @@
 
 	const sendHeartbeat = async (): Promise<void> => {
 		const sentAt = clock.now();
-		// The lease of an unreachable worker is not extended: it has to expire before its tasks can start elsewhere.
-		const leaseExpiresAt = mayExtendLeases() && worker.unansweredCalls === 0 ? grantLease() : undefined;
-		// After unanswered calls another incarnation may respond, which numbers its ended runs from the start.
-		const acknowledgedSequence = worker.unansweredCalls === 0 && hasCurrentReading() ? persistedSequence : 0;
+		// After unanswered calls any process of the worker may respond. Its lease is not extended: it has to expire before its tasks can start elsewhere.
+		const isBound = worker.unansweredCalls === 0 && hasCurrentReading();
+		const leaseExpiresAt = isBound && mayExtendLeases() ? grantLease() : undefined;
+		const acknowledgedSequence = isBound ? persistedSequence : 0;
 		const fencingToken = fencingTokens.get(worker);
 		const appliedBefore = worker.lastAppliedSequence;
 		isLongPolling = true;
 		const response = await workerClient.heartbeat({
-			worker: {id: worker.registration.id, address: worker.registration.address},
+			worker: describeTarget(worker, isBound),
 			fencingToken,
 			acknowledgedSequence,
 			leaseExpiresAt,
-			waitMilliseconds: !hasCurrentReading() || worker.unansweredCalls > 0 ? 0 : (worker.runs.size > 0 ? busyLongPollMilliseconds : idleLongPollMilliseconds),
+			waitMilliseconds: isBound ? (worker.runs.size > 0 ? busyLongPollMilliseconds : idleLongPollMilliseconds) : 0,
 		});
 		isLongPolling = false;
 		if (isEnded) {
@@ -184,7 +185,7 @@
 		isReportRequested = true;
 		const sentAt = clock.now();
 		const response = await workerClient.heartbeat({
-			worker: {id: worker.registration.id, address: worker.registration.address}, fencingToken: fencingTokens.get(worker),
+			worker: describeTarget(worker, false), fencingToken: fencingTokens.get(worker),
 			acknowledgedSequence: 0, leaseExpiresAt: undefined, waitMilliseconds: 0,
 		});
 		isReportRequested = false;
