Restore the runs of the newest process of a worker, whichever record names it first

Callers saw a task run twice at the same time: a worker crashed and came back, the owner learned of the new process by a call and started runs on it, and the owner was stopped before the worker's entry in the store showed the new process. The next owner started the same tasks elsewhere and had the first runs stopped once the worker had answered.

Cause: restore() gave a worker the incarnation of the first run record that named it, and restoreRuns() dropped all runs of records that named another one. If an older record named the former process (that of any run started before the crash) and the registration was older too, the runs of the current process had no row, so their tasks counted as waiting.

A worker now gets the newest incarnation of all records and of its registration. Every recorded run is restored unless its record names an earlier incarnation than that; those count for crashes, as before. Runs of records without an incarnation are restored as well, since nothing tells that their process has ended. A registration that is older than the records is ignored until the worker registers its newer process.

Evidence: the new tests cover four orders of records with no, a former and the newest incarnation, against a registration that is missing, names no process, or is older than, between, equal to or newer than the records, with a worker that does not answer.

--- a/packages/jobs/job-service/src/owned-workers.ts
+++ b/packages/jobs/job-service/src/owned-workers.ts
@@ -7,6 +7,7 @@
 import type {OwnerLog} from './owner-log.js';
 import {ownerLeaseMilliseconds} from './ownership.js';
 import type {Clock, PlatformRecordCodec, WorkerClient} from './ports.js';
+import type {RecordedWorker} from './records.js';
 import {idFromKey} from './records.js';
 import type {RunRecords} from './run-records.js';
 import type {WorkerSession} from './worker-session.js';
@@ -22,6 +23,19 @@
 /** After a handover the previous owner extends leases until the new owner does. It stops a margin before the latest time that the new owner expects. */
 export const handoverExtensionMilliseconds = leaseExtensionMilliseconds - ownerLeaseMilliseconds - handoverMarginMilliseconds;
 
+/** The newest process of each worker. The records of a worker that has restarted may name several, in any order. */
+const findNewestProcesses = (recorded: Iterable<RecordedWorker>): Map<string, RecordedWorker> => {
+	const newest = new Map<string, RecordedWorker>();
+	for (const worker of recorded) {
+		const known = newest.get(worker.id);
+		if (!known || (worker.bornAt ?? Number.NEGATIVE_INFINITY) > (known.bornAt ?? Number.NEGATIVE_INFINITY)) {
+			newest.set(worker.id, worker);
+		}
+	}
+
+	return newest;
+};
+
 export type OwnedWorkers = ReturnType<typeof createOwnedWorkers>;
 
 export const createOwnedWorkers = (options: {
@@ -107,7 +121,8 @@
 		/** Adds the workers in the run records of previous owners. Called before the platform's list is applied. */
 		restore(entries: readonly StoredEntry[]): void {
 			previousSegments = runRecords.restore(entries);
-			for (const {worker: {id, address, pool, bornAt}} of previousSegments.flatMap(({segment}) => segment)) {
+			const recorded = previousSegments.flatMap(({segment}) => segment).map(({worker}) => worker);
+			for (const {id, address, pool, bornAt} of findNewestProcesses(recorded).values()) {
 				previouslyUsed.add(id);
 				if (!scheduler.workers.has(id)) {
 					openSession(scheduler.registerWorker({
@@ -127,9 +142,10 @@
 					const worker = scheduler.workers.get(id);
 					if (worker && isEarlierIncarnation(bornAt, worker)) {
 						scheduler.recordPreviousRuns(worker, runs);
+						continue;
 					}
 
-					for (const [task, run] of worker?.incarnation === bornAt ? runs : []) {
+					for (const [task, run] of runs) {
 						const row = worker && scheduler.restoreRun({
 							worker, task, run, now,
 						});
--- a/packages/jobs/job-service/test/owned-workers.test.ts
+++ b/packages/jobs/job-service/test/owned-workers.test.ts
@@ -10,12 +10,12 @@
 	throw new Error('not used');
 };
 
-const createFixture = () => {
+const createFixture = (taskCount = 1) => {
 	const {scheduler, worker} = createSchedulerWithWorker(2);
 	const clock = {now: () => 0, wallNow: () => 0};
 	const recordCodec: PlatformRecordCodec = {
 		configurationKey: '', workerPrefix: 'workers/', wavePrefix: '', evacuationPrefix: '', decodeEvacuation: unused, decodeConfiguration: unused, decodeWave: unused, encodeWaveStatus: unused,
-		decodeWorker: ({key, value}) => createRegistration({id: key.slice('workers/'.length), incarnation: Number(value)}),
+		decodeWorker: ({key, value}) => createRegistration({id: key.slice('workers/'.length), incarnation: value === '' ? undefined : Number(value)}),
 	};
 	const workerClient: WorkerClient = {
 		start: unused, stop: unused, heartbeat: unused, throttle: unused, disconnect: () => undefined,
@@ -32,10 +32,10 @@
 			dispatcherGained: unused, dispatcherLost: unused, workerCallsCounted: unused, dispatchersCounted: unused,
 		},
 	});
-	const job = scheduler.addJob(createDeclaration('job'), {isRestored: true, now: 0, wallNow: 0});
-	const [task] = job.occurrences.get(0)![0]!.tasks;
+	const job = scheduler.addJob(createDeclaration('job', taskCount), {isRestored: true, now: 0, wallNow: 0});
+	const {tasks} = job.occurrences.get(0)![0]!;
 	return {
-		scheduler, worker, ownedWorkers, task: task!,
+		scheduler, worker, ownedWorkers, task: tasks[0]!, tasks,
 	};
 };
 
@@ -56,6 +56,52 @@
 	t.deepEqual([...task.runs.keys()], [2, 3]);
 });
 
+const incarnations = [undefined, 5, 6, 6] as const;
+const recordOrders: ReadonlyArray<readonly number[]> = [[0, 1, 2, 3], [3, 2, 1, 0], [1, 0, 3, 2], [2, 0, 1, 3]];
+const registrations: ReadonlyMap<string, string | undefined> = new Map([
+	['is missing', undefined],
+	['names no process', ''],
+	['names an earlier process than all records', '4'],
+	['names the former process', '5'],
+	['names the newest process', '6'],
+	['names a later process', '7'],
+]);
+for (const [description, registration] of registrations) {
+	// Guards against tasks that run twice: runs of the newest process were left out where an earlier record named a former one, and started elsewhere.
+	test(`a new owner restores all runs that may be executing, in any order of their records; the registration ${description}`, t => {
+		for (const order of recordOrders) {
+			const {scheduler, worker, ownedWorkers, tasks} = createFixture(incarnations.length);
+			const entries = order.map(index => toEntry(`${runPrefix}1-${index}`, JSON.stringify([{
+				worker: {
+					id: 'restarted', address: 'a:1', pool: 'pool-1', bornAt: incarnations[index],
+				}, runs: [[tasks[index]!.name, 1]],
+			}])));
+			ownedWorkers.restore(entries);
+			ownedWorkers.applyEntries(registration === undefined ? [] : [toEntry('workers/restarted', registration)], true);
+			ownedWorkers.restoreRuns(0);
+			const newest = Math.max(6, Number(registration ?? 0));
+			const isGone = incarnations.map(incarnation => incarnation !== undefined && incarnation < newest);
+			t.deepEqual(tasks.map(task => task.runs.size), isGone.map(gone => gone ? 0 : 1));
+			t.deepEqual(tasks.map(task => task.crashedRuns.length), isGone.map(gone => gone ? 1 : 0));
+
+			// The worker does not answer, another one does.
+			const leaseEnd = Math.ceil(scheduler.workers.get('restarted')!.latestLeaseExpiry);
+			const countStarts = (now: number): number => {
+				scheduler.applyRunReport({
+					worker, sentAt: now, now, report: {
+						incarnation: 1, running: [], ended: [], hasMoreEnded: false,
+					},
+				});
+				return scheduler.plan({now, wallNow: now, mayStart: true}).filter(({type}) => type === 'start').length;
+			};
+
+			const goneCount = isGone.filter(Boolean).length;
+			t.is(countStarts(leaseEnd - 1), goneCount);
+			t.is(countStarts(leaseEnd), incarnations.length - goneCount);
+		}
+	});
+}
+
 // Guards against jobs that fail because machines are moved or maintained.
 test('the end of a worker whose machine was moved or maintained is not a crash, the end of any other is', t => {
 	const {scheduler, worker, ownedWorkers, task} = createFixture();
