Send a start only to the process of the worker that its record names

A task can run twice at the same time. A start is sent once its run is stored, and the record names the worker's process at the time of the plan. If the worker restarts while the store is slow and its new process reports before the record is stored, the start was sent to the new process under the record of the former one. An owner that takes over then finds a record of an earlier process than the one that the worker has registered, counts the run as crashed and starts the task elsewhere beside it.

Cause: the check before the start looks at the run and its worker, not at the process. The start is now withdrawn if its run is no longer in the phase in which it was planned: handleRestart has made it unconfirmed. The task is placed again, with a record of its own.

Evidence: the new test of order-executor sends the start without the change and withdraws it with it.

--- a/packages/jobs/job-service/src/order-executor.ts
+++ b/packages/jobs/job-service/src/order-executor.ts
@@ -16,10 +16,10 @@
 /** Delay before advice is requested again after a failure; the service rejects requests while too many are waiting. */
 const adviceRetryMilliseconds = 200;
 
-/** False if the run was dropped, its task no longer needs it, its worker is about to end, or the zone of the worker has been evacuated. */
+/** False if the run was dropped, its task no longer needs it, its worker has restarted since it was planned, its worker is about to end, or the zone of the worker has been evacuated. */
 const isWanted = (row: RunRow, scheduler: Scheduler): boolean => {
 	const {worker, task} = row;
-	return worker.runs.get(formatRunKey(task.name, row.run)) === row && isActive(task.step.job) && !task.done && !worker.isCordoned
+	return worker.runs.get(formatRunKey(task.name, row.run)) === row && row.phase === RunPhase.Starting && isActive(task.step.job) && !task.done && !worker.isCordoned
 		&& !scheduler.isEvacuated(worker.registration.zone);
 };
 
--- a/packages/jobs/job-service/test/order-executor.test.ts
+++ b/packages/jobs/job-service/test/order-executor.test.ts
@@ -90,3 +90,19 @@
 	t.deepEqual(started, []);
 	t.is(worker.runs.size, 0);
 });
+
+// Guards against tasks that run twice: the record named the former process, so the next owner took the run for ended while the new process executed it.
+test('a start is not sent to another process of the worker than the stored record names', async t => {
+	const {scheduler, worker, started, pendingRecords} = createFixture();
+	await settle();
+	scheduler.applyRunReport({
+		worker, sentAt: 5, now: 6, report: {
+			incarnation: 2, running: [], ended: [], hasMoreEnded: false,
+		},
+	});
+	pendingRecords[0]!.stored();
+	await settle();
+	t.deepEqual(started, []);
+	t.is(worker.runs.size, 0);
+	t.is(scheduler.plan({now: 20, wallNow: 20, mayStart: true}).filter(({type}) => type === 'start').length, 1);
+});
