Keep a restarted worker when a call to its former address is rejected

A task can run twice at the same time. A response 421 says that another worker is at the address, so the owner removes the worker and starts its tasks elsewhere. If the worker has meanwhile restarted at another address, has registered there, has answered a requested report and got runs, a late 421 to the long poll for its former process removed the new one as well.

Cause: the session judged the worker by the response to a call that was sent to the former process. A rejection now counts only while the owner knows no later process of the worker than the one that it called, as for rejections of a fencing token. The next heartbeat goes to the new address.

Evidence: the new test of worker-session counts a removal without the change and none with it; a rejection at the new address still removes the worker.

--- a/packages/jobs/job-service/src/worker-session.ts
+++ b/packages/jobs/job-service/src/worker-session.ts
@@ -106,7 +106,11 @@
 			}
 
 			case WorkerCallErrorKind.Gone: {
-				onGone(worker);
+				// The next process may be at another address, where this call did not go.
+				if (!fencingTokens.isSuperseded(worker, fencingToken)) {
+					onGone(worker);
+				}
+
 				return;
 			}
 
--- a/packages/jobs/job-service/test/worker-session.test.ts
+++ b/packages/jobs/job-service/test/worker-session.test.ts
@@ -42,21 +42,26 @@
 	});
 	const ignore = (): void => undefined;
 	let fencedCount = 0;
+	let goneCount = 0;
 	const session = createWorkerSession({
 		worker, workerClient, scheduler, clock: {now: () => now, wallNow: () => now},
 		fencingTokens: createFencingTokens({epoch: 1, scheduler}), workerLeaseMilliseconds: 3500, mayExtendLeases: () => true,
-		persistChanges: async () => undefined, onChange: ignore, onCallFailed: ignore, onRecovered: ignore, onGone: ignore,
+		persistChanges: async () => undefined, onChange: ignore, onCallFailed: ignore, onRecovered: ignore,
 		onFenced() {
 			fencedCount += 1;
 		},
+		onGone() {
+			goneCount += 1;
+		},
 	});
 	return {
 		worker, heartbeats, session,
 		fencedCount: () => fencedCount,
+		goneCount: () => goneCount,
 		/** The platform lists the worker's next process before that has answered. */
-		listRestarted(): void {
+		listRestarted(address?: string): void {
 			scheduler.registerWorker({
-				registration: createRegistration({incarnation: 2}), isRegistered: true, isReconciled: true, latestLeaseExpiry: Number.NEGATIVE_INFINITY,
+				registration: createRegistration({incarnation: 2, ...(address !== undefined && {address})}), isRegistered: true, isReconciled: true, latestLeaseExpiry: Number.NEGATIVE_INFINITY,
 			});
 		},
 		advance(milliseconds: number): void {
@@ -161,3 +166,25 @@
 	t.is(fencedCount(), 1);
 	session.end();
 });
+
+// Guards against tasks that run twice: the runs of a restarted worker counted as lost when another worker rejected a call to its former address.
+test('a call to the former address of a worker that has restarted does not remove it', async t => {
+	const {heartbeats, session, listRestarted, goneCount} = createFixture();
+	heartbeats[0]!.resolve(createResponse(500));
+	await settle();
+	listRestarted('10.0.0.2:80');
+	session.wake();
+	await settle();
+	t.is(heartbeats[2]!.request.worker.address, '10.0.0.2:80');
+	heartbeats[2]!.resolve(createResponse(20, 2));
+	await settle();
+	t.is(session.grantLease(), 3520);
+	heartbeats[1]!.resolve(err({kind: WorkerCallErrorKind.Gone, message: 'another worker'}));
+	await settle();
+	t.is(goneCount(), 0);
+	t.is(heartbeats[3]!.request.worker.address, '10.0.0.2:80');
+	heartbeats[3]!.resolve(err({kind: WorkerCallErrorKind.Gone, message: 'another worker'}));
+	await settle();
+	t.is(goneCount(), 1);
+	session.end();
+});
