Notice a suspension before a lease on a worker is extended

A task can run twice at the same time. An owner that hands over extends the leases of workers for 1.7 s of its monotonic clock, which does not count the time of a suspension. Suspended meanwhile and resumed while the leases still run (up to 3.5 s later), it went on for the rest of the 1.7 s and extended them until up to 2.4 s after its successor had taken those of workers that it cannot reach for expired and started their tasks elsewhere. An owner that is suspended at the end of its 4 s without the store did so until its next tick.

Cause: the pause is detected on ticks and where the validity of the lease is asked, but the check before an extension reads only the time of the latest renewal, and an ended owner has no ticks. Reading that time now compares the clocks as well.

Evidence: the new test reads the time after a suspension, with and without the end of the ownership; it still got the renewal without the change. The 2.4 s are computed from the bounds, not measured.

--- a/packages/jobs/job-service/src/ownership.ts
+++ b/packages/jobs/job-service/src/ownership.ts
@@ -160,8 +160,11 @@
 		isValid(): boolean {
 			return !isEnded && !detectPause() && clock.now() < renewedAt + ownerLeaseMilliseconds - safetyMarginMilliseconds;
 		},
-		/** Send time of the newest renewal that was acknowledged, on the monotonic clock. */
-		renewedAt: () => renewedAt,
+		/** Send time of the newest renewal that was acknowledged, on the monotonic clock; negative infinity after a pause of the process. */
+		renewedAt(): number {
+			detectPause();
+			return renewedAt;
+		},
 		isEnded: () => isEnded,
 		end(): void {
 			isEnded = true;
--- a/packages/jobs/job-service/test/ownership.test.ts
+++ b/packages/jobs/job-service/test/ownership.test.ts
@@ -65,3 +65,18 @@
 	suspend(5000);
 	t.false(renewal.isValid());
 });
+
+// Guards against leases of workers that a suspended previous owner extends beyond the time at which its successor starts their tasks elsewhere.
+test('a suspension is also noticed where only the latest renewal is asked, after the end of the ownership too', t => {
+	for (const isEnded of [false, true]) {
+		const {renewal, advance, suspend} = createFixture();
+		advance(10);
+		t.is(renewal.renewedAt(), 1000);
+		if (isEnded) {
+			renewal.end();
+		}
+
+		suspend(3000);
+		t.is(renewal.renewedAt(), Number.NEGATIVE_INFINITY);
+	}
+});
