Withdraw a planned start once another run of its task is found

A task could run twice at the same time for as long as a worker takes to stop a run.

Cause: a run that is found counts as unwanted if the task has any other run, also one whose start has not been sent and can still be withdrawn.

Change: the planned start is dropped, which the order executor notices before it sends it, and the run that was found is adopted. Gangs are left out, since their members need the same run.

--- a/packages/jobs/scheduler/src/reconciler.ts
+++ b/packages/jobs/scheduler/src/reconciler.ts
@@ -137,8 +137,21 @@
 		}
 	};
 
+	/** Withdraws the starts of a task that have not been sent: another run of it has been found. */
+	const dropUnsentRuns = (task: TaskRow): void => {
+		for (const row of task.runs.values()) {
+			if (row.phase === RunPhase.Starting && !row.isSent) {
+				dropRun(row, 'not-run');
+			}
+		}
+	};
+
 	const adoptRun = (worker: WorkerRow, taskName: string, run: number, now: number): RunRow | undefined => {
 		const task = jobs.findTask(taskName);
+		if (task && !task.step.declaration.gang) {
+			dropUnsentRuns(task);
+		}
+
 		if (!task || !isActive(task.step.job) || task.done || task.runs.size > 0) {
 			// A second run of a task is stopped even if the step is speculative: only one run started by another owner is adopted per task.
 			unwantedRuns.push({worker, task: taskName, run});
