Leave a worker that is listed again when its former entry is retired

Runs could stay in the tables for ever, their tasks never run again (LOST, not TWICE). An order for a machine takes up to 1.9 s; the worker that it is for may be removed meanwhile, because another one answers at its address, and be listed again under its name. When the order was accepted, the listed worker was taken out of the table by its name, while its runs stayed with their tasks.

Cause: the removal goes by the name of the worker and not by its entry. The retirement or loss of an entry that is not current is now ignored: its runs were dropped when it was removed, and the run reports of the listed worker tell whether its process has ended.

Evidence: the new test loses the listed worker without the change and keeps it with it.

--- a/packages/jobs/job-service/src/owned-workers.ts
+++ b/packages/jobs/job-service/src/owned-workers.ts
@@ -103,8 +103,15 @@
 		onChange();
 	};
 
+	/** False once the worker has been removed, also if it is listed again. */
+	const isCurrent = (worker: WorkerRow): boolean => scheduler.workers.get(worker.registration.id) === worker;
+
 	/** Removes a worker whose process has ended; none of its runs is executing any more. */
 	const removeLost = (worker: WorkerRow, isPlanned = false): void => {
+		if (!isCurrent(worker)) {
+			return;
+		}
+
 		scheduler.markWorkerLost(worker, isPlanned);
 		remove(worker);
 		onChange();
@@ -115,6 +122,10 @@
 		removeLost,
 		/** Removes a worker whose process the platform has ended to move or maintain its machine. */
 		retire(worker: WorkerRow): void {
+			if (!isCurrent(worker)) {
+				return;
+			}
+
 			retiredIncarnations.set(worker.registration.id, worker.incarnation);
 			removeLost(worker, true);
 		},
--- a/packages/jobs/job-service/test/owned-workers.test.ts
+++ b/packages/jobs/job-service/test/owned-workers.test.ts
@@ -128,3 +128,24 @@
 	ownedWorkers.removeLost(next);
 	t.is(task.crashedRuns.length, 1);
 });
+
+// Guards against runs that never end: a machine order for a worker that had been removed and listed again took the listed one out of the table.
+test('the retirement of a worker that has been removed and listed again leaves the listed one', t => {
+	const {scheduler, worker, ownedWorkers, task} = createFixture();
+	ownedWorkers.removeLost(worker);
+	ownedWorkers.applyEntries([toEntry('workers/w1', '2')], false);
+	const listed = scheduler.workers.get('w1')!;
+	listed.latestLeaseExpiry = 1_000_000;
+	scheduler.applyRunReport({
+		worker: listed, sentAt: 1, now: 1, report: {
+			incarnation: 2, running: [], ended: [], hasMoreEnded: false,
+		},
+	});
+	t.is(scheduler.plan({now: 2, wallNow: 2, mayStart: true}).length, 1);
+
+	ownedWorkers.retire(worker);
+	t.is(scheduler.workers.get('w1'), listed);
+	t.deepEqual([...task.runs.values()].map(row => row.worker), [listed]);
+	ownedWorkers.applyEntries([toEntry('workers/w1', '2')], false);
+	t.is(scheduler.workers.get('w1'), listed);
+});
