Close a connection to a worker at once when a call on it fails

A start, stop or heartbeat fails as not sent, and the worker counts as unreachable until its next report, although it answers: the call before it on the same connection had reached its deadline.

Cause: the library destroys the socket of such a call but reports its end only later. The connection is released in between and handed out again.

Evidence: the new test of connection-pool fails without the change ('the connection has closed'); the call is answered with it.

Change: a call that fails after it was sent closes its connection before the result is returned, so the next call gets another one.

--- a/packages/common/http-client/src/connection.ts
+++ b/packages/common/http-client/src/connection.ts
@@ -6,7 +6,7 @@
 import {dispatchCall, HttpFailureKind} from './http-call.js';
 
 export type HttpConnection = {
-	/** Fails with `NotSent` once the connection has closed. Connects on the first call. */
+	/** Fails with `NotSent` once the connection has closed. Connects on the first call. A call that fails after it was sent closes the connection. */
 	call(call: Omit<HttpCall, 'address'>): Promise<Result<HttpResponse, HttpFailure>>;
 	isClosed(): boolean;
 	close(): void;
@@ -53,21 +53,29 @@
 	};
 
 	let client: Client | undefined;
+	const close = (): void => {
+		markClosed();
+		void client?.destroy();
+	};
+
 	return {
 		async call(call) {
 			if (isClosed) {
 				return err({kind: HttpFailureKind.NotSent, message: 'the connection has closed'});
 			}
 
-			return dispatchCall((request, handler) => {
+			const result = await dispatchCall((request, handler) => {
 				client ??= createClient();
 				return client.dispatch(request, handler);
 			}, call);
+			// The library closes the socket, but reports that only later.
+			if (result.isErr() && result.error.kind !== HttpFailureKind.NotSent) {
+				close();
+			}
+
+			return result;
 		},
 		isClosed: () => isClosed,
-		close() {
-			markClosed();
-			void client?.destroy();
-		},
+		close,
 	};
 };
--- a/packages/common/http-client/test/connection-pool.test.ts
+++ b/packages/common/http-client/test/connection-pool.test.ts
@@ -58,7 +58,7 @@
 	};
 };
 
-const call = async ({connection}: PooledConnection, path: string) => connection.call({method: 'GET', path, timeoutMilliseconds: deadlineMilliseconds});
+const call = async ({connection}: PooledConnection, path: string, timeoutMilliseconds = deadlineMilliseconds) => connection.call({method: 'GET', path, timeoutMilliseconds});
 
 // Guards against calls that reach the next process of a server because the library replaced a closed connection.
 test('a connection is not replaced once it has closed', async t => {
@@ -138,3 +138,16 @@
 	const identified = await pool.acquire({process: 1, timeoutMilliseconds: deadlineMilliseconds, identify: async () => ok(1)});
 	t.true(identified.isOk());
 });
+
+// Guards against a call that fails because the call before it on the same connection has reached its deadline.
+test('a connection whose call has reached its deadline is not handed out again', async t => {
+	const {port} = await startProcess(t, 1);
+	const {acquire} = createPool(t, port, 1);
+	const pooled = await acquire(1);
+	const waiting = acquire(1);
+	const late = await call(pooled, '/wait', 1);
+	t.true(late.isErr());
+	pooled.release();
+	const answered = await call(await waiting, '/a');
+	t.is(answered.isErr() ? answered.error.message : 'answered', 'answered');
+});
