Check the incarnation in calls that a dispatcher receives

A call with an incarnation that is not a number is executed by the dispatcher's client or fails as not sent on every try, instead of closing the connection like any other malformed line.

Cause: targets of calls got an incarnation, which the check of lines leaves out.

Evidence: the line that is added to the test of malformed lines reaches the worker client without the change; the connection is closed with it.

--- a/packages/jobs/job-service/src/dispatch-protocol.ts
+++ b/packages/jobs/job-service/src/dispatch-protocol.ts
@@ -63,8 +63,8 @@
 const errorKinds: ReadonlySet<unknown> = new Set(Object.values(WorkerCallErrorKind));
 
 const isRecord = (value: unknown): value is Readonly<Record<string, unknown>> => typeof value === 'object' && value !== null;
-const isTarget = (value: unknown): boolean => isRecord(value) && typeof value.id === 'string' && typeof value.address === 'string';
 const isOptionalNumber = (value: unknown): boolean => value === undefined || typeof value === 'number';
+const isTarget = (value: unknown): boolean => isRecord(value) && typeof value.id === 'string' && typeof value.address === 'string' && isOptionalNumber(value.incarnation);
 
 const hasOptions = (method: unknown, options: Readonly<Record<string, unknown>>): boolean => {
 	const hasRun = typeof options.task === 'string' && typeof options.run === 'number';
--- a/packages/jobs/job-service/test/dispatch-server.test.ts
+++ b/packages/jobs/job-service/test/dispatch-server.test.ts
@@ -81,11 +81,17 @@
 // Guards against a dispatcher whose process ends because of a malformed line.
 test.serial('a malformed line closes the connection', t => {
 	const {server, channel, closed, worker} = createFixture();
-	for (const line of ['{', '{}', '{"answeredClock":1,"calls":[{"id":1,"method":"start","options":{}}]}', '{"answeredClock":1,"calls":[{"id":1,"method":"kill","options":{"worker":{"id":"w1","address":""},"fencingToken":1}}]}']) {
+	for (const line of [
+		'{',
+		'{}',
+		'{"answeredClock":1,"calls":[{"id":1,"method":"start","options":{}}]}',
+		'{"answeredClock":1,"calls":[{"id":1,"method":"kill","options":{"worker":{"id":"w1","address":""},"fencingToken":1}}]}',
+		'{"answeredClock":1,"calls":[{"id":1,"method":"stop","options":{"worker":{"id":"w1","address":"","incarnation":"1"},"task":"job.0.0.0","run":1,"fencingToken":1}}]}',
+	]) {
 		server.accept(7, channel)!.onLine(line);
 	}
 
-	t.deepEqual([closed.length, worker.calls], [4, []]);
+	t.deepEqual([closed.length, worker.calls], [5, []]);
 });
 
 // Guards against a dispatcher that runs out of memory because the owner does not read the results.
