Retire the process that an order has ended, also if it is listed again

A worker that an accepted order has ended could be listed and used again. The platform lists an ended worker for a while longer; if the worker was removed while the order was in flight, its entry, read again before or after the acceptance, put it back into the table, and its tasks waited for a lease.

Cause: since an acceptance is ignored if the entry is not current. That is right for a later process under the name, but not for the same process or for none.

Found by reading.

--- a/packages/jobs/job-service/src/owned-workers.ts
+++ b/packages/jobs/job-service/src/owned-workers.ts
@@ -122,12 +122,16 @@
 		removeLost,
 		/** Removes a worker whose process the platform has ended to move or maintain its machine. */
 		retire(worker: WorkerRow): void {
-			if (!isCurrent(worker)) {
+			const {id} = worker.registration;
+			const listed = scheduler.workers.get(id);
+			if (listed && listed.incarnation !== worker.incarnation) {
 				return;
 			}
 
-			retiredIncarnations.set(worker.registration.id, worker.incarnation);
-			removeLost(worker, true);
+			retiredIncarnations.set(id, worker.incarnation);
+			if (listed) {
+				removeLost(listed, true);
+			}
 		},
 		/** Adds the workers in the run records of previous owners. Called before the platform's list is applied. */
 		restore(entries: readonly StoredEntry[]): void {
--- a/packages/jobs/job-service/test/owned-workers.test.ts
+++ b/packages/jobs/job-service/test/owned-workers.test.ts
@@ -149,3 +149,21 @@
 	ownedWorkers.applyEntries([toEntry('workers/w1', '2')], false);
 	t.is(scheduler.workers.get('w1'), listed);
 });
+
+// Guards against an ended worker that gets tasks: the platform lists it for a while longer after the order that ended it.
+test('a worker that was removed while an order for its machine was in flight is not used again once the order is accepted', t => {
+	const {scheduler, worker, ownedWorkers} = createFixture();
+	ownedWorkers.removeLost(worker);
+	ownedWorkers.retire(worker);
+	ownedWorkers.applyEntries([toEntry('workers/w1', '1')], false);
+	t.false(scheduler.workers.has('w1'));
+});
+
+// Guards against tasks that wait for the lease of an ended worker: its entry was read again while the order was in flight.
+test('the retirement of a worker removes the same process if it has been listed again', t => {
+	const {scheduler, worker, ownedWorkers} = createFixture();
+	ownedWorkers.removeLost(worker);
+	ownedWorkers.applyEntries([toEntry('workers/w1', '1')], false);
+	ownedWorkers.retire(worker);
+	t.false(scheduler.workers.has('w1'));
+});
