Store the runs that are found on workers

A task can run twice at the same time after a change of the owner. An owner that finds a run on a worker which no record names adopts it. The next owner knows nothing of the run: until the worker has answered it, the task is started elsewhere.

Cause: runs are recorded before their start is sent, but those that are adopted are not recorded at all.

Change: each tick of the owner records the runs that were adopted since the last one. A change of the owner before that record is stored is not covered.

--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -182,6 +182,10 @@
 
 		const now = clock.now();
 		workers.tick(now);
+		for (const row of scheduler.takeAdoptedRuns()) {
+			void runRecords.record(row);
+		}
+
 		runRecords.tick();
 		for (const order of scheduler.plan({now, wallNow: clock.wallNow(), mayStart: mayStartTasks()})) {
 			orderExecutor.execute(order);
--- a/packages/jobs/scheduler/src/reconciler.ts
+++ b/packages/jobs/scheduler/src/reconciler.ts
@@ -33,6 +33,7 @@
 }) => {
 	const {jobs, workers, crashes, failJob, durations, firstRunOfEpoch, getPolicy, emit} = options;
 	const unwantedRuns: UnwantedRun[] = [];
+	let adoptedRuns: RunRow[] = [];
 	/** Time of the newest report or tick. */
 	let newestTime = 0;
 
@@ -169,14 +170,22 @@
 			jobs.markChanged(task.step.job);
 		}
 
-		return workers.addRun({
+		const row = workers.addRun({
 			task, worker, run, phase: RunPhase.Running, now,
 		});
+		adoptedRuns.push(row);
+		return row;
 	};
 
 	return {
 		/** Emptied by the caller, which stops these runs. */
 		unwantedRuns,
+		/** Returns the runs that have been found on workers since the last call. The caller stores them, since they may not be recorded. */
+		takeAdoptedRuns(): RunRow[] {
+			const taken = adoptedRuns;
+			adoptedRuns = [];
+			return taken;
+		},
 		dropRun,
 		handleRestart,
 		/** Applies the report in the response to a call that was sent at `sentAt`. */
--- a/packages/jobs/scheduler/src/scheduler.ts
+++ b/packages/jobs/scheduler/src/scheduler.ts
@@ -264,6 +264,7 @@
 			change.worker.lastContactAt = Math.max(change.worker.lastContactAt, change.sentAt);
 			change.worker.unansweredCalls = 0;
 		},
+		takeAdoptedRuns: reconciler.takeAdoptedRuns,
 		recordStartOutcome: startOutcomes.record,
 		/** Logs an order that is about to end runs. */
 		reportDisruption(disruption: Parameters<typeof describeDisruption>[0]): void {
