End the calls that wait for a connection when its pool closes

Once a worker has been removed, calls that had waited for one of its connections are still sent, over new connections that nothing closes before they have been idle for 30 s.

Cause: closing the pool closes its connections, which lets the waiting calls open others.

Evidence: in the new test of connection-pool both waiting calls get a connection without the change, and fail as not sent with it.

--- a/packages/common/http-client/src/connection-pool.ts
+++ b/packages/common/http-client/src/connection-pool.ts
@@ -25,6 +25,7 @@
 export type ConnectionPool = {
 	/** Reserves a connection to `process`, or to any process if that is undefined. Nothing of the intended call has been sent if it fails. */
 	acquire(options: {readonly process: number | undefined; readonly timeoutMilliseconds: number; readonly identify: IdentifyProcess}): Promise<Result<PooledConnection, HttpFailure>>;
+	/** Ends the calls on its connections, and those that wait for one. */
 	close(): void;
 };
 
@@ -42,6 +43,7 @@
 	const entries = new Set<Entry>();
 	/** Calls that wait for a connection, the longest waiting first. */
 	const waiting = new Set<() => void>();
+	let isClosed = false;
 
 	const wakeNext = (): void => {
 		const [wake] = waiting;
@@ -96,6 +98,10 @@
 		async acquire({process, timeoutMilliseconds, identify}) {
 			const deadline = now() + timeoutMilliseconds;
 			for (;;) {
+				if (isClosed) {
+					return err(notSent('the pool has closed'));
+				}
+
 				const idle = findIdle(entry => process === undefined || entry.process === process);
 				if (idle) {
 					return ok(reserve(idle));
@@ -137,9 +143,14 @@
 			}
 		},
 		close() {
+			isClosed = true;
 			for (const {connection} of entries) {
 				connection.close();
 			}
+
+			for (const wake of waiting) {
+				wake();
+			}
 		},
 	};
 };
--- a/packages/common/http-client/test/connection-pool.test.ts
+++ b/packages/common/http-client/test/connection-pool.test.ts
@@ -151,3 +151,17 @@
 	const answered = await call(await waiting, '/a');
 	t.is(answered.isErr() ? answered.error.message : 'answered', 'answered');
 });
+
+// Guards against calls to a server that is not used any more, and against a connection that nothing closes.
+test('a call that waits for a connection fails once the pool has closed', async t => {
+	const {port, calls} = await startProcess(t, 1);
+	const {pool, acquire} = createPool(t, port, 1);
+	await acquire(1);
+	const waiting = [1, 1].map(async process => {
+		const acquired = await pool.acquire({process, timeoutMilliseconds: deadlineMilliseconds, identify});
+		return acquired.isErr() ? acquired.error.kind : 'acquired';
+	});
+	pool.close();
+	t.deepEqual(await Promise.all(waiting), [HttpFailureKind.NotSent, HttpFailureKind.NotSent]);
+	t.deepEqual(calls, ['/identify']);
+});
