Give the identification of a worker's process its own time

No start, stop or throttle for a worker is answered in time if it takes more than half of the 350 ms of a command to answer: runs stay unconfirmed until a report shows them, and stops have no acknowledgement. A worker that takes longer than 350 ms once is identified anew by every command.

Cause: since the identification of the process on a new connection counts against the time of the command. What is left is too short, the command fails and closes the connection, and the next one begins with another.

--- a/packages/common/http-client/src/connection-pool.ts
+++ b/packages/common/http-client/src/connection-pool.ts
@@ -31,15 +31,19 @@
 
 type Entry = {readonly connection: HttpConnection; process: number | undefined; isReserved: boolean};
 
+type Identification = {readonly process: number; readonly deadline: number; readonly identify: IdentifyProcess};
+
 const notSent = (message: string): HttpFailure => ({kind: HttpFailureKind.NotSent, message});
 
 export const createConnectionPool = (options: {
 	readonly open: (onClosed: () => void) => HttpConnection;
 	readonly maximumConnections: number;
+	/** An identification may outlast the call that needed it, so that the next call finds the process of a slow server known. */
+	readonly identificationTimeoutMilliseconds: number;
 	/** Monotonic clock, in milliseconds. */
 	readonly now: () => number;
 }): ConnectionPool => {
-	const {open, maximumConnections, now} = options;
+	const {open, maximumConnections, identificationTimeoutMilliseconds, now} = options;
 	const entries = new Set<Entry>();
 	/** Calls that wait for a connection, the longest waiting first. */
 	const waiting = new Set<() => void>();
@@ -94,6 +98,36 @@
 
 	const findIdle = (isSuitable: (entry: Entry) => boolean): Entry | undefined => [...entries].find(entry => !entry.isReserved && isSuitable(entry));
 
+	/** Hands the connection out if `process` has answered on it by the deadline. Otherwise it returns to the pool once any process has. */
+	const identifyUntil = async (entry: Entry, {process, deadline, identify}: Identification): Promise<Result<PooledConnection, HttpFailure>> =>
+		new Promise(resolve => {
+			let isLate = false;
+			const timer = setTimeout(() => {
+				isLate = true;
+				resolve(err(notSent('the process behind the address was not known before the deadline')));
+			}, Math.max(1, deadline - now()));
+			const finish = async (): Promise<void> => {
+				const identified = await identify(entry.connection, identificationTimeoutMilliseconds);
+				clearTimeout(timer);
+				if (identified.isErr()) {
+					entry.connection.close();
+					resolve(err(notSent(`the process behind the address is not known: ${identified.error.message}`)));
+					return;
+				}
+
+				entry.process = identified.value;
+				if (!isLate && entry.process === process) {
+					resolve(ok(reserve(entry)));
+					return;
+				}
+
+				release(entry);
+				resolve(err(notSent('another process answers at the address')));
+			};
+
+			void finish();
+		});
+
 	return {
 		async acquire({process, timeoutMilliseconds, identify}) {
 			const deadline = now() + timeoutMilliseconds;
@@ -118,20 +152,7 @@
 						return ok(reserve(added));
 					}
 
-					// eslint-disable-next-line no-await-in-loop -- Leaves the loop.
-					const identified = await identify(added.connection, Math.max(1, deadline - now()));
-					if (identified.isErr()) {
-						added.connection.close();
-						return err(notSent(`the process behind the address is not known: ${identified.error.message}`));
-					}
-
-					added.process = identified.value;
-					if (added.process === process) {
-						return ok(reserve(added));
-					}
-
-					release(added);
-					return err(notSent('another process answers at the address'));
+					return identifyUntil(added, {process, deadline, identify});
 				}
 
 				if (now() >= deadline) {
--- a/packages/common/http-client/test/connection-pool.test.ts
+++ b/packages/common/http-client/test/connection-pool.test.ts
@@ -9,12 +9,18 @@
 
 const deadlineMilliseconds = 20_000;
 
-/** A server whose process has a number, and records the paths of its calls. Calls of `/wait` are not answered. */
+/** A server whose process has a number, and records the paths of its calls. Calls of `/wait` are not answered, those of `/held` once `answerHeld` has been called. */
 const startProcess = async (t: ExecutionContext, number: number, port = 0) => {
 	const calls: string[] = [];
+	let answerHeld: () => void = () => undefined;
+	const mayAnswerHeld = new Promise<void>(resolve => {
+		answerHeld = resolve;
+	});
 	const server: Server = createServer((request, response) => {
 		calls.push(request.url ?? '');
-		if (request.url !== '/wait') {
+		if (request.url === '/held') {
+			void mayAnswerHeld.then(() => response.end(JSON.stringify({number})));
+		} else if (request.url !== '/wait') {
 			response.end(JSON.stringify({number}));
 		}
 	});
@@ -30,11 +36,13 @@
 	};
 
 	t.teardown(end);
-	return {port: typeof address === 'object' && address ? address.port : 0, calls, end};
+	return {
+		port: typeof address === 'object' && address ? address.port : 0, calls, answerHeld, end,
+	};
 };
 
-const identify = async (connection: HttpConnection, timeoutMilliseconds: number) => {
-	const answered = await connection.call({method: 'GET', path: '/identify', timeoutMilliseconds});
+const identify = async (connection: HttpConnection, timeoutMilliseconds: number, path = '/identify') => {
+	const answered = await connection.call({method: 'GET', path, timeoutMilliseconds});
 	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Sent by the server above.
 	return answered.map(({text}) => (JSON.parse(text) as {number: number}).number);
 };
@@ -43,7 +51,7 @@
 	const client = createHttpClient({connections: 1, connectTimeoutMilliseconds: 5000, keepAliveMilliseconds: 30_000});
 	t.teardown(client.close);
 	const pool = createConnectionPool({
-		open: onClosed => client.openConnection({address: `127.0.0.1:${port}`, onClosed}), maximumConnections, now: () => performance.now(),
+		open: onClosed => client.openConnection({address: `127.0.0.1:${port}`, onClosed}), maximumConnections, identificationTimeoutMilliseconds: deadlineMilliseconds, now: () => performance.now(),
 	});
 	return {
 		pool,
@@ -165,3 +173,15 @@
 	t.deepEqual(await Promise.all(waiting), [HttpFailureKind.NotSent, HttpFailureKind.NotSent]);
 	t.deepEqual(calls, ['/identify']);
 });
+
+// Guards against a worker whose calls never succeed: each identification took the time of the call, and its connection was closed.
+test('a connection whose process answers after the deadline of the call serves the next one', async t => {
+	const {port, calls, answerHeld} = await startProcess(t, 1);
+	const {pool, acquire} = createPool(t, port, 1);
+	const late = await pool.acquire({process: 1, timeoutMilliseconds: 1, identify: async (connection, timeoutMilliseconds) => identify(connection, timeoutMilliseconds, '/held')});
+	t.is(late._unsafeUnwrapErr().kind, HttpFailureKind.NotSent);
+	answerHeld();
+	const next = await acquire(1);
+	t.is(next.process(), 1);
+	t.deepEqual(calls, ['/held']);
+});
