Experiment: schedules in which workers restart under their names

Seen: tasks run twice after a worker process has crashed and is back under its name before the owner knows.

Cause: calls that the owner means for one process of a worker reach the next one, or it takes the records of one for those of the other.

--- a/packages/tools/experiment/src/faults.ts
+++ b/packages/tools/experiment/src/faults.ts
@@ -17,6 +17,8 @@
 	| {readonly type: 'machines'; readonly effect: NetworkFault['effect']; readonly share: number}
 	| {readonly type: 'peers'; readonly effect: NetworkFault['effect']; readonly share: number}
 	| {readonly type: 'crash'; readonly workers: number; readonly keepsName: boolean}
+	/** Worker processes crash and are back under their names after `milliseconds`; the worker list shows it up to `registrationMilliseconds` later. */
+	| {readonly type: 'restart'; readonly workers: number; readonly registrationMilliseconds: number}
 	| {readonly type: 'slow'; readonly workers: number; readonly speed: number}
 	| {readonly type: 'failing'; readonly workers: number}
 	| {readonly type: 'clock'; readonly target: InstanceSelector; readonly stepMilliseconds: number}
@@ -105,6 +107,14 @@
 			break;
 		}
 
+		case 'restart': {
+			for (const id of pickWorkers(fault.workers)) {
+				cluster.restartWorker(id, milliseconds, random() * fault.registrationMilliseconds);
+			}
+
+			break;
+		}
+
 		case 'slow':
 		case 'failing': {
 			const affectedWorkers = pickWorkers(fault.workers).map(id => cluster.workers.get(id)!);
--- a/packages/tools/experiment/src/load.ts
+++ b/packages/tools/experiment/src/load.ts
@@ -76,6 +76,13 @@
 	failingRunShare: 0.03,
 };
 
+/** Tasks that outlast a lease, on enough workers that others can take over the tasks of several. */
+export const longTaskLoad: Load = {
+	...smallLoad, name: 'long-tasks',
+	queues: smallLoad.queues.map(queue => ({...queue, workMilliseconds: queue.workMilliseconds * (queue.checkpointing ? 3 : 1)})),
+	machines: {'pool-pickups': 5, 'pool-repairs': 5, 'pool-standby': 2},
+};
+
 export type PlannedJob = {readonly at: number; readonly declaration: JobDeclaration; readonly cancelAt: number | undefined};
 
 /** Time from the start of a task that crashes its worker until the crash. */
--- a/packages/tools/experiment/src/main.ts
+++ b/packages/tools/experiment/src/main.ts
@@ -4,11 +4,11 @@
 import {parseArgs} from 'node:util';
 import type {Load, SimulationResult, SimulationPolicy} from './index.js';
 import {
-	createRandom, drawFaults, runEvacuationSchedule, runSchedule, runSimulation, runWaveSchedule, smallLoad, rotatingPeaksLoad, defaultPolicy,
+	createRandom, drawFaults, runEvacuationSchedule, runRestartSchedule, runSchedule, runSimulation, runWaveSchedule, smallLoad, rotatingPeaksLoad, defaultPolicy,
 } from './index.js';
 
 const usage = `Usage: npm run experiment -- [--load turns|small] [--policy NAME]... [--seeds N] [--faults N] [--json]
-       npm run experiment -- --schedules N [--evacuations|--waves] [--from SEED] [--json]
+       npm run experiment -- --schedules N [--evacuations|--waves|--restarts] [--from SEED] [--json]
 Policies: usual, long-lease, five-instances, two-instances, dispatchers.
 Schedules run under the first policy.
 `;
@@ -40,6 +40,7 @@
 				schedules: {type: 'string'},
 				evacuations: {type: 'boolean', default: false},
 				waves: {type: 'boolean', default: false},
+				restarts: {type: 'boolean', default: false},
 				from: {type: 'string', default: '1'},
 				json: {type: 'boolean', default: false},
 			},
@@ -98,6 +99,10 @@
 	}
 
 	const policy = policies.get(values.policy[0] ?? 'usual') ?? exitWithUsage('unknown policy');
+	if (values.restarts) {
+		return runRestartSchedule(seed, policy);
+	}
+
 	return values.waves ? runWaveSchedule(seed, policy) : runSchedule(seed, policy);
 };
 
--- a/packages/tools/experiment/src/schedules.ts
+++ b/packages/tools/experiment/src/schedules.ts
@@ -1,6 +1,6 @@
 /** Random fault schedules: a few faults of any kind at any time, some of them in close succession. */
 import type {Fault, InstanceSelector} from './faults.js';
-import {smallLoad} from './load.js';
+import {longTaskLoad, smallLoad} from './load.js';
 import type {SimulationPolicy, SimulationResult} from './run-simulation.js';
 import {createRandom, runSimulation, defaultPolicy} from './run-simulation.js';
 import {evacuationZones} from './simulated-cluster.js';
@@ -148,6 +148,51 @@
 	return [...waves, ...ownerChanges, slowStore].toSorted((left, right) => left.at - right.at);
 };
 
+/** Workers write their entries in the worker list at this interval. */
+const registrationMilliseconds = 1500;
+/** Time without entries of workers that do not reach the store. */
+const lateRegistrationMilliseconds = 6000;
+/** Starts of the groups of faults in a schedule with restarts of workers. */
+const restartTimes = [1000, 8000, 15_000] as const;
+
+/**
+ * Groups of faults in close succession: workers restart under their names while the store is slow, the owner is stopped
+ * or killed, and workers are cut off. Separate from `drawFaults`, as the evacuations are.
+ */
+export const drawRestartFaults = (random: () => number): Fault[] => {
+	const drawInteger = (low: number, high: number): number => Math.round(low + (random() * (high - low)));
+	const choose = <Value>(values: readonly Value[]): Value => values[Math.floor(random() * values.length)]!;
+	return restartTimes.flatMap((earliest): Fault[] => {
+		const restartAt = earliest + drawInteger(500, 3000);
+		const faults: Fault[] = [
+			{
+				type: 'restart', at: restartAt, milliseconds: drawInteger(0, 150), workers: choose([0.3, 0.6, 1]),
+				registrationMilliseconds: choose([registrationMilliseconds, lateRegistrationMilliseconds]),
+			},
+			{
+				type: 'restart', at: restartAt + drawInteger(200, 4000), milliseconds: drawInteger(0, 150), workers: 0.3, registrationMilliseconds,
+			},
+			{
+				type: 'store', at: restartAt - drawInteger(0, 1000), milliseconds: drawInteger(1000, 4500), target: 'all', effect: 'slow', share: 1,
+			},
+			{
+				type: 'workers', at: restartAt + drawInteger(300, 3500), milliseconds: drawInteger(3000, 5500), target: 'all',
+				effect: choose(['cut', 'cut', 'slow']), share: 1, workers: choose([0.2, 0.5]),
+			},
+			{
+				type: choose(['stop', 'kill']), at: restartAt + drawInteger(0, 3500), milliseconds: drawInteger(500, 3000), target: 'owner',
+			},
+		];
+		// Each group leaves out some, so that they also occur without each other.
+		return faults.filter((fault, index) => index === 0 || random() < 0.6);
+	}).toSorted((left, right) => left.at - right.at);
+};
+
+/** Runs the schedule of a seed in which workers restart under their names. */
+export const runRestartSchedule = async (seed: number, policy: SimulationPolicy = defaultPolicy): Promise<SimulationResult> => runSimulation({
+	load: longTaskLoad, faults: drawRestartFaults(createRandom(seed * faultSeedFactor)), seed, ...policy,
+});
+
 /** Runs the schedule of a seed with waves during changes of the owner. */
 export const runWaveSchedule = async (seed: number, policy: SimulationPolicy = defaultPolicy): Promise<SimulationResult> => runSimulation({
 	load: smallLoad, faults: drawWaveFaults(createRandom(seed * faultSeedFactor)), seed, ...policy,
--- a/packages/tools/experiment/src/simulated-cluster.ts
+++ b/packages/tools/experiment/src/simulated-cluster.ts
@@ -144,6 +144,13 @@
 		return id;
 	};
 
+	/** Starts a new process of a crashed worker under its name. */
+	const replaceProcess = (worker: SimulatedWorker): void => {
+		worker.model = createModel(worker.id, worker.machine);
+		worker.registration = {...worker.registration, incarnation: worker.model.incarnation};
+		worker.isUnreachable = false;
+	};
+
 	/** An order that ends a run is judged by the state of all workers at that time. */
 	const advanceWorkers = (): void => {
 		for (const {model} of workers.values()) {
@@ -298,9 +305,7 @@
 				}
 
 				if (keepsName) {
-					worker.model = createModel(id, worker.machine);
-					worker.registration = {...worker.registration, incarnation: worker.model.incarnation};
-					worker.isUnreachable = false;
+					replaceProcess(worker);
 					put(workerPrefix + id, encodeRegistration(worker.registration));
 				} else {
 					workers.delete(id);
@@ -309,5 +314,28 @@
 				}
 			});
 		},
+		/** Crashes the worker process. The next one answers under the same name before its entry in the worker list is updated. */
+		restartWorker(id: string, downMilliseconds: number, registrationDelayMilliseconds: number): void {
+			const worker = workers.get(id);
+			if (!worker || worker.isUnreachable) {
+				return;
+			}
+
+			worker.model.crash(time.now());
+			worker.isUnreachable = true;
+			time.scheduleAfter(downMilliseconds, () => {
+				if (workers.get(id) !== worker) {
+					return;
+				}
+
+				replaceProcess(worker);
+				const {registration} = worker;
+				time.scheduleAfter(registrationDelayMilliseconds, () => {
+					if (workers.get(id)?.registration === registration) {
+						put(workerPrefix + id, encodeRegistration(registration));
+					}
+				});
+			});
+		},
 	};
 };
