Experiment: a worker call may name the process that it is for

WorkerTarget gets the optional field `incarnation`. The simulated worker client does not execute a call that names another process than the worker's current one at its arrival; the call fails with NotSent. A call that was held up for over a second (effect `late`) is executed as before, since a delayed one may reach the next process on the platform too.

No caller sets the field yet, so nothing changes for the job service.

--- a/packages/jobs/job-service/src/ports.ts
+++ b/packages/jobs/job-service/src/ports.ts
@@ -42,7 +42,12 @@
 
 export type WorkerCallError = {readonly kind: WorkerCallErrorKind; readonly message: string};
 
-export type WorkerTarget = {readonly id: string; readonly address: string};
+export type WorkerTarget = {
+	readonly id: string;
+	readonly address: string;
+	/** If set, the call reaches only this process of the worker. It fails with NotSent if another process answers at the address. */
+	readonly incarnation?: number;
+};
 
 export type WorkerResponse = {
 	/** Monotonic clock of the worker. */
--- a/packages/tools/experiment/src/simulated-clients.ts
+++ b/packages/tools/experiment/src/simulated-clients.ts
@@ -37,7 +37,12 @@
 	const isReplaced = (target: WorkerTarget): boolean =>
 		[...workers.values()].some(({id, registration, isUnreachable}) => id !== target.id && registration.address === target.address && !isUnreachable);
 
+	/** True if the call is for another process of the worker than the current one. A call that was held up may reach the next process all the same. */
+	const isMisdirected = ({incarnation}: WorkerTarget, model: WorkerModel, sentAt: number): boolean =>
+		incarnation !== undefined && incarnation !== model.incarnation && !isDelayed(sentAt, time.now());
+
 	const call = async <Answer>(worker: WorkerTarget, timeout: number, execute: (model: WorkerModel, respond: (value: Answer) => void) => void): Promise<Result<Answer, WorkerCallError>> => {
+		const sentAt = time.now();
 		const outcome = await network.call<Result<Answer, WorkerCallError>>({
 			service: Service.Workers, callee: worker.id, latency: workerOneWayMilliseconds, timeout,
 			execute(respond) {
@@ -48,6 +53,11 @@
 					respond(err(toError(WorkerCallErrorKind.NotSent)));
 				} else if (simulatedWorker && !simulatedWorker.isUnreachable) {
 					const {model} = simulatedWorker;
+					if (isMisdirected(worker, model, sentAt)) {
+						respond(err(toError(WorkerCallErrorKind.NotSent)));
+						return;
+					}
+
 					execute(model, value => {
 						if (simulatedWorker.refusesConnections) {
 							// The connection closed when the process ended.
