--- a/packages/tools/experiment/test/worker-restarts.test.ts
+++ b/packages/tools/experiment/test/worker-restarts.test.ts
@@ -32,7 +32,7 @@
 
 // Guards against tasks that run again after they were done: a heartbeat with the acknowledgement for a former process made the next one forget its own ends.
 for (const seed of [3, 4]) {
-	test.serial.failing(`no acknowledgement for a former process of a worker makes the next one forget its ends (seed ${seed})`, async t => {
+	test.serial(`no acknowledgement for a former process of a worker makes the next one forget its ends (seed ${seed})`, async t => {
 		const random = createRandom(seed);
 		await checkRules(t, {load: createLoad({}), faults: [createSlowStore(5500), createRestart(6000 + Math.round(random() * 500))], seed});
 	});
@@ -40,7 +40,7 @@
 
 // Guards against two runs of a task: a call with a lease on the clock of a former process gave the next one a longer lease than the owner reckoned with, and it ran on while it was cut off.
 for (const seed of [6, 8]) {
-	test.serial.failing(`no lease for a former process of a worker reaches the next one (seed ${seed})`, async t => {
+	test.serial(`no lease for a former process of a worker reaches the next one (seed ${seed})`, async t => {
 		const random = createRandom(seed);
 		await checkRules(t, {
 			load: createLoad({serviceJobs: 4}), seed, faults: [
@@ -56,7 +56,7 @@
 
 // Guards against two runs of a task: the next process of a worker took a start for the former one, and the owner counted the run as lost with that one.
 for (const seed of [10, 14]) {
-	test.serial.failing(`no start for a former process of a worker is taken by the next one and counted as lost (seed ${seed})`, async t => {
+	test.serial(`no start for a former process of a worker is taken by the next one and counted as lost (seed ${seed})`, async t => {
 		const random = createRandom(seed);
 		const at = 6000 + Math.round(random() * 500);
 		await checkRules(t, {
@@ -72,7 +72,7 @@
 
 // Guards against two runs of a task: a new owner left out the recorded runs of a worker's current process, since an older record named the former one.
 for (const seed of [2, 12]) {
-	test.serial.failing(`a new owner restores the runs of a worker whose former process has older records (seed ${seed})`, async t => {
+	test.serial(`a new owner restores the runs of a worker whose former process has older records (seed ${seed})`, async t => {
 		const random = createRandom(seed);
 		await checkRules(t, {
 			load: createLoad({
