Let simulated workers name their process in run reports only

The simulated cluster and the stand-in sent it with every answer. So the checks of the order executor that compare it have never acted on the platform, while every simulation relied on them.

--- a/packages/tools/experiment/src/simulated-clients.ts
+++ b/packages/tools/experiment/src/simulated-clients.ts
@@ -1,6 +1,6 @@
 /** Clients of an instance in the simulated cluster: for workers and the machine service. */
 import type {
-	MachineOutcome, MachineRecord, MachineClient, WorkerCallError, WorkerClient, WorkerTarget,
+	MachineOutcome, MachineRecord, MachineClient, WorkerCallError, WorkerClient, WorkerResponse, WorkerTarget,
 } from '@turmericbay/job-service';
 import {MachineState, WorkerCallErrorKind} from '@turmericbay/job-service';
 import type {RunReport} from '@turmericbay/scheduler';
@@ -28,6 +28,9 @@
 
 const isDelayed = (sentAt: number, now: number): boolean => now - sentAt > delayedMilliseconds;
 
+/** On the users' platform only a run report names the worker's process. */
+const describeResponse = (clockMilliseconds: number): WorkerResponse => ({clockMilliseconds, incarnation: undefined});
+
 const toError = (kind: WorkerCallErrorKind): WorkerCallError => ({kind, message: kind});
 
 export const createWorkerClient = (options: {readonly network: Network; readonly time: VirtualTime; readonly workers: ReadonlyMap<string, SimulatedWorker>; readonly advanceWorkers: () => void}): WorkerClient => {
@@ -93,36 +96,36 @@
 
 	return {
 		async start({worker, task, run, leaseExpiresAt, fencingToken, checkpoint}) {
-			const started = await call<{response: StartResponse; clockMilliseconds: number; incarnation: number}>(worker, workerTimeoutMilliseconds, (model, respond) => {
+			const started = await call<{response: StartResponse; clockMilliseconds: number}>(worker, workerTimeoutMilliseconds, (model, respond) => {
 				respond({
 					response: model.start({
 						task, run, leaseExpiresAt, fencingToken, checkpoint,
-					}, time.now()), ...describeProcess(model),
+					}, time.now()), clockMilliseconds: model.readClock(time.now()),
 				});
 			});
-			return started.map(({response, ...rest}) => ({...rest, rejection: response === 'started' ? undefined : response}));
+			return started.map(({response, clockMilliseconds}) => ({...describeResponse(clockMilliseconds), rejection: response === 'started' ? undefined : response}));
 		},
 		async stop({worker, task, run, fencingToken}) {
 			const sentAt = time.now();
-			const stopped = await call<{isAccepted: boolean; clockMilliseconds: number; incarnation: number}>(worker, workerTimeoutMilliseconds, (model, respond) => {
+			const stopped = await call<{isAccepted: boolean; clockMilliseconds: number}>(worker, workerTimeoutMilliseconds, (model, respond) => {
 				advanceWorkers();
 				respond({
 					isAccepted: model.stop({
 						task, run, fencingToken, isDelayed: isDelayed(sentAt, time.now()),
-					}, time.now()), ...describeProcess(model),
+					}, time.now()), clockMilliseconds: model.readClock(time.now()),
 				});
 			});
-			return stopped.andThen(({isAccepted, ...rest}) => isAccepted ? ok(rest) : err(toError(WorkerCallErrorKind.Fenced)));
+			return stopped.andThen(({isAccepted, clockMilliseconds}) => isAccepted ? ok(describeResponse(clockMilliseconds)) : err(toError(WorkerCallErrorKind.Fenced)));
 		},
 		async throttle({worker, task, run, percent, fencingToken}) {
-			const throttled = await call<{isAccepted: boolean; clockMilliseconds: number; incarnation: number}>(worker, workerTimeoutMilliseconds, (model, respond) => {
+			const throttled = await call<{isAccepted: boolean; clockMilliseconds: number}>(worker, workerTimeoutMilliseconds, (model, respond) => {
 				respond({
 					isAccepted: model.throttle({
 						task, run, percent, fencingToken,
-					}, time.now()), ...describeProcess(model),
+					}, time.now()), clockMilliseconds: model.readClock(time.now()),
 				});
 			});
-			return throttled.andThen(({isAccepted, ...rest}) => isAccepted ? ok(rest) : err(toError(WorkerCallErrorKind.Fenced)));
+			return throttled.andThen(({isAccepted, clockMilliseconds}) => isAccepted ? ok(describeResponse(clockMilliseconds)) : err(toError(WorkerCallErrorKind.Fenced)));
 		},
 		async heartbeat({worker, fencingToken, acknowledgedSequence, leaseExpiresAt, waitMilliseconds}) {
 			const heartbeat = await call<{report: RunReport | undefined; clockMilliseconds: number; incarnation: number}>(worker, waitMilliseconds + workerTimeoutMilliseconds, (model, respond) => {
