Retire only the process of a worker that a machine order was sent for

A task could run twice at the same time: if the next process of a worker registered between an order for its machine and the acceptance, its runs counted as ended with the machine, and their tasks started elsewhere, though the order need not have ended that process.

Cause: as in docs/incidents/calls-across-worker-restarts.md, the acceptance was applied to the worker's name, not to the process for which the order was sent. Change: it then counts as uncertain, as after an order of unknown outcome, for maintenance and for moves between pools; the run reports decide.

The move has no test of its own.

--- a/packages/jobs/job-service/src/maintenance.ts
+++ b/packages/jobs/job-service/src/maintenance.ts
@@ -104,6 +104,7 @@
 		}
 
 		machineList.markOrdered(machine);
+		const generation = worker?.generation;
 		const outcome = await machineClient.startMaintenance({
 			machine, wave: wave.wave, holder, fencingToken: epoch,
 		});
@@ -113,10 +114,10 @@
 		switch (outcome) {
 			case 'accepted': {
 				wave.down.add(machine);
-				if (worker && !uncertainMachines.has(machine)) {
+				if (worker && worker.generation === generation && !uncertainMachines.has(machine)) {
 					retire(worker);
 				} else if (worker) {
-					// The acceptance may refer to an earlier order. The next run report shows whether the worker is still running.
+					// The acceptance may refer to an earlier order or process. The next run report shows whether the worker is still running.
 					worker.unansweredCalls += 1;
 					release(worker);
 				}
--- a/packages/jobs/job-service/src/pool-moves.ts
+++ b/packages/jobs/job-service/src/pool-moves.ts
@@ -76,6 +76,7 @@
 		}
 
 		machineList.markOrdered(machine);
+		const generation = worker?.generation;
 		const outcome = await machineClient.move({
 			machine, pool: to, holder, fencingToken: epoch,
 		});
@@ -83,7 +84,7 @@
 		log.moveAttempted(move, outcome);
 		movedAt.set(machine, clock.now());
 		if (outcome === 'accepted') {
-			if (worker && !uncertainMachines.has(machine)) {
+			if (worker && worker.generation === generation && !uncertainMachines.has(machine)) {
 				retire(worker);
 			}
 
--- a/packages/jobs/job-service/test/maintenance.test.ts
+++ b/packages/jobs/job-service/test/maintenance.test.ts
@@ -127,7 +127,7 @@
 });
 
 // Guards against tasks that run twice: an acceptance that arrives after the next process of the worker has started counted its runs as ended.
-test.failing('the next process of a worker is not retired by an order for the machine that was sent before', async t => {
+test('the next process of a worker is not retired by an order for the machine that was sent before', async t => {
 	const {steps, tick, restartDuringOrder} = createFixture(['accepted']);
 	restartDuringOrder();
 	await tick(1000);
