Test: a worker that answers as an earlier process than its registration names

Marked as failing. The responses are ignored, and the next heartbeat follows at once and without a wait, so the owner calls the worker as often as it answers. It takes a registration with a start time later than that of the process that answers: a wall clock that was set back before a restart, or an entry of another writer.

--- a/packages/jobs/job-service/test/worker-session.test.ts
+++ b/packages/jobs/job-service/test/worker-session.test.ts
@@ -188,3 +188,19 @@
 	t.is(goneCount(), 1);
 	session.end();
 });
+
+// Guards against calls without a pause between them: the registration named a later process than the one that answers.
+test.failing('a worker that goes on answering as an earlier process is not called without a pause', async t => {
+	const {heartbeats, session, listRestarted} = createFixture();
+	heartbeats[0]!.resolve(createResponse(500));
+	await settle();
+	listRestarted();
+	for (let answered = 1; answered < 6; answered += 1) {
+		heartbeats[answered]?.resolve(createResponse(600));
+		// eslint-disable-next-line no-await-in-loop -- One call at a time.
+		await settle();
+	}
+
+	session.end();
+	t.true(heartbeats.length <= 3);
+});
