Pause between calls to a worker that answers as an earlier process

An owner called a worker as often as it answered, if the registration named a later process than the one that answered: a wall clock that was set back before a restart, or an entry of another writer.

Cause: such a response is ignored, and the next heartbeat follows at once. The second one in a row is now followed by the retry delay.

--- a/packages/jobs/job-service/src/worker-session.ts
+++ b/packages/jobs/job-service/src/worker-session.ts
@@ -54,6 +54,8 @@
 	let cancelPause: (() => void) | undefined;
 	let isLongPolling = false;
 	let isReportRequested = false;
+	/** The newest response was one of an earlier process of the worker. */
+	let hasEarlierResponse = false;
 
 	const pause = async (milliseconds: number): Promise<void> => {
 		await new Promise<void>(resolve => {
@@ -156,9 +158,18 @@
 		}
 
 		if (!applyResponse(response.value)) {
+			// The first such response may have been on its way when the worker was replaced.
+			if (hasEarlierResponse) {
+				await pause(retryDelay);
+				retryDelay = Math.min(longestRetryMilliseconds, retryDelay * 2);
+			}
+
+			hasEarlierResponse = true;
 			return;
 		}
 
+		hasEarlierResponse = false;
+
 		const {report} = response.value;
 		retryDelay = firstRetryMilliseconds;
 		if (worker.unansweredCalls > 0) {
--- a/packages/jobs/job-service/test/worker-session.test.ts
+++ b/packages/jobs/job-service/test/worker-session.test.ts
@@ -190,7 +190,7 @@
 });
 
 // Guards against calls without a pause between them: the registration named a later process than the one that answers.
-test.failing('a worker that goes on answering as an earlier process is not called without a pause', async t => {
+test('a worker that goes on answering as an earlier process is not called without a pause', async t => {
 	const {heartbeats, session, listRestarted} = createFixture();
 	heartbeats[0]!.resolve(createResponse(500));
 	await settle();
