--- a/packages/tools/client-limits/src/crowds.ts
+++ b/packages/tools/client-limits/src/crowds.ts
@@ -7,6 +7,7 @@
 export type Target = {readonly host: string; readonly port: number};
 
 export type Crowd = {
+	readonly connections: number;
 	/** Opens the connections, which begin to send at once unless the crowd is simultaneous. */
 	open(hasEnded: () => boolean): Promise<void>;
 	/** Resolves once the crowd has sent everything, the server takes nothing more, or the process has ended. Its connections stay open. */
@@ -122,6 +123,7 @@
 	};
 
 	return {
+		connections,
 		async open(hasEnded) {
 			for (let first = 0; first < connections && !hasEnded(); first += connectBatch) {
 				// eslint-disable-next-line no-await-in-loop -- A longer queue of new connections would overflow.
--- a/packages/tools/client-limits/src/instance.ts
+++ b/packages/tools/client-limits/src/instance.ts
@@ -53,6 +53,8 @@
 	resume(): void;
 	/** Exit code or signal; undefined while the process runs. */
 	getExit(): string | undefined;
+	/** Open sockets and pipes; 0 once the process has ended. */
+	countSockets(): number;
 	/** Highest values so far; they remain after the process has ended. */
 	measure(): Usage;
 	readLog(): Promise<string>;
@@ -123,6 +125,7 @@
 	process.once('exit', killAll);
 	return {
 		site, getExit,
+		countSockets: () => (child.pid === undefined ? undefined : readUsage(child.pid))?.sockets ?? 0,
 		measure() {
 			sample();
 			return peak;
--- a/packages/tools/client-limits/src/scenario.ts
+++ b/packages/tools/client-limits/src/scenario.ts
@@ -1,4 +1,5 @@
 /** Sends a crowd to an instance and reports what callers and the machine would have seen. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {Crowd, Target} from './crowds.js';
 import type {ClientSite, Instance, Limits} from './instance.js';
 import {Port, startInstance} from './instance.js';
@@ -32,6 +33,9 @@
 const refusals = new Set([429, 503]);
 const jobId = '0123456789abcdef';
 const logLines = 12;
+const acceptPollMilliseconds = 20;
+/** An instance may refuse some of the connections. */
+const acceptTimeoutMilliseconds = 5000;
 
 const createOrdinaryRequest = (site: ClientSite, port: Port): OrdinaryRequest => {
 	switch (port) {
@@ -60,6 +64,14 @@
 	}
 };
 
+/** A process that accepts a connection only after the others have sent reads them one after the other. */
+const waitUntilAccepted = async (instance: Instance, sockets: number): Promise<void> => {
+	const deadline = performance.now() + acceptTimeoutMilliseconds;
+	while (instance.countSockets() < sockets && !instance.hasEnded() && performance.now() < deadline) {
+		await sleep(acceptPollMilliseconds); // eslint-disable-line no-await-in-loop -- Polls until the connections are accepted.
+	}
+};
+
 /** Sends one ordinary request to the callers' port and one to the crowd's. */
 const askAll = async (instance: Instance, port: Port, isAccepted: (status: number) => boolean): Promise<readonly Answer[]> =>
 	Promise.all([...new Set([Port.Callers, port])].map(async name => {
@@ -77,8 +89,10 @@
 		await submitJob(instance);
 		const atRest = measure();
 		crowd = createCrowd({site, target: {host: site.address, port: site.ports[port]}, jobPath: `${site.jobPrefix}${jobId}`});
+		const socketsAtRest = instance.countSockets();
 		await crowd.open(hasEnded);
 		if (isPausedWhileSending) {
+			await waitUntilAccepted(instance, socketsAtRest + crowd.connections);
 			instance.pause();
 		}
 
