HTTP listeners: limit the requests that clients send ahead

Cause: Node.js parses a received chunk as a whole. 64 KiB of such requests become 3,640 request and response objects before the next turn of the event loop, on each connection. Node.js responds itself to a request without Host, before the event `request`, so that no handler can count it.

Change: packages/common/http-server counts a request as soon as its head is complete, in the class of requests given to Node.js.

In the tests the server keeps 8 of 3,000 requests of a chunk.

--- /dev/null
+++ b/packages/common/http-server/src/exchange.ts
@@ -0,0 +1,56 @@
+/** The requests that a server has received and not finished, by connection. */
+import {IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+
+/** A request, from its head to its finished response. */
+export type Exchange = {
+	readonly request: IncomingMessage;
+	readonly connection: Connection;
+	/** The handler has returned. */
+	isHandled: boolean;
+	/** The response is finished, or its connection closed. */
+	isClosed: boolean;
+};
+
+export type Connection = {
+	readonly socket: Socket;
+	readonly exchanges: Set<Exchange>;
+};
+
+export type RequestFactory = {
+	/** For the option `IncomingMessage` of the server. */
+	readonly requestClass: typeof IncomingMessage;
+	/** Undefined if the request is one too many. */
+	getExchange(request: IncomingMessage): Exchange | undefined;
+};
+
+/**
+ * Creates the class for the requests of a server. `admit` is called for each request whose head is complete, also for those that
+ * Node.js responds to itself. If it returns undefined, the parser stops, so that nothing of the rest of the chunk is kept: Node.js
+ * would hand over all requests of a chunk even after the connection was destroyed. To stop it, the request looks like one for
+ * another protocol, and the server emits `upgrade`.
+ */
+export const createRequestFactory = (admit: (request: IncomingMessage, socket: Socket) => Exchange | undefined): RequestFactory => {
+	class LimitedRequest extends IncomingMessage {
+		readonly exchange: Exchange | undefined;
+
+		constructor(socket: Socket) {
+			super(socket);
+			this.exchange = admit(this, socket);
+		}
+
+		// Requests for other protocols are handled as HTTP/1.1, which is what Node.js does without a listener for `upgrade`.
+		get upgrade(): boolean {
+			return this.exchange === undefined || this.method === 'CONNECT';
+		}
+
+		set upgrade(_) {
+			// Node.js assigns what the parser found.
+		}
+	}
+
+	return {
+		requestClass: LimitedRequest,
+		getExchange: request => request instanceof LimitedRequest ? request.exchange : undefined,
+	};
+};
--- /dev/null
+++ b/packages/common/http-server/src/http-server.ts
@@ -0,0 +1,165 @@
+/** HTTP/1.1 server that keeps no more for its clients than its limits allow. */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Connection, Exchange} from './exchange.js';
+import {createRequestFactory} from './exchange.js';
+import type {HttpServerLimits} from './limits.js';
+import {HttpLimit} from './limits.js';
+
+const badRequestStatus = 400;
+const expectationFailedStatus = 417;
+
+export type HttpServer = {
+	readonly server: Server;
+	/** Requests that are being handled or have no finished response. */
+	countRequests(): number;
+};
+
+export type HttpServerOptions = {
+	readonly limits: HttpServerLimits;
+	/** Responds to a request that is not handled because too many others are; the connection is closed afterwards. */
+	readonly refuse: (request: IncomingMessage, response: ServerResponse) => void;
+	/** Called each time a limit closes a connection or refuses a request. */
+	readonly onLimit: (limit: HttpLimit) => void;
+	/** A request counts until its response is finished and the returned promise has settled. */
+	handle(request: IncomingMessage, response: ServerResponse): void | Promise<void>;
+};
+
+const closeAfterResponse = (request: IncomingMessage, response: ServerResponse): void => {
+	request.resume();
+	response.setHeader('connection', 'close');
+};
+
+const respondWithoutBody = (request: IncomingMessage, response: ServerResponse, status: number): void => {
+	closeAfterResponse(request, response);
+	response.writeHead(status, {'content-length': 0});
+	response.end();
+};
+
+export const createHttpServer = ({limits, handle, refuse, onLimit}: HttpServerOptions): HttpServer => {
+	const connections = new Map<Socket, Connection>();
+	let requests = 0;
+
+	const release = (exchange: Exchange): void => {
+		if (exchange.isHandled && exchange.isClosed) {
+			requests -= 1;
+		}
+	};
+
+	const closeExchange = (exchange: Exchange): void => {
+		if (!exchange.isClosed) {
+			exchange.isClosed = true;
+			exchange.connection.exchanges.delete(exchange);
+			release(exchange);
+		}
+	};
+
+	const finishHandling = (exchange: Exchange): void => {
+		exchange.isHandled = true;
+		release(exchange);
+	};
+
+	const forget = (connection: Connection): void => {
+		connections.delete(connection.socket);
+		// Responses that wait for an earlier one are not closed with their connection.
+		for (const exchange of connection.exchanges) {
+			closeExchange(exchange);
+		}
+	};
+
+	const close = (connection: Connection, limit: HttpLimit): void => {
+		onLimit(limit);
+		forget(connection);
+		connection.socket.destroy();
+	};
+
+	const findExceededLimit = ({exchanges}: Connection): HttpLimit | undefined => {
+		if (exchanges.size >= limits.requestsPerConnection) {
+			return HttpLimit.RequestsPerConnection;
+		}
+
+		// Refusals of requests sent ahead would have to be kept as well.
+		return requests >= limits.requests && exchanges.size > 0 ? HttpLimit.Requests : undefined;
+	};
+
+	const admit = (request: IncomingMessage, socket: Socket): Exchange | undefined => {
+		const connection = connections.get(socket);
+		if (!connection || findExceededLimit(connection) !== undefined) {
+			return undefined;
+		}
+
+		const exchange: Exchange = {
+			request, connection, isHandled: false, isClosed: false,
+		};
+		connection.exchanges.add(exchange);
+		requests += 1;
+		return exchange;
+	};
+
+	const {requestClass, getExchange} = createRequestFactory(admit);
+	const server = createServer({
+		// eslint-disable-next-line @typescript-eslint/naming-convention -- Name of the option.
+		IncomingMessage: requestClass,
+		// Node.js would respond itself, before the request is counted.
+		requireHostHeader: false,
+	});
+
+	const run = async (exchange: Exchange, response: ServerResponse): Promise<void> => {
+		try {
+			await handle(exchange.request, response);
+		} finally {
+			finishHandling(exchange);
+		}
+	};
+
+	const begin = (request: IncomingMessage, response: ServerResponse, serve: (exchange: Exchange) => void): void => {
+		const exchange = getExchange(request);
+		if (exchange) {
+			response.once('close', () => {
+				closeExchange(exchange);
+			});
+			serve(exchange);
+		}
+	};
+
+	server.prependListener('connection', socket => {
+		const connection: Connection = {socket, exchanges: new Set()};
+		connections.set(socket, connection);
+		socket.once('close', () => {
+			forget(connection);
+		});
+	});
+	server.on('request', (request, response) => {
+		begin(request, response, exchange => {
+			if (request.headers.host === undefined && request.httpVersion === '1.1') {
+				exchange.isHandled = true;
+				respondWithoutBody(request, response, badRequestStatus);
+			} else if (requests > limits.requests) {
+				exchange.isHandled = true;
+				onLimit(HttpLimit.Requests);
+				closeAfterResponse(request, response);
+				refuse(request, response);
+			} else {
+				void run(exchange, response);
+			}
+		});
+	});
+	server.on('checkExpectation', (request, response) => {
+		begin(request, response, exchange => {
+			exchange.isHandled = true;
+			respondWithoutBody(request, response, expectationFailedStatus);
+		});
+	});
+	// A request that was not admitted; see `createRequestFactory`.
+	server.on('upgrade', (_, socket: Socket) => {
+		const connection = connections.get(socket);
+		const limit = connection && findExceededLimit(connection);
+		if (limit === undefined) {
+			socket.destroy();
+		} else {
+			close(connection!, limit);
+		}
+	});
+	return {server, countRequests: () => requests};
+};
--- /dev/null
+++ b/packages/common/http-server/test/http-server.test.ts
@@ -0,0 +1,157 @@
+import {once} from 'node:events';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {createConnection} from 'node:net';
+import type {Socket} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
+import type {ExecutionContext} from 'ava';
+import test from 'ava';
+import type {HttpServerLimits} from '../src/index.js';
+import {createHttpServer, defaultHttpServerLimits, HttpLimit} from '../src/index.js';
+
+type Handle = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
+
+const respond: Handle = (_, response) => {
+	response.end('ok');
+};
+
+const start = async (t: ExecutionContext, options: {readonly limits?: Partial<HttpServerLimits>; readonly handle?: Handle} = {}) => {
+	const handled: string[] = [];
+	const exceeded: HttpLimit[] = [];
+	const httpServer = createHttpServer({
+		limits: {...defaultHttpServerLimits, ...options.limits},
+		async handle(request, response) {
+			handled.push(request.url ?? '');
+			await (options.handle ?? respond)(request, response);
+		},
+		refuse(_, response) {
+			response.writeHead(503, {'retry-after': '1', 'content-length': 0});
+			response.end();
+		},
+		onLimit(limit) {
+			exceeded.push(limit);
+		},
+	});
+	const {server} = httpServer;
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	const address = server.address();
+	const port = typeof address === 'object' && address ? address.port : 0;
+	const connect = (): Socket => {
+		const socket = createConnection(port, '127.0.0.1');
+		socket.on('error', () => undefined);
+		t.teardown(() => {
+			socket.destroy();
+		});
+		return socket;
+	};
+
+	return {
+		...httpServer, handled, exceeded, connect,
+	};
+};
+
+/** Returns what is received until the connection ends. */
+const readAll = async (socket: Socket): Promise<string> => {
+	let text = '';
+	socket.on('data', (chunk: Uint8Array) => {
+		text += new TextDecoder().decode(chunk);
+	});
+	if (!socket.destroyed) {
+		await once(socket, 'close');
+	}
+
+	return text;
+};
+
+const waitUntil = async (isReached: () => boolean): Promise<void> => {
+	while (!isReached()) {
+		// eslint-disable-next-line no-await-in-loop -- Waits for the server; the timeout of the test run ends it.
+		await setImmediate();
+	}
+};
+
+const tinyRequest = 'GET / HTTP/1.1\r\n\r\n';
+const createRequest = (path: string, headers = ''): string => `GET ${path} HTTP/1.1\r\nHost: a\r\n${headers}\r\n`;
+
+// Guards against a process that runs out of memory: one chunk of requests without Host made thousands of objects before any handler ran.
+test('requests sent ahead without a Host header close their connection, and the rest of their chunk is not kept', async t => {
+	const {connect, exceeded, countRequests, handled, server} = await start(t, {limits: {requestsPerConnection: 8}});
+	const admitted = new Set<IncomingMessage>();
+	server.prependListener('request', request => {
+		admitted.add(request);
+	});
+	const socket = connect();
+	socket.write(tinyRequest.repeat(3000));
+	await readAll(socket);
+	t.deepEqual([admitted.size, handled.length, countRequests()], [8, 0, 0]);
+	t.deepEqual(exceeded, ['requests-per-connection']);
+});
+
+// Guards against answers that are kept for a client that reads none of them, and against requests that are handled after the connection was closed.
+test('requests sent ahead that have to wait for an answer close their connection at the limit', async t => {
+	let finish = (): void => undefined;
+	const finished = new Promise<void>(resolve => {
+		finish = resolve;
+	});
+	const {connect, exceeded, countRequests, handled} = await start(t, {limits: {requestsPerConnection: 8}, handle: async () => finished});
+	const socket = connect();
+	socket.write(createRequest('/').repeat(2000));
+	await readAll(socket);
+	t.is(handled.length, 8);
+	t.deepEqual(exceeded, ['requests-per-connection']);
+	// Handlers that are still at work count although their client is gone.
+	t.is(countRequests(), 8);
+	finish();
+	await waitUntil(() => countRequests() === 0);
+});
+
+// Guards against a limit that ordinary callers meet: requests sent ahead up to the limit are answered in order on a connection that stays open.
+test('requests sent ahead within the limit are all answered', async t => {
+	const {connect, exceeded, countRequests, handled} = await start(t, {limits: {requestsPerConnection: 8}});
+	const socket = connect();
+	socket.write(Array.from({length: 7}, (_, index) => createRequest(`/${index}`)).join('') + createRequest('/7', 'Connection: close\r\n'));
+	const text = await readAll(socket);
+	t.is(text.split('HTTP/1.1 200').length - 1, 8);
+	t.deepEqual(handled, Array.from({length: 8}, (_, index) => `/${index}`));
+	t.deepEqual([exceeded, countRequests()], [[], 0]);
+});
+
+// Guards against many connections that together hold what none of them may hold alone, and against a refusal of a request that was begun.
+test('requests over the number that is handled at a time are refused without being begun', async t => {
+	const {connect, exceeded, handled, countRequests} = await start(t, {limits: {requests: 2}, handle: () => undefined});
+	const waiting = connect();
+	waiting.write(createRequest('/1') + createRequest('/2'));
+	await once(waiting, 'connect');
+	await waitUntil(() => countRequests() === 2);
+
+	const refused = connect();
+	refused.write(createRequest('/3'));
+	t.regex(await readAll(refused), /^HTTP\/1\.1 503 .*connection: close.*retry-after: 1/isv);
+	t.deepEqual(handled, ['/1', '/2']);
+	const ahead = connect();
+	ahead.write(createRequest('/4').repeat(3));
+	await readAll(ahead);
+	t.is(handled.length, 2);
+	t.true(exceeded.every(limit => limit === HttpLimit.Requests));
+});
+
+// Guards against a refusal of ordinary requests that differ from the most common form.
+test('a request without Host is rejected, one of HTTP/1.0 or with an offer of another protocol is served', async t => {
+	const {connect, exceeded} = await start(t);
+	const exchange = async (text: string): Promise<string> => {
+		const socket = connect();
+		socket.write(text);
+		return readAll(socket);
+	};
+
+	t.regex(await exchange(tinyRequest), /^HTTP\/1\.1 400 /v);
+	t.regex(await exchange('GET / HTTP/1.0\r\n\r\n'), /^HTTP\/1\.1 200 /v);
+	t.regex(await exchange(createRequest('/', 'Connection: Upgrade, close\r\nUpgrade: h2c\r\n')), /^HTTP\/1\.1 200 /v);
+	t.regex(await exchange(createRequest('/', 'Expect: something\r\n')), /^HTTP\/1\.1 417 /v);
+	t.is(await exchange('CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n'), '');
+	t.deepEqual(exceeded, []);
+});
--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -19,6 +19,7 @@
 	ListenFailed = 1006,
 	ShutdownBoundExceeded = 1007,
 	LogLinesDropped = 1008,
+	HttpLimitReached = 1009,
 	DocumentInForce = 2001,
 	DocumentRefused = 2002,
 	DocumentOlderIgnored = 2003,
@@ -135,6 +136,11 @@
 		message: 'Log lines over the limit per second were dropped; the counts are by event',
 		action: 'Use the metrics for these events; follow a job by its other log lines.',
 	},
+	[LogEvent.HttpLimitReached]: {
+		level: LogLevel.Warning,
+		message: 'A limit of a listener closed connections of clients or refused their requests',
+		action: 'Read listener and limit. If clients of your own meet the limit, change them; otherwise none, the other clients are served.',
+	},
 	[LogEvent.DocumentInForce]: {
 		level: LogLevel.Information,
 		message: 'A version of the document is in force',
--- a/packages/jobs/job-service/src/peer-server.ts
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -1,10 +1,11 @@
 /** HTTP server for the requests of other instances to the owner, and for metrics. */
 import {Buffer} from 'node:buffer';
 import type {Server, ServerResponse} from 'node:http';
-import {createServer} from 'node:http';
 import polka from 'polka';
 import {z} from 'zod';
 import {parseJson} from '@turmericbay/http-client';
+import type {HttpLimit, HttpServerLimits} from '@turmericbay/http-server';
+import {createHttpServer} from '@turmericbay/http-server';
 import type {AcceptDispatchChannel} from './dispatch-channel.js';
 import {serveHttpDispatchChannel} from './dispatch-channel.js';
 import type {TimedFigures} from './owner-load-figures.js';
@@ -16,6 +17,7 @@
 const badRequestStatus = 400;
 /** This instance is not the owner; the requesting instance reads the store instead. */
 const misdirectedStatus = 421;
+const unavailableStatus = 503;
 /** Has to exceed the body limit of the caller server. A larger declaration is rejected, and the owner finds the job in the store. */
 const maximumBodyBytes = 1_048_576;
 
@@ -66,11 +68,11 @@
 	/** Called when an owner offers worker calls. */
 	readonly acceptDispatchChannel: AcceptDispatchChannel;
 	readonly renderMetrics: () => string;
+	readonly limits: HttpServerLimits;
+	/** Called each time a limit closes a connection or refuses a request. */
+	readonly onLimit: (limit: HttpLimit) => void;
 }): Server => {
-	const {host, port, getLocalOwner, onTransferRequested, acceptDispatchChannel, renderMetrics} = options;
-	const server = createServer();
-	// The request with the worker calls lasts as long as the ownership; the default ends it after 300 s.
-	server.requestTimeout = 0;
+	const {host, port, getLocalOwner, onTransferRequested, acceptDispatchChannel, renderMetrics, limits, onLimit} = options;
 	const withOwner = (response: ServerResponse, handle: (owner: NonNullable<Owner>) => void): void => {
 		const owner = getLocalOwner();
 		if (owner) {
@@ -157,7 +159,15 @@
 			response.writeHead(okStatus, {'content-type': 'text/plain; version=0.0.4'});
 			response.end(renderMetrics());
 		});
-	server.on('request', router.handler);
+	const {server} = createHttpServer({
+		limits, onLimit,
+		handle: router.handler,
+		refuse(_, response) {
+			respond(response, unavailableStatus, {});
+		},
+	});
+	// The request with the worker calls lasts as long as the ownership; the default ends it after 300 s.
+	server.requestTimeout = 0;
 	server.listen(port, host);
 	return server;
 };
--- a/packages/jobs/job-service/src/peer-transport.ts
+++ b/packages/jobs/job-service/src/peer-transport.ts
@@ -1,6 +1,7 @@
 /** Communication between instances: every instance calls the owner, over HTTP. */
 import type {Server} from 'node:http';
 import type {HttpClient} from '@turmericbay/http-client';
+import type {HttpLimit, HttpServerLimits} from '@turmericbay/http-server';
 import type {AcceptDispatchChannel, OpenDispatchChannel} from './dispatch-channel.js';
 import {openHttpDispatchChannel} from './dispatch-channel.js';
 import type {OwnerClient} from './owner-client.js';
@@ -35,8 +36,11 @@
 	readonly host: string;
 	readonly port: number;
 	readonly renderMetrics: () => string;
+	readonly limits: HttpServerLimits;
+	/** Called each time a limit closes a connection or refuses a request. */
+	readonly onLimit: (limit: HttpLimit) => void;
 }): PeerTransport => {
-	const {client, host, port, renderMetrics} = options;
+	const {client, host, port, renderMetrics, limits, onLimit} = options;
 	let server: Server | undefined;
 	return {
 		address: `${host}:${port}`,
@@ -44,7 +48,7 @@
 		openDispatchChannel: openHttpDispatchChannel,
 		serve(serveOptions) {
 			server = createPeerServer({
-				host, port, renderMetrics, ...serveOptions,
+				host, port, renderMetrics, limits, onLimit, ...serveOptions,
 			});
 		},
 		close() {
--- a/packages/jobs/job-service/test/dispatch-channel.test.ts
+++ b/packages/jobs/job-service/test/dispatch-channel.test.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import type {ExecutionContext} from 'ava';
+import {defaultHttpServerLimits} from '@turmericbay/http-server';
 import test from 'ava';
 import {createLineSplitter, openHttpDispatchChannel} from '../src/dispatch-channel.js';
 import {createDispatchServer} from '../src/dispatch-server.js';
@@ -25,7 +26,7 @@
 /** Serves an instance on loopback; returns its address. */
 const serve = async (t: ExecutionContext, options: Pick<Parameters<typeof createPeerServer>[0], 'getLocalOwner' | 'acceptDispatchChannel'>): Promise<string> => {
 	const server = createPeerServer({
-		host: '127.0.0.1', port: 0, renderMetrics: () => '', onTransferRequested: unused, ...options,
+		host: '127.0.0.1', port: 0, limits: defaultHttpServerLimits, onLimit: () => undefined, renderMetrics: () => '', onTransferRequested: unused, ...options,
 	});
 	t.teardown(() => {
 		server.closeAllConnections();
--- a/packages/jobs/job-service/test/peer-server.test.ts
+++ b/packages/jobs/job-service/test/peer-server.test.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import type {ExecutionContext} from 'ava';
+import {defaultHttpServerLimits} from '@turmericbay/http-server';
 import test from 'ava';
 import type {Owner} from '../src/owner.js';
 import {createPeerServer} from '../src/peer-server.js';
@@ -8,7 +9,8 @@
 const serve = async (t: ExecutionContext, owner: Partial<NonNullable<Owner>>): Promise<string> => {
 	const server = createPeerServer({
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Only the members that are used.
-		host: '127.0.0.1', port: 0, getLocalOwner: () => owner as NonNullable<Owner>, renderMetrics: () => '', acceptDispatchChannel: () => undefined, onTransferRequested: () => undefined,
+		host: '127.0.0.1', port: 0, getLocalOwner: () => owner as NonNullable<Owner>,
+		limits: defaultHttpServerLimits, onLimit: () => undefined, renderMetrics: () => '', acceptDispatchChannel: () => undefined, onTransferRequested: () => undefined,
 	});
 	t.teardown(() => {
 		server.closeAllConnections();
