HTTP listeners: release requests that no handler gets

Found while reading.

Cause: a request was released once its handler had returned, and CONNECT, which Node.js does not hand over, has no handler. Now only a request whose handler has been called waits for it.

--- a/packages/common/http-server/src/exchange.ts
+++ b/packages/common/http-server/src/exchange.ts
@@ -6,8 +6,8 @@
 export type Exchange = {
 	readonly request: IncomingMessage;
 	readonly connection: Connection;
-	/** The handler has returned. */
-	isHandled: boolean;
+	/** The handler has been called and has not returned. */
+	isHandling: boolean;
 	/** The response is finished, or its connection closed. */
 	isClosed: boolean;
 };
--- a/packages/common/http-server/src/http-server.ts
+++ b/packages/common/http-server/src/http-server.ts
@@ -42,7 +42,7 @@
 	let requests = 0;
 
 	const release = (exchange: Exchange): void => {
-		if (exchange.isHandled && exchange.isClosed) {
+		if (!exchange.isHandling && exchange.isClosed) {
 			requests -= 1;
 		}
 	};
@@ -55,11 +55,6 @@
 		}
 	};
 
-	const finishHandling = (exchange: Exchange): void => {
-		exchange.isHandled = true;
-		release(exchange);
-	};
-
 	const forget = (connection: Connection): void => {
 		connections.delete(connection.socket);
 		// Responses that wait for an earlier one are not closed with their connection.
@@ -90,7 +85,7 @@
 		}
 
 		const exchange: Exchange = {
-			request, connection, isHandled: false, isClosed: false,
+			request, connection, isHandling: false, isClosed: false,
 		};
 		connection.exchanges.add(exchange);
 		requests += 1;
@@ -106,21 +101,19 @@
 	});
 
 	const run = async (exchange: Exchange, response: ServerResponse): Promise<void> => {
+		exchange.isHandling = true;
 		try {
 			await handle(exchange.request, response);
 		} finally {
-			finishHandling(exchange);
+			exchange.isHandling = false;
+			release(exchange);
 		}
 	};
 
-	const begin = (request: IncomingMessage, response: ServerResponse, serve: (exchange: Exchange) => void): void => {
-		const exchange = getExchange(request);
-		if (exchange) {
-			response.once('close', () => {
-				closeExchange(exchange);
-			});
-			serve(exchange);
-		}
+	const trackResponse = (exchange: Exchange, response: ServerResponse): void => {
+		response.once('close', () => {
+			closeExchange(exchange);
+		});
 	};
 
 	server.prependListener('connection', socket => {
@@ -131,25 +124,28 @@
 		});
 	});
 	server.on('request', (request, response) => {
-		begin(request, response, exchange => {
-			if (request.headers.host === undefined && request.httpVersion === '1.1') {
-				exchange.isHandled = true;
-				respondWithoutBody(request, response, badRequestStatus);
-			} else if (requests > limits.requests) {
-				exchange.isHandled = true;
-				onLimit(HttpLimit.Requests);
-				closeAfterResponse(request, response);
-				refuse(request, response);
-			} else {
-				void run(exchange, response);
-			}
-		});
+		const exchange = getExchange(request);
+		if (!exchange) {
+			return;
+		}
+
+		trackResponse(exchange, response);
+		if (request.headers.host === undefined && request.httpVersion === '1.1') {
+			respondWithoutBody(request, response, badRequestStatus);
+		} else if (requests > limits.requests) {
+			onLimit(HttpLimit.Requests);
+			closeAfterResponse(request, response);
+			refuse(request, response);
+		} else {
+			void run(exchange, response);
+		}
 	});
 	server.on('checkExpectation', (request, response) => {
-		begin(request, response, exchange => {
-			exchange.isHandled = true;
+		const exchange = getExchange(request);
+		if (exchange) {
+			trackResponse(exchange, response);
 			respondWithoutBody(request, response, expectationFailedStatus);
-		});
+		}
 	});
 	// A request that was not admitted; see `createRequestFactory`.
 	server.on('upgrade', (_, socket: Socket) => {
--- a/packages/common/http-server/test/http-server.test.ts
+++ b/packages/common/http-server/test/http-server.test.ts
@@ -139,9 +139,9 @@
 	t.true(exceeded.every(limit => limit === HttpLimit.Requests));
 });
 
-// Guards against a refusal of ordinary requests that differ from the most common form.
+// Guards against a refusal of ordinary requests that differ from the most common form, and against any form that is counted for good.
 test('a request without Host is rejected, one of HTTP/1.0 or with an offer of another protocol is served', async t => {
-	const {connect, exceeded} = await start(t);
+	const {connect, exceeded, countRequests} = await start(t);
 	const exchange = async (text: string): Promise<string> => {
 		const socket = connect();
 		socket.write(text);
@@ -154,4 +154,5 @@
 	t.regex(await exchange(createRequest('/', 'Expect: something\r\n')), /^HTTP\/1\.1 417 /v);
 	t.is(await exchange('CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n'), '');
 	t.deepEqual(exceeded, []);
+	await waitUntil(() => countRequests() === 0);
 });
