HTTP listeners: limit the connections of clients

Callers would see: an instance that reaches neither the store nor workers and peers, or that accepts nobody any more, because a crowd holds its descriptors.

Cause: the listeners accepted connections without a limit, from the same descriptors that the process needs for its own.

Beyond it the connection that has waited longest without a complete request is closed, else the one that has been idle for longest; a connection that waits for its answer is never closed for a new one.

--- a/packages/common/http-server/src/http-server.ts
+++ b/packages/common/http-server/src/http-server.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import type {Socket} from 'node:net';
+import {createConnectionTable} from './connection-table.js';
 import type {Connection, Exchange} from './exchange.js';
 import {createRequestFactory} from './exchange.js';
 import type {HttpServerLimits} from './limits.js';
@@ -12,6 +13,7 @@
 
 export type HttpServer = {
 	readonly server: Server;
+	countConnections(): number;
 	/** Requests that are being handled or have no finished response. */
 	countRequests(): number;
 };
@@ -38,7 +40,7 @@
 };
 
 export const createHttpServer = ({limits, handle, refuse, onLimit}: HttpServerOptions): HttpServer => {
-	const connections = new Map<Socket, Connection>();
+	const connections = createConnectionTable();
 	let requests = 0;
 
 	const release = (exchange: Exchange): void => {
@@ -50,13 +52,13 @@
 	const closeExchange = (exchange: Exchange): void => {
 		if (!exchange.isClosed) {
 			exchange.isClosed = true;
-			exchange.connection.exchanges.delete(exchange);
+			connections.removeExchange(exchange);
 			release(exchange);
 		}
 	};
 
 	const forget = (connection: Connection): void => {
-		connections.delete(connection.socket);
+		connections.remove(connection);
 		// Responses that wait for an earlier one are not closed with their connection.
 		for (const exchange of connection.exchanges) {
 			closeExchange(exchange);
@@ -87,7 +89,7 @@
 		const exchange: Exchange = {
 			request, connection, isHandling: false, isClosed: false,
 		};
-		connection.exchanges.add(exchange);
+		connections.addExchange(exchange);
 		requests += 1;
 		return exchange;
 	};
@@ -117,11 +119,13 @@
 	};
 
 	server.prependListener('connection', socket => {
-		const connection: Connection = {socket, exchanges: new Set()};
-		connections.set(socket, connection);
+		const connection = connections.add(socket);
 		socket.once('close', () => {
 			forget(connection);
 		});
+		if (connections.size() > limits.connections) {
+			close(connections.findLeastUseful(connection), HttpLimit.Connections);
+		}
 	});
 	server.on('request', (request, response) => {
 		const exchange = getExchange(request);
@@ -157,5 +161,5 @@
 			close(connection!, limit);
 		}
 	});
-	return {server, countRequests: () => requests};
+	return {server, countConnections: connections.size, countRequests: () => requests};
 };
--- a/packages/common/http-server/src/limits.ts
+++ b/packages/common/http-server/src/limits.ts
@@ -1,6 +1,8 @@
 /** Limits of an HTTP server. */
 
 export enum HttpLimit {
+	/** As many connections are open as the server keeps. */
+	Connections = 'connections',
 	/** A connection has more requests without a finished response than it may have. */
 	RequestsPerConnection = 'requests-per-connection',
 	/** All connections together have as many requests as the server handles at a time. */
@@ -8,6 +10,11 @@
 }
 
 export type HttpServerLimits = {
+	/**
+	 * Open connections. Beyond it one is closed for each new one: first those that have not sent a complete request, then those
+	 * without an unfinished request, each in the order of their waiting; if there is none, the new one.
+	 */
+	readonly connections: number;
 	/** Requests of one connection that are received and have no finished response; beyond it the connection is closed. */
 	readonly requestsPerConnection: number;
 	/** Requests of all connections that are being handled or have no finished response; beyond it requests are refused. */
@@ -15,6 +22,7 @@
 };
 
 export const defaultHttpServerLimits: HttpServerLimits = {
+	connections: 1000,
 	requestsPerConnection: 64,
 	requests: 1000,
 };
--- a/packages/common/http-server/test/http-server.test.ts
+++ b/packages/common/http-server/test/http-server.test.ts
@@ -139,6 +139,55 @@
 	t.true(exceeded.every(limit => limit === HttpLimit.Requests));
 });
 
+// Guards against a crowd that holds all connections: ordinary callers are answered, and those that wait for an answer keep their connection.
+test('new connections take the place of those that have sent no request, then of idle ones', async t => {
+	const {connect, exceeded, countConnections, countRequests} = await start(t, {
+		limits: {connections: 3},
+		handle(request, response) {
+			if (request.url !== '/wait') {
+				response.end('ok');
+			}
+		},
+	});
+	const ask = async (socket: Socket): Promise<void> => {
+		socket.write(createRequest('/'));
+		await once(socket, 'data');
+	};
+
+	const busy = connect();
+	busy.write(createRequest('/wait'));
+	await waitUntil(() => countRequests() === 1);
+	const idle = connect();
+	await ask(idle);
+	const silent = connect();
+	silent.write('GET / HTTP/1.1\r\nHo');
+	await waitUntil(() => countConnections() === 3);
+
+	const caller = connect();
+	await ask(caller);
+	await readAll(silent);
+	t.deepEqual([busy.destroyed, idle.destroyed, caller.destroyed], [false, false, false]);
+
+	const nextCaller = connect();
+	await ask(nextCaller);
+	await readAll(idle);
+	t.deepEqual([busy.destroyed, caller.destroyed, countConnections()], [false, false, 3]);
+	t.deepEqual(exceeded, ['connections', 'connections']);
+});
+
+// Guards against callers that lose their answer to a crowd: if all connections wait for an answer, the newest is closed.
+test('a connection that waits for its answer is not closed in favour of a new one', async t => {
+	const {connect, countRequests, countConnections} = await start(t, {limits: {connections: 2}, handle: () => undefined});
+	const waiting = [connect(), connect()];
+	for (const socket of waiting) {
+		socket.write(createRequest('/'));
+	}
+
+	await waitUntil(() => countRequests() === 2);
+	await readAll(connect());
+	t.deepEqual([waiting.map(({destroyed}) => destroyed), countConnections(), countRequests()], [[false, false], 2, 2]);
+});
+
 // Guards against a refusal of ordinary requests that differ from the most common form, and against any form that is counted for good.
 test('a request without Host is rejected, one of HTTP/1.0 or with an offer of another protocol is served', async t => {
 	const {connect, exceeded, countRequests} = await start(t);
