HTTP listeners: limit the memory that bodies take together

Callers saw, or would see: no answer to a body without an end, and a process that runs out of memory while slow senders hold their bodies.

Cause: a body was read to its end whatever its length; only what was kept of it had a limit, for each request alone. A job with thousands of short steps takes far more as decoded (247 bytes for a step of 11), as a record and as a call to the store than as received.

A body that is too large is answered as soon as that is known. Nothing is handed over before the check, so the refusal is true; a single request is served whatever the limit.

--- a/packages/common/http-server/src/exchange.ts
+++ b/packages/common/http-server/src/exchange.ts
@@ -10,6 +10,8 @@
 	isHandling: boolean;
 	/** The response is finished, or its connection closed. */
 	isClosed: boolean;
+	/** Bytes that its body takes, as received and as decoded. */
+	bodyBytes: number;
 };
 
 export type Connection = {
--- a/packages/common/http-server/src/http-server.ts
+++ b/packages/common/http-server/src/http-server.ts
@@ -2,6 +2,8 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import type {Socket} from 'node:net';
+import type {BodyResult} from './body-budget.js';
+import {createBodyBudget} from './body-budget.js';
 import {createConnectionTable} from './connection-table.js';
 import type {Connection, Exchange} from './exchange.js';
 import {createRequestFactory} from './exchange.js';
@@ -13,6 +15,10 @@
 
 export type HttpServer = {
 	readonly server: Server;
+	/** Reads the body of a request; fails if the connection ends before the body is complete. */
+	readBody(request: IncomingMessage, maximumBytes: number): Promise<BodyResult>;
+	/** Counts further bytes that the request takes until it is finished, such as its decoded body; returns false if it has to be refused. */
+	reserveBytes(request: IncomingMessage, bytes: number): boolean;
 	countConnections(): number;
 	/** Requests that are being handled or have no finished response. */
 	countRequests(): number;
@@ -41,11 +47,18 @@
 
 export const createHttpServer = ({limits, handle, refuse, onLimit}: HttpServerOptions): HttpServer => {
 	const connections = createConnectionTable();
+	const bodies = createBodyBudget({
+		limit: limits.bodyBytes,
+		onExceeded() {
+			onLimit(HttpLimit.BodyBytes);
+		},
+	});
 	let requests = 0;
 
 	const release = (exchange: Exchange): void => {
 		if (!exchange.isHandling && exchange.isClosed) {
 			requests -= 1;
+			bodies.release(exchange);
 		}
 	};
 
@@ -87,7 +100,7 @@
 		}
 
 		const exchange: Exchange = {
-			request, connection, isHandling: false, isClosed: false,
+			request, connection, isHandling: false, isClosed: false, bodyBytes: 0,
 		};
 		connections.addExchange(exchange);
 		requests += 1;
@@ -161,5 +174,21 @@
 			close(connection!, limit);
 		}
 	});
-	return {server, countConnections: connections.size, countRequests: () => requests};
+	return {
+		server,
+		async readBody(request, maximumBytes) {
+			const exchange = getExchange(request);
+			if (!exchange) {
+				throw new TypeError('the request belongs to another server');
+			}
+
+			return bodies.read(exchange, maximumBytes);
+		},
+		reserveBytes(request, bytes) {
+			const exchange = getExchange(request);
+			return exchange !== undefined && bodies.reserve(exchange, bytes);
+		},
+		countConnections: connections.size,
+		countRequests: () => requests,
+	};
 };
--- a/packages/common/http-server/src/index.ts
+++ b/packages/common/http-server/src/index.ts
@@ -1,3 +1,4 @@
+export type {BodyResult} from './body-budget.js';
 export type {HttpServer, HttpServerOptions} from './http-server.js';
 export {createHttpServer} from './http-server.js';
 export type {HttpServerLimits} from './limits.js';
--- a/packages/common/http-server/src/limits.ts
+++ b/packages/common/http-server/src/limits.ts
@@ -5,6 +5,8 @@
 	Connections = 'connections',
 	/** A connection has more requests without a finished response than it may have. */
 	RequestsPerConnection = 'requests-per-connection',
+	/** The bodies of all requests together take as much memory as they may. */
+	BodyBytes = 'body-bytes',
 	/** All connections together have as many requests as the server handles at a time. */
 	Requests = 'requests',
 }
@@ -19,10 +21,13 @@
 	readonly requestsPerConnection: number;
 	/** Requests of all connections that are being handled or have no finished response; beyond it requests are refused. */
 	readonly requests: number;
+	/** Bytes of the bodies of unfinished requests; beyond it the oldest request whose body is incomplete is refused, else the newest. */
+	readonly bodyBytes: number;
 };
 
 export const defaultHttpServerLimits: HttpServerLimits = {
 	connections: 1000,
 	requestsPerConnection: 64,
 	requests: 1000,
+	bodyBytes: 33_554_432,
 };
--- a/packages/common/http-server/test/http-server.test.ts
+++ b/packages/common/http-server/test/http-server.test.ts
@@ -14,6 +14,19 @@
 	response.end('ok');
 };
 
+/** Returns what is received until the connection ends. */
+const readAll = async (socket: Socket): Promise<string> => {
+	let text = '';
+	socket.on('data', (chunk: Uint8Array) => {
+		text += new TextDecoder().decode(chunk);
+	});
+	if (!socket.destroyed) {
+		await once(socket, 'close');
+	}
+
+	return text;
+};
+
 const start = async (t: ExecutionContext, options: {readonly limits?: Partial<HttpServerLimits>; readonly handle?: Handle} = {}) => {
 	const handled: string[] = [];
 	const exceeded: HttpLimit[] = [];
@@ -49,22 +62,16 @@
 		return socket;
 	};
 
-	return {
-		...httpServer, handled, exceeded, connect,
+	/** Sends one request and returns the response, for which the server has to close the connection. */
+	const exchange = async (text: string): Promise<string> => {
+		const socket = connect();
+		socket.write(text);
+		return readAll(socket);
 	};
-};
 
-/** Returns what is received until the connection ends. */
-const readAll = async (socket: Socket): Promise<string> => {
-	let text = '';
-	socket.on('data', (chunk: Uint8Array) => {
-		text += new TextDecoder().decode(chunk);
-	});
-	if (!socket.destroyed) {
-		await once(socket, 'close');
-	}
-
-	return text;
+	return {
+		...httpServer, exchange, handled, exceeded, connect,
+	};
 };
 
 const waitUntil = async (isReached: () => boolean): Promise<void> => {
@@ -190,12 +197,7 @@
 
 // Guards against a refusal of ordinary requests that differ from the most common form, and against any form that is counted for good.
 test('a request without Host is rejected, one of HTTP/1.0 or with an offer of another protocol is served', async t => {
-	const {connect, exceeded, countRequests} = await start(t);
-	const exchange = async (text: string): Promise<string> => {
-		const socket = connect();
-		socket.write(text);
-		return readAll(socket);
-	};
+	const {exchange, exceeded, countRequests} = await start(t);
 
 	t.regex(await exchange(tinyRequest), /^HTTP\/1\.1 400 /v);
 	t.regex(await exchange('GET / HTTP/1.0\r\n\r\n'), /^HTTP\/1\.1 200 /v);
@@ -205,3 +207,75 @@
 	t.deepEqual(exceeded, []);
 	await waitUntil(() => countRequests() === 0);
 });
+
+type Server = Awaited<ReturnType<typeof start>>;
+
+/** Responds with the outcome of reading the body; `reserved` bytes are counted in addition. */
+const respondWithOutcome = (getServer: () => Server, reserved = 0): Handle => async (request, response) => {
+	const {readBody, reserveBytes} = getServer();
+	const body = await readBody(request, 1000).catch(() => ({type: 'failed'}));
+	response.end(body.type === 'complete' && !reserveBytes(request, reserved) ? 'not-reserved' : body.type);
+};
+
+const startReader = async (t: ExecutionContext, limits: Partial<HttpServerLimits>, reserved = 0): Promise<Server> => {
+	const server: Server = await start(t, {limits, handle: respondWithOutcome(() => server, reserved)});
+	return server;
+};
+
+const createPost = (body: string, length = body.length): string => `POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: ${length}\r\n\r\n${body}`;
+
+// Guards against a process that reads an endless body: the caller got no answer, and what it sent was read for as long as it sent.
+test('a body that is too large is answered before it has ended', async t => {
+	const {exchange, countRequests} = await startReader(t, {});
+	t.regex(await exchange(`POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n${'x'.repeat(1001)}\r\n`), /too-large$/v);
+	t.regex(await exchange(createPost('x', 1001)), /too-large$/v);
+	t.regex(await exchange(createPost('x'.repeat(1000))), /complete$/v);
+	await waitUntil(() => countRequests() === 0);
+});
+
+// Guards against slow senders that together hold more memory than the process has, and against ordinary callers that are refused in their place.
+test('if bodies exceed their limit, the oldest incomplete ones are refused', async t => {
+	const {connect, exchange, exceeded, countRequests} = await startReader(t, {bodyBytes: 2000});
+	const slow = [connect(), connect()];
+	for (const [index, socket] of slow.entries()) {
+		socket.write(createPost('x'.repeat(900), 1000));
+		// eslint-disable-next-line no-await-in-loop -- The order of the requests matters.
+		await waitUntil(() => countRequests() === index + 1);
+	}
+
+	t.regex(await exchange(createPost('x'.repeat(500))), /complete$/v);
+	t.regex(await readAll(slow[0]!), /refused$/v);
+	slow[1]!.write('x'.repeat(100));
+	t.regex(await readAll(slow[1]!), /complete$/v);
+	t.deepEqual(exceeded, ['body-bytes']);
+	// What the bodies took is free again.
+	t.regex(await exchange(createPost('x'.repeat(1000))), /complete$/v);
+});
+
+// Guards against small bodies that take much more memory than they have bytes, and against a limit that a single request meets.
+test('bytes that a request takes beyond its body count, and a single request is always served', async t => {
+	const {connect, exchange, countRequests, exceeded} = await startReader(t, {bodyBytes: 2000}, 5000);
+	t.regex(await exchange(createPost('x')), /complete$/v);
+	const other = connect();
+	other.write(createPost('x', 2));
+	await waitUntil(() => countRequests() === 1);
+	t.regex(await exchange(createPost('x')), /not-reserved$/v);
+	t.deepEqual(exceeded, ['body-bytes']);
+});
+
+// Guards against bytes that stay counted for callers that have gone, until all others are refused.
+test('a body whose caller leaves is not counted any more', async t => {
+	const {connect, exchange, countRequests, exceeded} = await startReader(t, {bodyBytes: 2000});
+	for (let index = 0; index < 5; index += 1) {
+		const socket = connect();
+		socket.write(createPost('x'.repeat(900), 1000));
+		// eslint-disable-next-line no-await-in-loop -- One caller after the other.
+		await waitUntil(() => countRequests() === 1);
+		socket.destroy();
+		// eslint-disable-next-line no-await-in-loop -- As above.
+		await waitUntil(() => countRequests() === 0);
+	}
+
+	t.regex(await exchange(createPost('x'.repeat(1000))), /complete$/v);
+	t.deepEqual(exceeded, []);
+});
--- a/packages/jobs/job-service/src/peer-server.ts
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -4,7 +4,7 @@
 import polka from 'polka';
 import {z} from 'zod';
 import {parseJson} from '@turmericbay/http-client';
-import type {HttpLimit, HttpServerLimits} from '@turmericbay/http-server';
+import type {BodyResult, HttpLimit, HttpServerLimits} from '@turmericbay/http-server';
 import {createHttpServer} from '@turmericbay/http-server';
 import type {AcceptDispatchChannel} from './dispatch-channel.js';
 import {serveHttpDispatchChannel} from './dispatch-channel.js';
@@ -31,21 +31,6 @@
 	response.end(text);
 };
 
-const readBody = async (request: AsyncIterable<Uint8Array>): Promise<string | undefined> => {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	for await (const chunk of request) {
-		size += chunk.length;
-		if (size > maximumBodyBytes) {
-			return undefined;
-		}
-
-		chunks.push(chunk);
-	}
-
-	return Buffer.concat(chunks).toString('utf8');
-};
-
 /** Returns the load figures if the request asks for them. */
 const getFigures = (query: Readonly<Record<string, unknown>>, owner: NonNullable<Owner>): TimedFigures | undefined =>
 	query.figures === undefined ? undefined : owner.getLoadFigures();
@@ -100,17 +85,23 @@
 			});
 		})
 		.post('/jobs', async (request, response) => {
-			let body: string | undefined;
+			let body: BodyResult;
 			try {
-				body = await readBody(request);
+				body = await readBody(request, maximumBodyBytes);
 			} catch {
 				// The other instance closed the connection; the owner finds the job in the store.
 				response.destroy();
 				return;
 			}
 
+			if (body.type === 'refused') {
+				// The owner finds the job in the store.
+				respond(response, unavailableStatus, {});
+				return;
+			}
+
 			withOwner(response, owner => {
-				const declaration = body === undefined ? undefined : parseJob({key: jobPrefix, value: body, modifiedRevision: 0});
+				const declaration = body.type === 'too-large' ? undefined : parseJob({key: jobPrefix, value: body.text, modifiedRevision: 0});
 				if (declaration?.steps === undefined) {
 					// The owner finds the job in the store.
 					respond(response, badRequestStatus, {});
@@ -128,17 +119,23 @@
 			});
 		})
 		.post('/dispatchers', async (request, response) => {
-			let body: string | undefined;
+			let body: BodyResult;
 			try {
-				body = await readBody(request);
+				body = await readBody(request, maximumBodyBytes);
 			} catch {
 				// The other instance closed the connection and registers again.
 				response.destroy();
 				return;
 			}
 
+			if (body.type === 'refused') {
+				// The other instance registers again.
+				respond(response, unavailableStatus, {});
+				return;
+			}
+
 			withOwner(response, owner => {
-				const registration = registrationSchema.safeParse(parseJson(body ?? ''));
+				const registration = registrationSchema.safeParse(body.type === 'too-large' ? undefined : parseJson(body.text));
 				if (registration.success) {
 					owner.registerDispatcher(registration.data);
 				}
@@ -159,7 +156,7 @@
 			response.writeHead(okStatus, {'content-type': 'text/plain; version=0.0.4'});
 			response.end(renderMetrics());
 		});
-	const {server} = createHttpServer({
+	const {server, readBody} = createHttpServer({
 		limits, onLimit,
 		handle: router.handler,
 		refuse(_, response) {
