HTTP listeners: limit heads, and close without an untrue response

Callers saw: 400 for a job that was being stored, if a malformed request followed it on the connection (also 408 and 431). A caller takes the first response for the one to its first unfinished request.

Cause: Node.js writes its own response to a malformed request to the connection, whatever is unfinished there; it also drops header fields after the 1,000th without notice.

Change: such a connection is closed without a response; without an unfinished request the status stays as it was. A head has at most 16 KiB, as before, and 200 fields; a request with more fields gets 431 instead of being handled in part.

--- a/packages/common/http-server/src/connection-table.ts
+++ b/packages/common/http-server/src/connection-table.ts
@@ -1,11 +1,12 @@
 /** The open connections of a server, in the order in which they are closed when there are too many. */
 import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 import type {Connection, Exchange} from './exchange.js';
 
 export type ConnectionTable = {
 	readonly size: () => number;
 	add(socket: Socket): Connection;
-	get(socket: Socket): Connection | undefined;
+	findBySocket(socket: Duplex): Connection | undefined;
 	remove(connection: Connection): void;
 	addExchange(exchange: Exchange): void;
 	removeExchange(exchange: Exchange): void;
@@ -16,7 +17,7 @@
 const first = (connections: ReadonlySet<Connection>): Connection | undefined => connections.values().next().value;
 
 export const createConnectionTable = (): ConnectionTable => {
-	const connections = new Map<Socket, Connection>();
+	const connections = new Map<Duplex, Connection>();
 	/** Have not sent a complete head yet; the oldest first. */
 	const silent = new Set<Connection>();
 	/** Have no unfinished request; those that have been idle for longest first. */
@@ -29,7 +30,7 @@
 			silent.add(connection);
 			return connection;
 		},
-		get: socket => connections.get(socket),
+		findBySocket: socket => connections.get(socket),
 		remove(connection) {
 			silent.delete(connection);
 			idle.delete(connection);
--- a/packages/common/http-server/src/http-server.ts
+++ b/packages/common/http-server/src/http-server.ts
@@ -1,7 +1,8 @@
 /** HTTP/1.1 server that keeps no more for its clients than its limits allow. */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import {createServer} from 'node:http';
+import {createServer, STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 import type {BodyResult} from './body-budget.js';
 import {createBodyBudget} from './body-budget.js';
 import {createConnectionTable} from './connection-table.js';
@@ -11,7 +12,9 @@
 import {HttpLimit} from './limits.js';
 
 const badRequestStatus = 400;
+const requestTimeoutStatus = 408;
 const expectationFailedStatus = 417;
+const headTooLargeStatus = 431;
 
 export type HttpServer = {
 	readonly server: Server;
@@ -45,6 +48,25 @@
 	response.end();
 };
 
+/** An error that Node.js found before it handed the request over. */
+type ClientError = Error & {readonly code?: string};
+
+const getErrorStatus = ({code}: ClientError): number => {
+	switch (code ?? '') {
+		case 'HPE_HEADER_OVERFLOW': {
+			return headTooLargeStatus;
+		}
+
+		case 'ERR_HTTP_REQUEST_TIMEOUT': {
+			return requestTimeoutStatus;
+		}
+
+		default: {
+			return badRequestStatus;
+		}
+	}
+};
+
 export const createHttpServer = ({limits, handle, refuse, onLimit}: HttpServerOptions): HttpServer => {
 	const connections = createConnectionTable();
 	const bodies = createBodyBudget({
@@ -94,7 +116,7 @@
 	};
 
 	const admit = (request: IncomingMessage, socket: Socket): Exchange | undefined => {
-		const connection = connections.get(socket);
+		const connection = connections.findBySocket(socket);
 		if (!connection || findExceededLimit(connection) !== undefined) {
 			return undefined;
 		}
@@ -113,7 +135,10 @@
 		IncomingMessage: requestClass,
 		// Node.js would respond itself, before the request is counted.
 		requireHostHeader: false,
+		maxHeaderSize: limits.headBytes,
 	});
+	// Node.js drops the fields after these, so a request with as many as this is rejected.
+	server.maxHeadersCount = limits.headerFields + 1;
 
 	const run = async (exchange: Exchange, response: ServerResponse): Promise<void> => {
 		exchange.isHandling = true;
@@ -149,6 +174,9 @@
 		trackResponse(exchange, response);
 		if (request.headers.host === undefined && request.httpVersion === '1.1') {
 			respondWithoutBody(request, response, badRequestStatus);
+		} else if (request.rawHeaders.length > limits.headerFields * 2) {
+			onLimit(HttpLimit.HeadSize);
+			respondWithoutBody(request, response, headTooLargeStatus);
 		} else if (requests > limits.requests) {
 			onLimit(HttpLimit.Requests);
 			closeAfterResponse(request, response);
@@ -164,9 +192,25 @@
 			respondWithoutBody(request, response, expectationFailedStatus);
 		}
 	});
+	server.on('clientError', (error: ClientError, socket: Duplex) => {
+		if (error.code === 'HPE_HEADER_OVERFLOW') {
+			onLimit(HttpLimit.HeadSize);
+		}
+
+		const connection = connections.findBySocket(socket);
+		if (connection && socket.writable && connection.exchanges.size === 0) {
+			const status = getErrorStatus(error);
+			socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`, () => {
+				socket.destroy();
+			});
+		} else {
+			// The client would take the response as the one to its unfinished request, which may be in progress.
+			socket.destroy();
+		}
+	});
 	// A request that was not admitted; see `createRequestFactory`.
-	server.on('upgrade', (_, socket: Socket) => {
-		const connection = connections.get(socket);
+	server.on('upgrade', (_, socket: Duplex) => {
+		const connection = connections.findBySocket(socket);
 		const limit = connection && findExceededLimit(connection);
 		if (limit === undefined) {
 			socket.destroy();
--- a/packages/common/http-server/src/limits.ts
+++ b/packages/common/http-server/src/limits.ts
@@ -5,6 +5,8 @@
 	Connections = 'connections',
 	/** A connection has more requests without a finished response than it may have. */
 	RequestsPerConnection = 'requests-per-connection',
+	/** The head of a request is too long, or has too many fields. */
+	HeadSize = 'head-size',
 	/** The bodies of all requests together take as much memory as they may. */
 	BodyBytes = 'body-bytes',
 	/** All connections together have as many requests as the server handles at a time. */
@@ -21,6 +23,10 @@
 	readonly requestsPerConnection: number;
 	/** Requests of all connections that are being handled or have no finished response; beyond it requests are refused. */
 	readonly requests: number;
+	/** Length of the head of a request. */
+	readonly headBytes: number;
+	/** Header fields of a request. */
+	readonly headerFields: number;
 	/** Bytes of the bodies of unfinished requests; beyond it the oldest request whose body is incomplete is refused, else the newest. */
 	readonly bodyBytes: number;
 };
@@ -29,5 +35,7 @@
 	connections: 1000,
 	requestsPerConnection: 64,
 	requests: 1000,
+	headBytes: 16_384,
+	headerFields: 200,
 	bodyBytes: 33_554_432,
 };
--- a/packages/common/http-server/test/http-server.test.ts
+++ b/packages/common/http-server/test/http-server.test.ts
@@ -279,3 +279,25 @@
 	t.regex(await exchange(createPost('x'.repeat(1000))), /complete$/v);
 	t.deepEqual(exceeded, []);
 });
+
+// Guards against a response to what follows a request that the caller takes as the response to the request, whose job may be stored.
+test('a malformed request after an unfinished one closes the connection without a response', async t => {
+	const {connect, exchange, countRequests} = await start(t, {handle: () => undefined});
+	const socket = connect();
+	socket.write(createRequest('/'));
+	await waitUntil(() => countRequests() === 1);
+	socket.write('nonsense\r\n\r\n');
+	t.is(await readAll(socket), '');
+	t.regex(await exchange('nonsense\r\n\r\n'), /^HTTP\/1\.1 400 .*content-length: 0/isv);
+});
+
+// Guards against heads that fill the memory: long ones, and short ones of thousands of fields, of which Node.js would drop some without notice.
+test('a head with too many bytes or fields is rejected', async t => {
+	const {exchange, exceeded, handled, countRequests} = await start(t, {limits: {headBytes: 2000, headerFields: 50}});
+	t.regex(await exchange(createRequest('/', `x: ${'x'.repeat(2000)}\r\n`)), /^HTTP\/1\.1 431 /v);
+	t.regex(await exchange(createRequest('/', 'x: y\r\n'.repeat(50))), /^HTTP\/1\.1 431 /v);
+	t.deepEqual(handled, []);
+	t.regex(await exchange(createRequest('/', 'x: y\r\n'.repeat(48) + 'Connection: close\r\n')), /^HTTP\/1\.1 200 /v);
+	t.deepEqual(exceeded, ['head-size', 'head-size']);
+	await waitUntil(() => countRequests() === 0);
+});
