HTTP listeners: limit the time that clients take

Callers would see: connections and requests held by clients that send a head or a body byte by byte or not at all, that do not read their responses, or that send on after a response.

Cause: the caller port had the times of Node.js (60 s for a head, 300 s for a request, checked each 30 s), the peer port none for a whole request, since the dispatch channel lasts as long as the ownership.

Change: a head has 20 s, a body 60 s, responses that the operating system does not take 20 s, and 4 MiB are discarded after a response; checked each second, in checks instead of clock readings, so that nothing is added to a request and clients lose no time by a pause of the process. Only the dispatch channel is exempt, no longer the whole peer port. Connections that wait for their client give way to new connections and requests when a limit is reached. A client that has sent nothing is disconnected without 408, which it would take for the response to its first request.

--- a/packages/common/http-server/src/connection-table.ts
+++ b/packages/common/http-server/src/connection-table.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {Connection, Exchange} from './exchange.js';
+import {isDelayedByClient} from './exchange.js';
 
 export type ConnectionTable = {
 	readonly size: () => number;
@@ -10,6 +11,12 @@
 	remove(connection: Connection): void;
 	addExchange(exchange: Exchange): void;
 	removeExchange(exchange: Exchange): void;
+	/** The connections with an unfinished request. */
+	getBusy(): Connection[];
+	/** Notes which connections wait for their clients. */
+	noteDelays(): void;
+	/** Finds the connection that has waited longest for its client to send the rest of a request or to read a response. */
+	findDelayed(): Connection | undefined;
 	/** Finds the connection to close in favour of another one. */
 	findLeastUseful(newest: Connection): Connection;
 };
@@ -22,10 +29,38 @@
 	const silent = new Set<Connection>();
 	/** Have no unfinished request; those that have been idle for longest first. */
 	const idle = new Set<Connection>();
+	/** Had waited for their client at the last check; those that have waited for longest first. */
+	const delayed = new Set<Connection>();
+
+	const getBusy = (): Connection[] => [...connections.values()].filter(({exchanges}) => exchanges.size > 0);
+
+	const findDelayed = (): Connection | undefined => {
+		for (const connection of delayed) {
+			if (isDelayedByClient(connection)) {
+				return connection;
+			}
+
+			delayed.delete(connection);
+		}
+
+		return undefined;
+	};
+
 	return {
+		getBusy,
+		findDelayed,
+		noteDelays() {
+			for (const connection of getBusy()) {
+				if (isDelayedByClient(connection)) {
+					delayed.add(connection);
+				} else {
+					delayed.delete(connection);
+				}
+			}
+		},
 		size: () => connections.size,
 		add(socket) {
-			const connection: Connection = {socket, exchanges: new Set()};
+			const connection: Connection = {socket, exchanges: new Set(), unreadChecks: 0};
 			connections.set(socket, connection);
 			silent.add(connection);
 			return connection;
@@ -34,6 +69,7 @@
 		remove(connection) {
 			silent.delete(connection);
 			idle.delete(connection);
+			delayed.delete(connection);
 			connections.delete(connection.socket);
 		},
 		addExchange(exchange) {
@@ -49,11 +85,12 @@
 			connection.exchanges.delete(exchange);
 			if (connection.exchanges.size === 0 && connections.has(connection.socket)) {
 				idle.add(connection);
+				delayed.delete(connection);
 			}
 		},
 		findLeastUseful(newest) {
 			const oldestSilent = first(silent);
-			return (oldestSilent === newest ? undefined : oldestSilent) ?? first(idle) ?? newest;
+			return (oldestSilent === newest ? undefined : oldestSilent) ?? first(idle) ?? findDelayed() ?? newest;
 		},
 	};
 };
--- a/packages/common/http-server/src/exchange.ts
+++ b/packages/common/http-server/src/exchange.ts
@@ -1,4 +1,5 @@
 /** The requests that a server has received and not finished, by connection. */
+import type {ServerResponse} from 'node:http';
 import {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 
@@ -12,11 +13,28 @@
 	isClosed: boolean;
 	/** Bytes that its body takes, as received and as decoded. */
 	bodyBytes: number;
+	/** Undefined until Node.js has handed the request over. */
+	response: ServerResponse | undefined;
+	/** The request may last as long as its connection. */
+	isLongLived: boolean;
+	/** Checks in which the body was incomplete. */
+	incompleteChecks: number;
+	/** Bytes received on the connection when a check first found that the response was written before the body was complete. */
+	discardedFrom: number | undefined;
 };
 
 export type Connection = {
 	readonly socket: Socket;
+	/** In the order of their arrival. */
 	readonly exchanges: Set<Exchange>;
+	/** Checks in a row that found responses which the client does not read. */
+	unreadChecks: number;
+};
+
+/** Whether the connection waits for its client: for the rest of a request, or for responses to be read. */
+export const isDelayedByClient = ({socket, exchanges}: Connection): boolean => {
+	const newest = [...exchanges].at(-1);
+	return newest !== undefined && !newest.isLongLived && (!newest.request.complete || socket.writableLength > 0);
 };
 
 export type RequestFactory = {
--- a/packages/common/http-server/src/http-server.ts
+++ b/packages/common/http-server/src/http-server.ts
@@ -5,6 +5,7 @@
 import type {Duplex} from 'node:stream';
 import type {BodyResult} from './body-budget.js';
 import {createBodyBudget} from './body-budget.js';
+import {createClientCheck} from './client-checks.js';
 import {createConnectionTable} from './connection-table.js';
 import type {Connection, Exchange} from './exchange.js';
 import {createRequestFactory} from './exchange.js';
@@ -18,6 +19,8 @@
 
 export type HttpServer = {
 	readonly server: Server;
+	/** Exempts a request from the limits of time: it may last as long as its connection. */
+	keepOpen(request: IncomingMessage): void;
 	/** Reads the body of a request; fails if the connection ends before the body is complete. */
 	readBody(request: IncomingMessage, maximumBytes: number): Promise<BodyResult>;
 	/** Counts further bytes that the request takes until it is finished, such as its decoded body; returns false if it has to be refused. */
@@ -122,7 +125,7 @@
 		}
 
 		const exchange: Exchange = {
-			request, connection, isHandling: false, isClosed: false, bodyBytes: 0,
+			request, connection, isHandling: false, isClosed: false, bodyBytes: 0, response: undefined, isLongLived: false, incompleteChecks: 0, discardedFrom: undefined,
 		};
 		connections.addExchange(exchange);
 		requests += 1;
@@ -136,10 +139,37 @@
 		// Node.js would respond itself, before the request is counted.
 		requireHostHeader: false,
 		maxHeaderSize: limits.headBytes,
+		headersTimeout: limits.headMilliseconds,
+		// The server checks the time of bodies itself, since it differs between requests.
+		requestTimeout: 0,
+		connectionsCheckingInterval: limits.checkIntervalMilliseconds,
+		keepAliveTimeout: limits.keepAliveMilliseconds,
 	});
 	// Node.js drops the fields after these, so a request with as many as this is rejected.
 	server.maxHeadersCount = limits.headerFields + 1;
 
+	const checkClient = createClientCheck(limits);
+	const checkClients = (): void => {
+		for (const connection of connections.getBusy()) {
+			const limit = checkClient(connection);
+			if (limit !== undefined) {
+				close(connection, limit);
+			}
+		}
+
+		connections.noteDelays();
+	};
+
+	/** Makes room for a request; returns false if no client delays its own. */
+	const closeDelayed = (): boolean => {
+		const connection = connections.findDelayed();
+		if (connection) {
+			close(connection, HttpLimit.Requests);
+		}
+
+		return connection !== undefined;
+	};
+
 	const run = async (exchange: Exchange, response: ServerResponse): Promise<void> => {
 		exchange.isHandling = true;
 		try {
@@ -151,11 +181,26 @@
 	};
 
 	const trackResponse = (exchange: Exchange, response: ServerResponse): void => {
+		exchange.response = response;
 		response.once('close', () => {
-			closeExchange(exchange);
+			if (exchange.request.complete) {
+				closeExchange(exchange);
+			} else {
+				// The rest of the body is still read and discarded.
+				exchange.request.once('close', () => {
+					closeExchange(exchange);
+				});
+			}
 		});
 	};
 
+	server.on('listening', () => {
+		const timer = setInterval(checkClients, limits.checkIntervalMilliseconds);
+		timer.unref();
+		server.once('close', () => {
+			clearInterval(timer);
+		});
+	});
 	server.prependListener('connection', socket => {
 		const connection = connections.add(socket);
 		socket.once('close', () => {
@@ -177,11 +222,11 @@
 		} else if (request.rawHeaders.length > limits.headerFields * 2) {
 			onLimit(HttpLimit.HeadSize);
 			respondWithoutBody(request, response, headTooLargeStatus);
-		} else if (requests > limits.requests) {
+		} else if (requests > limits.requests && !closeDelayed()) {
 			onLimit(HttpLimit.Requests);
 			closeAfterResponse(request, response);
 			refuse(request, response);
-		} else {
+		} else if (!exchange.isClosed) {
 			void run(exchange, response);
 		}
 	});
@@ -193,13 +238,15 @@
 		}
 	});
 	server.on('clientError', (error: ClientError, socket: Duplex) => {
-		if (error.code === 'HPE_HEADER_OVERFLOW') {
+		const status = getErrorStatus(error);
+		if (status === headTooLargeStatus) {
 			onLimit(HttpLimit.HeadSize);
+		} else if (status === requestTimeoutStatus) {
+			onLimit(HttpLimit.HeadTime);
 		}
 
 		const connection = connections.findBySocket(socket);
-		if (connection && socket.writable && connection.exchanges.size === 0) {
-			const status = getErrorStatus(error);
+		if (connection && socket.writable && connection.exchanges.size === 0 && connection.socket.bytesRead > 0) {
 			socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`, () => {
 				socket.destroy();
 			});
@@ -220,6 +267,12 @@
 	});
 	return {
 		server,
+		keepOpen(request) {
+			const exchange = getExchange(request);
+			if (exchange) {
+				exchange.isLongLived = true;
+			}
+		},
 		async readBody(request, maximumBytes) {
 			const exchange = getExchange(request);
 			if (!exchange) {
--- a/packages/common/http-server/src/limits.ts
+++ b/packages/common/http-server/src/limits.ts
@@ -7,6 +7,14 @@
 	RequestsPerConnection = 'requests-per-connection',
 	/** The head of a request is too long, or has too many fields. */
 	HeadSize = 'head-size',
+	/** The head of a request has not come in time. */
+	HeadTime = 'head-time',
+	/** The body of a request has not come in time. */
+	BodyTime = 'body-time',
+	/** A client sends on and on after the response to its request. */
+	DiscardedBody = 'discarded-body',
+	/** A client does not read its responses. */
+	UnreadResponse = 'unread-response',
 	/** The bodies of all requests together take as much memory as they may. */
 	BodyBytes = 'body-bytes',
 	/** All connections together have as many requests as the server handles at a time. */
@@ -16,7 +24,8 @@
 export type HttpServerLimits = {
 	/**
 	 * Open connections. Beyond it one is closed for each new one: first those that have not sent a complete request, then those
-	 * without an unfinished request, each in the order of their waiting; if there is none, the new one.
+	 * without an unfinished request, then those whose client delays its own request or response, each in the order of their
+	 * waiting; if there is none, the new one.
 	 */
 	readonly connections: number;
 	/** Requests of one connection that are received and have no finished response; beyond it the connection is closed. */
@@ -27,6 +36,18 @@
 	readonly headBytes: number;
 	/** Header fields of a request. */
 	readonly headerFields: number;
+	/** Time from the opening of a connection, or from the first byte of a request, to the end of the head. */
+	readonly headMilliseconds: number;
+	/** Time from the end of the head to the end of the body. */
+	readonly bodyMilliseconds: number;
+	/** Bytes that are read and discarded after the response to a request. */
+	readonly discardedBytes: number;
+	/** Time in which a client has to read what could not be handed to the operating system. */
+	readonly unreadResponseMilliseconds: number;
+	/** Time for which a connection without an unfinished request stays open. */
+	readonly keepAliveMilliseconds: number;
+	/** Time between two checks of these times. */
+	readonly checkIntervalMilliseconds: number;
 	/** Bytes of the bodies of unfinished requests; beyond it the oldest request whose body is incomplete is refused, else the newest. */
 	readonly bodyBytes: number;
 };
@@ -37,5 +58,11 @@
 	requests: 1000,
 	headBytes: 16_384,
 	headerFields: 200,
+	headMilliseconds: 20_000,
+	bodyMilliseconds: 60_000,
+	discardedBytes: 4_194_304,
+	unreadResponseMilliseconds: 20_000,
+	keepAliveMilliseconds: 5000,
+	checkIntervalMilliseconds: 1000,
 	bodyBytes: 33_554_432,
 };
--- a/packages/jobs/job-service/src/peer-server.ts
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -145,7 +145,16 @@
 		})
 		.post('/worker-calls', (request, response) => {
 			serveHttpDispatchChannel({
-				request, response, epoch: Number(request.query.epoch), refusedStatus: misdirectedStatus, accept: acceptDispatchChannel,
+				request, response, epoch: Number(request.query.epoch), refusedStatus: misdirectedStatus,
+				accept(epoch, channel) {
+					const handlers = acceptDispatchChannel(epoch, channel);
+					if (handlers) {
+						// Lasts as long as the ownership.
+						keepOpen(request);
+					}
+
+					return handlers;
+				},
 			});
 		})
 		.post('/transfers/:epoch', (request, response) => {
@@ -156,15 +165,13 @@
 			response.writeHead(okStatus, {'content-type': 'text/plain; version=0.0.4'});
 			response.end(renderMetrics());
 		});
-	const {server, readBody} = createHttpServer({
+	const {server, readBody, keepOpen} = createHttpServer({
 		limits, onLimit,
 		handle: router.handler,
 		refuse(_, response) {
 			respond(response, unavailableStatus, {});
 		},
 	});
-	// The request with the worker calls lasts as long as the ownership; the default ends it after 300 s.
-	server.requestTimeout = 0;
 	server.listen(port, host);
 	return server;
 };
