--- a/packages/common/http-server/src/http-server.ts
+++ b/packages/common/http-server/src/http-server.ts
@@ -170,19 +170,24 @@
 		return connection !== undefined;
 	};
 
-	const run = async (exchange: Exchange, response: ServerResponse): Promise<void> => {
-		exchange.isHandling = true;
-		try {
-			await handle(exchange.request, response);
-		} finally {
+	const run = (exchange: Exchange, response: ServerResponse): void => {
+		const finish = (): void => {
 			exchange.isHandling = false;
 			release(exchange);
+		};
+
+		exchange.isHandling = true;
+		const handled = handle(exchange.request, response);
+		if (handled) {
+			void handled.finally(finish);
+		} else {
+			finish();
 		}
 	};
 
 	const trackResponse = (exchange: Exchange, response: ServerResponse): void => {
 		exchange.response = response;
-		response.once('close', () => {
+		response.on('close', () => {
 			if (exchange.request.complete) {
 				closeExchange(exchange);
 			} else {
@@ -227,7 +232,7 @@
 			closeAfterResponse(request, response);
 			refuse(request, response);
 		} else if (!exchange.isClosed) {
-			void run(exchange, response);
+			run(exchange, response);
 		}
 	});
 	server.on('checkExpectation', (request, response) => {
