Dispatchers: limit the connections of owners

Operators would see: an instance that runs out of memory.

Cause: connections of earlier owners are closed, but those of the same epoch had no limit. An owner has one; one that is lost ends after 400 ms of silence.

The test fails without the change: the fifth connection was accepted.

--- a/packages/jobs/job-service/src/dispatch-server.ts
+++ b/packages/jobs/job-service/src/dispatch-server.ts
@@ -11,6 +11,9 @@
 import type {Clock, WorkerClient} from './ports.js';
 import {WorkerCallErrorKind} from './ports.js';
 
+/** An owner has one connection; one that is lost ends after its silence. */
+const maximumSessions = 4;
+
 export type DispatchServer = ReturnType<typeof createDispatchServer>;
 
 const dropped = (id: number, message: string): CallResult => ({id, error: {kind: WorkerCallErrorKind.NotSent, message}, isDropped: true});
@@ -213,6 +216,10 @@
 		}
 
 		observeEpoch(epoch);
+		if (sessions.size >= maximumSessions) {
+			return undefined;
+		}
+
 		detectSuspension();
 		const session = openSession(epoch, channel);
 		sessions.add(session);
--- a/packages/jobs/job-service/test/dispatch-server.test.ts
+++ b/packages/jobs/job-service/test/dispatch-server.test.ts
@@ -97,6 +97,20 @@
 	t.deepEqual(closed, ['the owner does not read the results']);
 });
 
+// Guards against connections that together buffer more than the process has memory: each may hold the begin of a long line.
+test.serial('connections over the limit are refused until another one ends', async t => {
+	const {server, channel, advance, closed} = createFixture();
+	for (let index = 0; index < 4; index += 1) {
+		t.truthy(server.accept(7, channel));
+	}
+
+	t.is(server.accept(7, channel), undefined);
+	await advance(450);
+	t.is(closed.length, 4);
+	t.truthy(server.accept(7, channel));
+	t.truthy(server.accept(8, channel));
+});
+
 // Guards against connections of owners that have ended without closing them.
 test.serial('a silent owner loses the connection', async t => {
 	const {server, channel, advance, closed} = createFixture();
