Peers: limit the memory of unread metrics

Other instances saw: no answer from an instance while a client asks for its metrics ahead and reads none.

Cause: each response to /metrics is a text of its own that is kept until it is read; nothing bounded how many there are.

Change: the text counts as bytes of an unfinished request, beside the bodies; beyond the limit the response is 503.

--- a/packages/common/http-server/src/http-server.ts
+++ b/packages/common/http-server/src/http-server.ts
@@ -23,7 +23,7 @@
 	keepOpen(request: IncomingMessage): void;
 	/** Reads the body of a request; fails if the connection ends before the body is complete. */
 	readBody(request: IncomingMessage, maximumBytes: number): Promise<BodyResult>;
-	/** Counts further bytes that the request takes until it is finished, such as its decoded body; returns false if it has to be refused. */
+	/** Counts further bytes that the request takes until it is finished, such as its decoded body or a large response; returns false if it has to be refused. */
 	reserveBytes(request: IncomingMessage, bytes: number): boolean;
 	countConnections(): number;
 	/** Requests that are being handled or have no finished response. */
--- a/packages/common/http-server/src/limits.ts
+++ b/packages/common/http-server/src/limits.ts
@@ -15,7 +15,7 @@
 	DiscardedBody = 'discarded-body',
 	/** A client does not read its responses. */
 	UnreadResponse = 'unread-response',
-	/** The bodies of all requests together take as much memory as they may. */
+	/** The bodies and large responses of all requests together take as much memory as they may. */
 	BodyBytes = 'body-bytes',
 	/** All connections together have as many requests as the server handles at a time. */
 	Requests = 'requests',
@@ -48,7 +48,7 @@
 	readonly keepAliveMilliseconds: number;
 	/** Time between two checks of these times. */
 	readonly checkIntervalMilliseconds: number;
-	/** Bytes of the bodies of unfinished requests; beyond it the oldest request whose body is incomplete is refused, else the newest. */
+	/** Bytes of the bodies and large responses of unfinished requests; beyond it the oldest request whose body is incomplete is refused, else the newest. */
 	readonly bodyBytes: number;
 };
 
--- a/packages/jobs/job-service/src/peer-server.ts
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -161,11 +161,17 @@
 			onTransferRequested(Number(request.params.epoch));
 			respond(response, okStatus, {});
 		})
-		.get('/metrics', (_, response) => {
+		.get('/metrics', (request, response) => {
+			const text = renderMetrics();
+			if (!reserveBytes(request, text.length)) {
+				respond(response, unavailableStatus, {});
+				return;
+			}
+
 			response.writeHead(okStatus, {'content-type': 'text/plain; version=0.0.4'});
-			response.end(renderMetrics());
+			response.end(text);
 		});
-	const {server, readBody, keepOpen} = createHttpServer({
+	const {server, readBody, reserveBytes, keepOpen} = createHttpServer({
 		limits, onLimit,
 		handle: router.handler,
 		refuse(_, response) {
--- a/packages/jobs/job-service/test/peer-server.test.ts
+++ b/packages/jobs/job-service/test/peer-server.test.ts
@@ -1,16 +1,21 @@
 import {once} from 'node:events';
+import {createConnection} from 'node:net';
 import type {ExecutionContext} from 'ava';
+import type {HttpServerLimits} from '@turmericbay/http-server';
 import {defaultHttpServerLimits} from '@turmericbay/http-server';
 import test from 'ava';
 import type {Owner} from '../src/owner.js';
 import {createPeerServer} from '../src/peer-server.js';
 
+type ServeOptions = {readonly limits?: Partial<HttpServerLimits>; readonly renderMetrics?: () => string};
+
 /** Serves the owner on loopback and returns the URL of the server. */
-const serve = async (t: ExecutionContext, owner: Partial<NonNullable<Owner>>): Promise<string> => {
+const serve = async (t: ExecutionContext, owner: Partial<NonNullable<Owner>>, options: ServeOptions = {}): Promise<string> => {
 	const server = createPeerServer({
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Only the members that are used.
 		host: '127.0.0.1', port: 0, getLocalOwner: () => owner as NonNullable<Owner>,
-		limits: defaultHttpServerLimits, onLimit: () => undefined, renderMetrics: () => '', acceptDispatchChannel: () => undefined, onTransferRequested: () => undefined,
+		limits: {...defaultHttpServerLimits, ...options.limits}, onLimit: () => undefined, renderMetrics: options.renderMetrics ?? (() => ''),
+		acceptDispatchChannel: () => undefined, onTransferRequested: () => undefined,
 	});
 	t.teardown(() => {
 		server.closeAllConnections();
@@ -65,3 +70,21 @@
 	const counted = await fetch(`${url}/queues/a%20b/pending`);
 	t.deepEqual(await counted.json(), {pending: 3});
 });
+
+// Guards against clients that do not read the metrics, of which each has its own copy in the memory of the process.
+test('unread metrics take limited memory, and other requests are served', async t => {
+	const large = 'x'.repeat(33_554_432);
+	const url = await serve(t, {countPending: () => 3}, {limits: {bodyBytes: 40_000_000}, renderMetrics: () => large});
+	const reader = createConnection(Number(new URL(url).port), '127.0.0.1');
+	t.teardown(() => {
+		reader.destroy();
+	});
+	reader.write('GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n');
+	await once(reader, 'readable');
+	reader.pause();
+	const refused = await fetch(`${url}/metrics`);
+	t.is(refused.status, 503);
+	await refused.text();
+	const counted = await fetch(`${url}/queues/a/pending`);
+	t.deepEqual(await counted.json(), {pending: 3});
+});
