--- a/packages/common/http-server/test/times.test.ts
+++ b/packages/common/http-server/test/times.test.ts
@@ -68,6 +68,26 @@
 	t.deepEqual(exceeded, ['discarded-body']);
 });
 
+// Guards against requests that stay counted if their body ends after their response, and against a caller that loses its connection by that.
+test('a body that ends after its response leaves the connection usable', async t => {
+	const {connect, countRequests, exceeded} = await start(t, {
+		handle(request, response) {
+			request.resume();
+			response.end('rejected');
+		},
+	});
+	const socket = connect();
+	socket.write('POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab');
+	await once(socket, 'data');
+	t.is(countRequests(), 1);
+	socket.write('cd');
+	await waitUntil(() => countRequests() === 0);
+	socket.write(createRequest('/', 'Connection: close\r\n'));
+	t.regex(await readAll(socket), /rejected$/v);
+	await waitUntil(() => countRequests() === 0);
+	t.deepEqual(exceeded, []);
+});
+
 // Guards against responses that are kept for a client that never reads them.
 test('a client that does not read its response is disconnected', async t => {
 	const {connect, exceeded, countRequests} = await start(t, {
