--- a/packages/jobs/job-service/src/peer-server.ts
+++ b/packages/jobs/job-service/src/peer-server.ts
@@ -1,10 +1,11 @@
 /** HTTP server for the requests of other instances to the owner, and for metrics. */
 import {Buffer} from 'node:buffer';
 import type {Server, ServerResponse} from 'node:http';
-import {createServer} from 'node:http';
 import polka from 'polka';
 import {z} from 'zod';
 import {parseJson} from '@turmericbay/http-client';
+import type {BodyResult, HttpLimit, HttpServerLimits} from '@turmericbay/http-server';
+import {createHttpServer} from '@turmericbay/http-server';
 import type {AcceptDispatchChannel} from './dispatch-channel.js';
 import {serveHttpDispatchChannel} from './dispatch-channel.js';
 import type {TimedFigures} from './owner-load-figures.js';
@@ -16,6 +17,7 @@
 const badRequestStatus = 400;
 /** This instance is not the owner; the requesting instance reads the store instead. */
 const misdirectedStatus = 421;
+const unavailableStatus = 503;
 /** Has to exceed the body limit of the caller server. A larger declaration is rejected, and the owner finds the job in the store. */
 const maximumBodyBytes = 1_048_576;
 
@@ -29,21 +31,6 @@
 	response.end(text);
 };
 
-const readBody = async (request: AsyncIterable<Uint8Array>): Promise<string | undefined> => {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	for await (const chunk of request) {
-		size += chunk.length;
-		if (size > maximumBodyBytes) {
-			return undefined;
-		}
-
-		chunks.push(chunk);
-	}
-
-	return Buffer.concat(chunks).toString('utf8');
-};
-
 /** Returns the load figures if the request asks for them. */
 const getFigures = (query: Readonly<Record<string, unknown>>, owner: NonNullable<Owner>): TimedFigures | undefined =>
 	query.figures === undefined ? undefined : owner.getLoadFigures();
@@ -66,11 +53,11 @@
 	/** Called when an owner offers worker calls. */
 	readonly acceptDispatchChannel: AcceptDispatchChannel;
 	readonly renderMetrics: () => string;
+	readonly limits: HttpServerLimits;
+	/** Called each time a limit closes a connection or refuses a request. */
+	readonly onLimit: (limit: HttpLimit) => void;
 }): Server => {
-	const {host, port, getLocalOwner, onTransferRequested, acceptDispatchChannel, renderMetrics} = options;
-	const server = createServer();
-	// The request with the worker calls lasts as long as the ownership; the default ends it after 300 s.
-	server.requestTimeout = 0;
+	const {host, port, getLocalOwner, onTransferRequested, acceptDispatchChannel, renderMetrics, limits, onLimit} = options;
 	const withOwner = (response: ServerResponse, handle: (owner: NonNullable<Owner>) => void): void => {
 		const owner = getLocalOwner();
 		if (owner) {
@@ -98,17 +85,23 @@
 			});
 		})
 		.post('/jobs', async (request, response) => {
-			let body: string | undefined;
+			let body: BodyResult;
 			try {
-				body = await readBody(request);
+				body = await readBody(request, maximumBodyBytes);
 			} catch {
 				// The other instance closed the connection; the owner finds the job in the store.
 				response.destroy();
 				return;
 			}
 
+			if (body.type === 'refused') {
+				// The owner finds the job in the store.
+				respond(response, unavailableStatus, {});
+				return;
+			}
+
 			withOwner(response, owner => {
-				const declaration = body === undefined ? undefined : parseJob({key: jobPrefix, value: body, modifiedRevision: 0});
+				const declaration = body.type === 'too-large' ? undefined : parseJob({key: jobPrefix, value: body.text, modifiedRevision: 0});
 				if (declaration?.steps === undefined) {
 					// The owner finds the job in the store.
 					respond(response, badRequestStatus, {});
@@ -126,17 +119,23 @@
 			});
 		})
 		.post('/dispatchers', async (request, response) => {
-			let body: string | undefined;
+			let body: BodyResult;
 			try {
-				body = await readBody(request);
+				body = await readBody(request, maximumBodyBytes);
 			} catch {
 				// The other instance closed the connection and registers again.
 				response.destroy();
 				return;
 			}
 
+			if (body.type === 'refused') {
+				// The other instance registers again.
+				respond(response, unavailableStatus, {});
+				return;
+			}
+
 			withOwner(response, owner => {
-				const registration = registrationSchema.safeParse(parseJson(body ?? ''));
+				const registration = registrationSchema.safeParse(body.type === 'too-large' ? undefined : parseJson(body.text));
 				if (registration.success) {
 					owner.registerDispatcher(registration.data);
 				}
@@ -146,18 +145,39 @@
 		})
 		.post('/worker-calls', (request, response) => {
 			serveHttpDispatchChannel({
-				request, response, epoch: Number(request.query.epoch), refusedStatus: misdirectedStatus, accept: acceptDispatchChannel,
+				request, response, epoch: Number(request.query.epoch), refusedStatus: misdirectedStatus,
+				accept(epoch, channel) {
+					const handlers = acceptDispatchChannel(epoch, channel);
+					if (handlers) {
+						// Lasts as long as the ownership.
+						keepOpen(request);
+					}
+
+					return handlers;
+				},
 			});
 		})
 		.post('/transfers/:epoch', (request, response) => {
 			onTransferRequested(Number(request.params.epoch));
 			respond(response, okStatus, {});
 		})
-		.get('/metrics', (_, response) => {
+		.get('/metrics', (request, response) => {
+			const text = renderMetrics();
+			if (!reserveBytes(request, text.length)) {
+				respond(response, unavailableStatus, {});
+				return;
+			}
+
 			response.writeHead(okStatus, {'content-type': 'text/plain; version=0.0.4'});
-			response.end(renderMetrics());
+			response.end(text);
 		});
-	server.on('request', router.handler);
+	const {server, readBody, reserveBytes, keepOpen} = createHttpServer({
+		limits, onLimit,
+		handle: router.handler,
+		refuse(_, response) {
+			respond(response, unavailableStatus, {});
+		},
+	});
 	server.listen(port, host);
 	return server;
 };
