HTTP listeners: count bodies before they are read

Clients that sent 700 bodies just under the limit, each without its last byte, and 100 longer ones took a process to 313,612 kB on the caller port and to 254,520 kB on the peer port, where 244,140 kB are allowed, although the bodies that were kept at a time took a limited share of the memory.

Cause: bodies were read until they exceeded the limit together, and the rest of rejected ones was read and discarded. What is read becomes garbage outside the heap, which the engine collects only after it has grown by more than 64 MB.

Change: a body counts with its announced length from the start.

--- a/packages/common/http-server/src/http-server.ts
+++ b/packages/common/http-server/src/http-server.ts
@@ -73,7 +73,7 @@
 export const createHttpServer = ({limits, handle, refuse, onLimit}: HttpServerOptions): HttpServer => {
 	const connections = createConnectionTable();
 	const bodies = createBodyBudget({
-		limit: limits.bodyBytes,
+		limit: limits.bodyBytes, slowBodyBytes: limits.slowBodyBytes,
 		onExceeded() {
 			onLimit(HttpLimit.BodyBytes);
 		},
@@ -158,6 +158,7 @@
 		}
 
 		connections.noteDelays();
+		bodies.check();
 	};
 
 	/** Makes room for a request; returns false if no client delays its own. */
--- a/packages/common/http-server/src/limits.ts
+++ b/packages/common/http-server/src/limits.ts
@@ -48,8 +48,10 @@
 	readonly keepAliveMilliseconds: number;
 	/** Time between two checks of these times. */
 	readonly checkIntervalMilliseconds: number;
-	/** Bytes of the bodies and large responses of unfinished requests; beyond it the oldest request whose body is incomplete is refused, else the newest. */
+	/** Bytes of the bodies and large responses of unfinished requests, incomplete bodies by their announced length; beyond it the oldest request whose body comes slowly is refused, else the newest. */
 	readonly bodyBytes: number;
+	/** A body comes slowly if less than this came between two checks. */
+	readonly slowBodyBytes: number;
 };
 
 export const defaultHttpServerLimits: HttpServerLimits = {
@@ -65,4 +67,5 @@
 	keepAliveMilliseconds: 5000,
 	checkIntervalMilliseconds: 1000,
 	bodyBytes: 33_554_432,
+	slowBodyBytes: 16_384,
 };
