--- a/packages/tools/client-limits/test/client-limits.process-test.ts
+++ b/packages/tools/client-limits/test/client-limits.process-test.ts
@@ -27,25 +27,6 @@
 ];
 const formatHeaders = (site: ClientSite): string => `host: ${site.host}\r\nauthorization: Bearer ${site.apiKey}\r\n`;
 
-/** Titles of the tests that are listed in KNOWN-RED.txt. */
-const knownFailures: ReadonlySet<string> = new Set([
-	'callers: requests sent ahead without Host or other headers, answers unread',
-	'callers: requests sent ahead with Host and key, answers unread',
-	'callers: connections that send nothing',
-	'callers: headers that never end and headers that are huge',
-	'callers: bodies that are announced and sent slowly, just under the limit, and over it',
-	'callers: requests on many connections whose answers are not read',
-	'readiness: requests sent ahead without Host or other headers, answers unread',
-	'readiness: requests sent ahead with Host and key, answers unread',
-	'readiness: connections that send nothing',
-	'readiness: headers that never end and headers that are huge',
-	'peers: requests sent ahead without Host or other headers, answers unread',
-	'peers: requests sent ahead with Host and key, answers unread',
-	'peers: connections that send nothing',
-	'peers: headers that never end and headers that are huge',
-	'peers: bodies that are announced and sent slowly, just under the limit, and over it',
-]);
-
 const checkScenario = test.macro(async (t, scenario: Scenario) => {
 	const {violations, measured, log} = await runScenario(scenario);
 	t.log(measured);
@@ -56,14 +37,9 @@
 	t.deepEqual(violations, []);
 });
 
-const declareTest = (title: string, scenario: Scenario): void => {
-	const declare = knownFailures.has(title) ? test.failing : test;
-	declare(title, checkScenario, scenario);
-};
-
 for (const {port, getPath, getBodyPath} of ports) {
 	// Guards against a process that ends or hangs since it parses and answers all that a client sends ahead.
-	declareTest(`${port}: requests sent ahead without Host or other headers, answers unread`, {
+	test(`${port}: requests sent ahead without Host or other headers, answers unread`, checkScenario, {
 		limits: smallHeap, port, isPausedWhileSending: true,
 		createCrowd: ({site, target}) => createPipeliningCrowd({
 			target, connections: 200, bytesPerConnection: 1_000_000, request: 'GET / HTTP/1.1\r\n\r\n',
@@ -71,7 +47,7 @@
 	});
 
 	// Guards against the same with requests that reach the handler.
-	declareTest(`${port}: requests sent ahead with Host and key, answers unread`, {
+	test(`${port}: requests sent ahead with Host and key, answers unread`, checkScenario, {
 		limits: smallHeap, port, isPausedWhileSending: true,
 		createCrowd: ({site, target}) => createPipeliningCrowd({
 			target, connections: 200, bytesPerConnection: 1_000_000, request: `GET ${getPath(site)} HTTP/1.1\r\n${formatHeaders(site)}\r\n`,
@@ -79,13 +55,13 @@
 	});
 
 	// Guards against a process that accepts connections until it has no descriptors left for others.
-	declareTest(`${port}: connections that send nothing`, {
+	test(`${port}: connections that send nothing`, checkScenario, {
 		limits: fewDescriptors, port,
 		createCrowd: ({target}) => createSilentCrowd({target, connections: 800}),
 	});
 
 	// Guards against connections that are kept as long as their headers go on, and against headers that are buffered without a limit.
-	declareTest(`${port}: headers that never end and headers that are huge`, {
+	test(`${port}: headers that never end and headers that are huge`, checkScenario, {
 		limits: fewDescriptors, port,
 		createCrowd: ({site, target}) => createHeaderCrowd({
 			target, connections: 800, hugeBytes: 1_000_000, requestLine: `GET ${getPath(site)} HTTP/1.1\r\n${formatHeaders(site)}`,
@@ -93,7 +69,7 @@
 	});
 
 	// Guards against bodies that are each within the limit and together exceed the memory.
-	declareTest(`${port}: bodies that are announced and sent slowly, just under the limit, and over it`, {
+	test(`${port}: bodies that are announced and sent slowly, just under the limit, and over it`, checkScenario, {
 		limits: smallHeap, port,
 		createCrowd: ({site, target}) => createBodyCrowd({
 			target, connections: 1000, maximumBodyBytes: site.maximumBodyBytes, getHeader: index => `POST ${getBodyPath(site, index)} HTTP/1.1\r\n${formatHeaders(site)}`,
@@ -101,7 +77,7 @@
 	});
 
 	// Guards against answers that are kept for many connections which do not read them.
-	declareTest(`${port}: requests on many connections whose answers are not read`, {
+	test(`${port}: requests on many connections whose answers are not read`, checkScenario, {
 		limits: smallHeap, port, isPausedWhileSending: true,
 		createCrowd: ({site, target}) => createUnreadCrowd({
 			target, connections: 400, requestsPerConnection: 100, request: `GET ${getPath(site)} HTTP/1.1\r\n${formatHeaders(site)}\r\n`,
@@ -110,7 +86,7 @@
 }
 
 // Guards against reads that are kept for clients that have closed their connections.
-declareTest('callers: reads whose client resets the connection at once', {
+test('callers: reads whose client resets the connection at once', checkScenario, {
 	limits: smallHeap, port: Port.Callers,
 	createCrowd: ({site, target}) => createLeavingCrowd({
 		target, connections: 4000, getRequest: index => `GET ${site.jobPrefix}${formatJobId(index)} HTTP/1.1\r\n${formatHeaders(site)}\r\n`,
@@ -118,7 +94,7 @@
 });
 
 // Guards against submissions that are kept for clients that have closed their connections.
-declareTest('callers: submissions whose client resets the connection at once', {
+test('callers: submissions whose client resets the connection at once', checkScenario, {
 	limits: smallHeap, port: Port.Callers,
 	createCrowd: ({site, target}) => createLeavingCrowd({
 		target, connections: 1000,
