--- a/packages/common/http-client/src/connection.ts
+++ b/packages/common/http-client/src/connection.ts
@@ -8,7 +8,6 @@
 export type HttpConnection = {
 	/** Fails with `NotSent` once the connection has closed. Connects on the first call. A call that fails after it was sent closes the connection. */
 	call(call: Omit<HttpCall, 'address'>): Promise<Result<HttpResponse, HttpFailure>>;
-	isClosed(): boolean;
 	close(): void;
 };
 
@@ -75,7 +74,6 @@
 
 			return result;
 		},
-		isClosed: () => isClosed,
 		close,
 	};
 };
--- a/packages/common/http-client/src/index.ts
+++ b/packages/common/http-client/src/index.ts
@@ -16,8 +16,6 @@
 	call(call: HttpCall): Promise<Result<HttpResponse, HttpFailure>>;
 	/** A connection of its own, which the other calls do not use. */
 	openConnection(options: {readonly address: string; readonly onClosed: () => void}): HttpConnection;
-	/** Closes the connections to an address that is no longer used. */
-	disconnect(address: string): void;
 	close(): void;
 };
 
@@ -51,12 +49,6 @@
 		return pool;
 	};
 
-	const disconnect = (address: string): void => {
-		const pool = pools.get(address);
-		pools.delete(address);
-		void pool?.destroy();
-	};
-
 	return {
 		async call({address, ...call}) {
 			return dispatchCall((request, handler) => getPool(address).dispatch(request, handler), call);
@@ -72,12 +64,13 @@
 			connections.add(connection);
 			return connection;
 		},
-		disconnect,
 		close() {
-			for (const address of pools.keys()) {
-				disconnect(address);
+			for (const pool of pools.values()) {
+				void pool.destroy();
 			}
 
+			pools.clear();
+
 			for (const connection of connections) {
 				connection.close();
 			}
