--- a/packages/common/http-client/src/connection-pool.ts
+++ b/packages/common/http-client/src/connection-pool.ts
@@ -1,7 +1,7 @@
 /**
  * Connections to the address of a server whose process may be replaced by another one. A call that
- * is meant for one process travels on a connection on which that process has answered: the
- * connection ends with it.
+ * is meant for one process is sent on a connection on which that process has answered, since a
+ * connection ends with its process.
  */
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
