HTTP listeners: one way to find the newest request, and a name for bodies that are left unread

Two places found the newest request of a connection, and body-budget had a function of the same name as one of http-server that did the opposite with the rest of a body (paused it instead of reading it). The option connections says that it is for calls only.

--- a/packages/common/http-client/src/index.ts
+++ b/packages/common/http-client/src/index.ts
@@ -20,7 +20,7 @@
 };
 
 export type HttpClientOptions = {
-	/** Maximum number of connections to one address. */
+	/** Maximum number of connections to one address for `call`. */
 	readonly connections: number;
 	/** Shorter than the deadlines of the calls, so that a failed connect is distinguished from a late response. */
 	readonly connectTimeoutMilliseconds: number;
--- a/packages/common/http-server/src/body-budget.ts
+++ b/packages/common/http-server/src/body-budget.ts
@@ -58,14 +58,14 @@
 	};
 
 	/** Leaves the rest of a body unread, so that the connection closes after the response. */
-	const closeAfterResponse = ({request, response}: Exchange): void => {
+	const leaveUnread = ({request, response}: Exchange): void => {
 		request.pause();
 		response?.setHeader('connection', 'close');
 	};
 
 	const discardRest = (exchange: Exchange): void => {
 		if (discardedBodies >= maximumDiscardedBodies) {
-			closeAfterResponse(exchange);
+			leaveUnread(exchange);
 			return;
 		}
 
@@ -104,7 +104,7 @@
 			while (isExceededBy(exchange, announcedBytes)) {
 				onExceeded();
 				if (!refuseOldestSlow()) {
-					closeAfterResponse(exchange);
+					leaveUnread(exchange);
 					return {type: 'refused'};
 				}
 			}
@@ -116,7 +116,7 @@
 					refuse() {
 						stop();
 						release(exchange);
-						closeAfterResponse(exchange);
+						leaveUnread(exchange);
 						resolve({type: 'refused'});
 					},
 					receivedBytes: 0, receivedAtCheck: 0, isSlow: false,
--- a/packages/common/http-server/src/client-checks.ts
+++ b/packages/common/http-server/src/client-checks.ts
@@ -1,5 +1,6 @@
 /** Finds the clients that do not send the rest of a request or do not read their responses. */
 import type {Connection, Exchange} from './exchange.js';
+import {findNewestExchange} from './exchange.js';
 import type {HttpServerLimits} from './limits.js';
 import {HttpLimit} from './limits.js';
 
@@ -30,8 +31,7 @@
 
 	return connection => {
 		connection.unreadChecks = connection.socket.writableLength > 0 ? connection.unreadChecks + 1 : 0;
-		// Only the last request can be incomplete.
-		const newest = [...connection.exchanges].at(-1);
+		const newest = findNewestExchange(connection);
 		if (newest === undefined || newest.isLongLived) {
 			return undefined;
 		}
--- a/packages/common/http-server/src/exchange.ts
+++ b/packages/common/http-server/src/exchange.ts
@@ -31,10 +31,13 @@
 	unreadChecks: number;
 };
 
+/** Only the last request of a connection can be incomplete. */
+export const findNewestExchange = ({exchanges}: Connection): Exchange | undefined => [...exchanges].at(-1);
+
 /** Whether the connection waits for its client: for the rest of a request, or for responses to be read. */
-export const isDelayedByClient = ({socket, exchanges}: Connection): boolean => {
-	const newest = [...exchanges].at(-1);
-	return newest !== undefined && !newest.isLongLived && (!newest.request.complete || socket.writableLength > 0);
+export const isDelayedByClient = (connection: Connection): boolean => {
+	const newest = findNewestExchange(connection);
+	return newest !== undefined && !newest.isLongLived && (!newest.request.complete || connection.socket.writableLength > 0);
 };
 
 export type RequestFactory = {
