--- a/packages/jobs/job-service/src/worker-session.ts
+++ b/packages/jobs/job-service/src/worker-session.ts
@@ -68,6 +68,11 @@
 		cancelPause = undefined;
 	};
 
+	const pauseBeforeRetry = async (): Promise<void> => {
+		await pause(retryDelay);
+		retryDelay = Math.min(longestRetryMilliseconds, retryDelay * 2);
+	};
+
 	/** False until the current process of the worker has responded. Its clock and the numbers of its ended runs start anew. */
 	const hasCurrentReading = (): boolean => clockReading !== undefined && clockReading.incarnation === worker.incarnation;
 
@@ -125,8 +130,7 @@
 				worker.unansweredCalls += 1;
 				onCallFailed(worker, failure.message);
 				onChange();
-				await pause(retryDelay);
-				retryDelay = Math.min(longestRetryMilliseconds, retryDelay * 2);
+				await pauseBeforeRetry();
 			}
 		}
 	};
@@ -160,8 +164,7 @@
 		if (!applyResponse(response.value)) {
 			// The first such response may have been on its way when the worker was replaced.
 			if (hasEarlierResponse) {
-				await pause(retryDelay);
-				retryDelay = Math.min(longestRetryMilliseconds, retryDelay * 2);
+				await pauseBeforeRetry();
 			}
 
 			hasEarlierResponse = true;
