--- a/packages/tools/client-limits/src/instance.ts
+++ b/packages/tools/client-limits/src/instance.ts
@@ -104,8 +104,9 @@
 	closeSync(log);
 
 	let peak: Usage = {peakResidentKilobytes: 0, descriptors: 0, sockets: 0};
+	const readCurrentUsage = (): Usage | undefined => child.pid === undefined ? undefined : readUsage(child.pid);
 	const sample = (): void => {
-		const usage = child.pid === undefined ? undefined : readUsage(child.pid);
+		const usage = readCurrentUsage();
 		if (usage) {
 			peak = {
 				peakResidentKilobytes: Math.max(peak.peakResidentKilobytes, usage.peakResidentKilobytes),
@@ -125,7 +126,7 @@
 	process.once('exit', killAll);
 	return {
 		site, getExit,
-		countSockets: () => (child.pid === undefined ? undefined : readUsage(child.pid))?.sockets ?? 0,
+		countSockets: () => readCurrentUsage()?.sockets ?? 0,
 		measure() {
 			sample();
 			return peak;
