--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -65,6 +65,7 @@
 	OwnershipLost = 8532,
 	OwnerSeen = 8533,
 	OwnerDelayed = 8534,
+	ElectionEnded = 8537,
 	WaveStep = 8535,
 	MachineMoved = 8536,
 	RecordUnreadable = 8541,
@@ -366,6 +367,11 @@
 		message: 'The owner of the jobs has not planned for some time',
 		action: 'Look for pauses of this process, and for processor time near the limit of its machine.',
 	},
+	[LogEvent.ElectionEnded]: {
+		level: LogLevel.Information,
+		message: 'This instance has not become the owner of the jobs in an election',
+		action: 'If no instance owns the jobs, look at the outcome: with unavailable and interrupted look for an outage of the store.',
+	},
 	[LogEvent.WaveStep]: {
 		level: LogLevel.Information,
 		message: 'A step of a maintenance wave was decided',
--- a/packages/jobs/job-service/src/index.ts
+++ b/packages/jobs/job-service/src/index.ts
@@ -24,4 +24,4 @@
 export {createHttpPeerTransport} from './peer-transport.js';
 export type {OwnerRecord} from './records.js';
 export type {JobService, ServiceLog} from './service.js';
-export {createJobService} from './service.js';
+export {createJobService, ElectionOutcome} from './service.js';
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -30,10 +30,25 @@
 /** The configuration is confirmed every 0.8 s while the store can be reached. */
 const reachableAgeMilliseconds = 1500;
 
+/** Why an instance has not become the owner in an election. */
+export enum ElectionOutcome {
+	/** The election was skipped, since an earlier one is not over. */
+	Pending = 'pending',
+	/** There is no configuration yet. */
+	Unconfigured = 'unconfigured',
+	/** Another instance owns the jobs, or has become the owner meanwhile. */
+	Taken = 'taken',
+	/** The store did not answer, or rejected a call. */
+	Unavailable = 'unavailable',
+	/** The ownership was lost while the stored jobs were being read. */
+	Interrupted = 'interrupted',
+}
+
 export type ServiceLog = OwnerLog & AdmissionLog & {
 	ownershipGained(epoch: number): void;
 	ownershipLost(epoch: number, reason: string): void;
 	ownerChanged(owner: OwnerRecord | undefined): void;
+	electionEnded(outcome: ElectionOutcome, message?: string): void;
 	configurationApplied(version: number): void;
 	configurationUnreadable(key: string): void;
 	peerCallFailed(address: string, message: string): void;
@@ -105,7 +120,12 @@
 	const tryAcquireOwnership = async (): Promise<void> => {
 		const current = configuration.current();
 		const isTaken = owner !== undefined || (knownOwner !== undefined && knownOwner.instance !== instance);
-		if (isStopping || isAcquiring || isTaken || !current) {
+		if (isStopping || isTaken) {
+			return;
+		}
+
+		if (isAcquiring || !current) {
+			log.electionEnded(isAcquiring ? ElectionOutcome.Pending : ElectionOutcome.Unconfigured);
 			return;
 		}
 
@@ -115,6 +135,12 @@
 		});
 		if (acquired.type !== 'acquired') {
 			isAcquiring = false;
+			if (acquired.type === 'taken') {
+				log.electionEnded(ElectionOutcome.Taken);
+			} else {
+				log.electionEnded(ElectionOutcome.Unavailable, acquired.message);
+			}
+
 			scheduleElection(electionRetryMilliseconds);
 			return;
 		}
@@ -169,6 +195,7 @@
 		isAcquiring = false;
 		if (isLost) {
 			created?.end();
+			log.electionEnded(ElectionOutcome.Interrupted);
 		} else if (created) {
 			owner = created;
 			owner.setConfiguration(configuration.current() ?? current);
--- a/packages/tools/experiment/src/simulation-log.ts
+++ b/packages/tools/experiment/src/simulation-log.ts
@@ -80,6 +80,9 @@
 		ownerChanged(owner) {
 			write('owner-seen', owner?.instance ?? 'none');
 		},
+		electionEnded(outcome, message = '') {
+			write('election-ended', `${outcome} ${message}`);
+		},
 		configurationApplied(version) {
 			write('configuration', String(version));
 		},
