--- a/packages/common/telemetry/src/log-events.ts
+++ b/packages/common/telemetry/src/log-events.ts
@@ -65,7 +65,8 @@
 	OwnershipLost = 8532,
 	OwnerSeen = 8533,
 	OwnerDelayed = 8534,
-	ElectionEnded = 8537,
+	ElectionFailed = 8537,
+	OwnerMissing = 8538,
 	WaveStep = 8535,
 	MachineMoved = 8536,
 	RecordUnreadable = 8541,
@@ -367,10 +368,15 @@
 		message: 'The owner of the jobs has not planned for some time',
 		action: 'Look for pauses of this process, and for processor time near the limit of its machine.',
 	},
-	[LogEvent.ElectionEnded]: {
+	[LogEvent.ElectionFailed]: {
 		level: LogLevel.Information,
-		message: 'This instance has not become the owner of the jobs in an election',
-		action: 'If no instance owns the jobs, look at the outcome: with unavailable and interrupted look for an outage of the store.',
+		message: 'An attempt of this instance to become the owner of the jobs has failed',
+		action: 'None with the outcome taken. With unavailable look for an outage of the store; the instance tries again.',
+	},
+	[LogEvent.OwnerMissing]: {
+		level: LogLevel.Warning,
+		message: 'This instance has known no owner of the jobs for some time, so none of them starts',
+		action: 'Look at what it waits for. Each of them ends with the outage of the store; if the store answers, report it.',
 	},
 	[LogEvent.WaveStep]: {
 		level: LogLevel.Information,
--- a/packages/tools/experiment/src/main.ts
+++ b/packages/tools/experiment/src/main.ts
@@ -4,11 +4,11 @@
 import {parseArgs} from 'node:util';
 import type {Load, SimulationResult, SimulationPolicy} from './index.js';
 import {
-	createRandom, drawFaults, runEvacuationSchedule, runRestartSchedule, runSchedule, runSimulation, runWaveSchedule, smallLoad, rotatingPeaksLoad, defaultPolicy,
+	createRandom, drawFaults, runEvacuationSchedule, runRestartSchedule, runSchedule, runSimulation, runTakeoverSchedule, runWaveSchedule, smallLoad, rotatingPeaksLoad, defaultPolicy,
 } from './index.js';
 
 const usage = `Usage: npm run experiment -- [--load turns|small] [--policy NAME]... [--seeds N] [--faults N] [--json]
-       npm run experiment -- --schedules N [--evacuations|--waves|--restarts] [--from SEED] [--json]
+       npm run experiment -- --schedules N [--evacuations|--waves|--restarts|--takeovers] [--from SEED] [--json]
 Policies: usual, long-lease, five-instances, two-instances, dispatchers.
 Schedules run under the first policy.
 `;
@@ -41,6 +41,7 @@
 				evacuations: {type: 'boolean', default: false},
 				waves: {type: 'boolean', default: false},
 				restarts: {type: 'boolean', default: false},
+				takeovers: {type: 'boolean', default: false},
 				from: {type: 'string', default: '1'},
 				json: {type: 'boolean', default: false},
 			},
@@ -103,6 +104,10 @@
 		return runRestartSchedule(seed, policy);
 	}
 
+	if (values.takeovers) {
+		return runTakeoverSchedule(seed, policy);
+	}
+
 	return values.waves ? runWaveSchedule(seed, policy) : runSchedule(seed, policy);
 };
 
--- a/packages/tools/experiment/src/schedules.ts
+++ b/packages/tools/experiment/src/schedules.ts
@@ -1,5 +1,7 @@
 /** Random fault schedules: a few faults of any kind at any time, some of them in close succession. */
+import {ownerLeaseMilliseconds} from '@turmericbay/job-service';
 import type {Fault, InstanceSelector} from './faults.js';
+import type {NetworkFault} from './network.js';
 import {longTaskLoad, smallLoad} from './load.js';
 import type {SimulationPolicy, SimulationResult} from './run-simulation.js';
 import {createRandom, runSimulation, defaultPolicy} from './run-simulation.js';
@@ -188,6 +190,47 @@
 	}).toSorted((left, right) => left.at - right.at);
 };
 
+/** The instances that are killed in a schedule with a takeover stay away. */
+const untilEndMilliseconds = 120_000;
+/** Time in which another instance takes over, while the store is slow, once the lease of a lost owner has expired. */
+const takeoverMilliseconds = 5000;
+
+/**
+ * All instances but one are lost and the store is slow; it fails at any request of the takeover, and again while the
+ * instance tries once more. Separate from `drawFaults`, as the evacuations are.
+ */
+export const drawTakeoverFaults = (random: () => number): Fault[] => {
+	const drawInteger = (low: number, high: number): number => Math.round(low + (random() * (high - low)));
+	const choose = <Value>(values: readonly Value[]): Value => values[Math.floor(random() * values.length)]!;
+	const lostAt = drawInteger(1000, 6000);
+	const faults: Fault[] = (['other', 'owner'] as const).map(target => ({
+		type: 'kill', at: lostAt, milliseconds: untilEndMilliseconds, target,
+	}));
+	const addStoreFault = (at: number, milliseconds: number, effect: NetworkFault['effect'], share: number): number => {
+		faults.push({
+			type: 'store', at, milliseconds, target: 'all', effect, share,
+		});
+		return at + milliseconds;
+	};
+
+	let slowSince = lostAt;
+	let earliestFailure = lostAt + ownerLeaseMilliseconds;
+	for (let failure = 0; failure < 2; failure += 1) {
+		// The store is not slow meanwhile: the fault that begins first decides on the effect.
+		const failsAt = earliestFailure + drawInteger(0, takeoverMilliseconds);
+		addStoreFault(slowSince, failsAt - slowSince, 'slow', 1);
+		slowSince = addStoreFault(failsAt, drawInteger(300, 4400), choose(['cut', 'cut', 'refuse', 'lose', 'late']), choose([0.5, 1, 1]));
+		earliestFailure = slowSince;
+	}
+
+	return faults;
+};
+
+/** Runs the schedule of a seed in which the last instance takes over while the store fails. */
+export const runTakeoverSchedule = async (seed: number, policy: SimulationPolicy = defaultPolicy): Promise<SimulationResult> => runSimulation({
+	load: smallLoad, faults: drawTakeoverFaults(createRandom(seed * faultSeedFactor)), seed, ...policy,
+});
+
 /** Runs the schedule of a seed in which workers restart under their names. */
 export const runRestartSchedule = async (seed: number, policy: SimulationPolicy = defaultPolicy): Promise<SimulationResult> => runSimulation({
 	load: longTaskLoad, faults: drawRestartFaults(createRandom(seed * faultSeedFactor)), seed, ...policy,
--- a/packages/tools/experiment/src/simulation-log.ts
+++ b/packages/tools/experiment/src/simulation-log.ts
@@ -80,8 +80,11 @@
 		ownerChanged(owner) {
 			write('owner-seen', owner?.instance ?? 'none');
 		},
-		electionEnded(outcome, message = '') {
-			write('election-ended', `${outcome} ${message}`);
+		electionFailed(outcome) {
+			write('election-failed', outcome);
+		},
+		ownerMissing(milliseconds, waitsFor) {
+			write('owner-missing', {milliseconds, waitsFor});
 		},
 		configurationApplied(version) {
 			write('configuration', String(version));
