Watches: report changes that arrive before the list of all keys after it

The list may be read before a change and answered after it, since responses overtake each other, and was then applied over it. An instance that saw the owner's key deleted took the old owner for present again, for good, since no other change followed; with all instances it would have ended in jobs that nobody schedules.

Change: changes that arrive before the list are kept and reported after it. Some may be older than the list; the ones that follow set them right, since a watch leaves none out.

--- a/packages/jobs/job-service/src/watch-prefix.ts
+++ b/packages/jobs/job-service/src/watch-prefix.ts
@@ -45,6 +45,16 @@
 	let watch: WatchHandle | undefined;
 	let retry: NodeJS.Timeout | undefined;
 	let retryDelay = firstRetryMilliseconds;
+	/** Changes that arrived before the list of all keys, which may be older; undefined once that has been reported. */
+	let pendingChanges: Array<() => void> | undefined;
+
+	const report = (change: () => void): void => {
+		if (pendingChanges) {
+			pendingChanges.push(change);
+		} else {
+			change();
+		}
+	};
 
 	const restart = (error: StoreError): void => {
 		watch?.stop();
@@ -69,6 +79,11 @@
 
 		retryDelay = firstRetryMilliseconds;
 		onSnapshot(entries.value);
+		const changes = pendingChanges ?? [];
+		pendingChanges = undefined;
+		for (const change of changes) {
+			change();
+		}
 	};
 
 	const open = (): void => {
@@ -76,16 +91,21 @@
 			return;
 		}
 
+		pendingChanges = onOpened ? undefined : [];
 		const opened: WatchHandle = store.watch({
 			prefix,
 			onChange(entries) {
 				if (watch === opened) {
-					onChange(entries);
+					report(() => {
+						onChange(entries);
+					});
 				}
 			},
 			onDelete(keys) {
 				if (watch === opened) {
-					onDelete(keys);
+					report(() => {
+						onDelete(keys);
+					});
 				}
 			},
 			// Listing after the watch has started ensures that no change is missed in between.
