Call workers that close each connection after a response

Cause: since a call for one process of a worker is sent only on a connection on which that process has answered. Such a connection has closed by then.

Change: if a connection has closed directly after its first response, the pool opens the connection for a call first and asks which process answers on another one. What accepted the first is that process or an earlier one, which has ended, and its connections with it: the call reaches the process that it is meant for, or none, as before. The call that meets the closed connection has not been sent and is made once more. Once a connection carries a second response, the pool asks on the call's own connection again, so workers that keep connections get no further ones.

--- a/packages/common/http-client/src/connection-pool.ts
+++ b/packages/common/http-client/src/connection-pool.ts
@@ -1,12 +1,14 @@
 /**
- * Connections to the address of a server whose process may be replaced by another one. A call that
- * is meant for one process is sent on a connection on which that process has answered, since a
- * connection ends with its process.
+ * Connections to the address of a server whose process may be replaced by another one. A connection
+ * ends with its process, so a call that is meant for one process is sent on a connection on which
+ * that process has answered. If the server closes each connection after a response, it is sent on
+ * one that was open before the process answered on another: only that process or an earlier one,
+ * which has ended, can have accepted it.
  */
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {HttpConnection} from './connection.js';
-import type {HttpFailure} from './http-call.js';
+import type {HttpCall, HttpFailure, HttpResponse} from './http-call.js';
 import {HttpFailureKind} from './http-call.js';
 
 /** Asks on a new connection which process answers there, by a call that is harmless to any of them. */
@@ -15,7 +17,10 @@
 /** A connection that is reserved for one call. */
 export type PooledConnection = {
 	readonly connection: HttpConnection;
-	/** The process that has answered on the connection; undefined if none has. */
+	/** Fails with `NotSent` if the connection has closed since its last response; then `isStale` is true, and another connection can be acquired for the call. */
+	call(call: Omit<HttpCall, 'address'>): Promise<Result<HttpResponse, HttpFailure>>;
+	isStale(): boolean;
+	/** The process that the connection reaches; undefined if that is not known. */
 	process(): number | undefined;
 	setProcess(process: number | undefined): void;
 	/** Returns the connection to the pool. */
@@ -29,7 +34,7 @@
 	close(): void;
 };
 
-type Entry = {readonly connection: HttpConnection; process: number | undefined; isReserved: boolean};
+type Entry = {readonly connection: HttpConnection; process: number | undefined; isReserved: boolean; responses: number; isStale: boolean};
 
 type Identification = {readonly process: number; readonly deadline: number; readonly identify: IdentifyProcess};
 
@@ -48,6 +53,8 @@
 	/** Calls that wait for a connection, the longest waiting first. */
 	const waiting = new Set<() => void>();
 	let isClosed = false;
+	/** False if the server has closed a connection directly after a response, until one carries a second response. */
+	let keepsConnections = true;
 
 	const wakeNext = (): void => {
 		const [wake] = waiting;
@@ -72,7 +79,9 @@
 			entries.delete(entry);
 			wakeNext();
 		});
-		const entry: Entry = {connection, process: undefined, isReserved: true};
+		const entry: Entry = {
+			connection, process: undefined, isReserved: true, responses: 0, isStale: false,
+		};
 		entries.add(entry);
 		return entry;
 	};
@@ -86,6 +95,19 @@
 		entry.isReserved = true;
 		return {
 			connection: entry.connection,
+			async call(call) {
+				const result = await entry.connection.call(call);
+				if (result.isOk()) {
+					entry.responses += 1;
+					keepsConnections ||= entry.responses > 1;
+				} else if (result.error.kind === HttpFailureKind.NotSent && entry.responses > 0) {
+					entry.isStale = true;
+					keepsConnections &&= entry.responses > 1;
+				}
+
+				return result;
+			},
+			isStale: () => entry.isStale,
 			process: () => entry.process,
 			setProcess(process) {
 				entry.process = process;
@@ -98,6 +120,25 @@
 
 	const findIdle = (isSuitable: (entry: Entry) => boolean): Entry | undefined => [...entries].find(entry => !entry.isReserved && isSuitable(entry));
 
+	const identifyOn = async (entry: Entry, identify: IdentifyProcess): Promise<Result<number | undefined, HttpFailure>> => {
+		const identified = await identify(entry.connection, identificationTimeoutMilliseconds);
+		entry.responses += identified.isOk() ? 1 : 0;
+		return identified;
+	};
+
+	/** Opens the connection, then asks on another one. */
+	const identifyBeside = async (entry: Entry, identify: IdentifyProcess): Promise<Result<number | undefined, HttpFailure>> => {
+		const connected = await entry.connection.connect();
+		if (connected.isErr()) {
+			return err(connected.error);
+		}
+
+		const other = open(() => undefined);
+		const identified = await identify(other, identificationTimeoutMilliseconds);
+		other.close();
+		return identified;
+	};
+
 	/** Hands the connection out if `process` has answered on it by the deadline. Otherwise it returns to the pool once any process has. */
 	const identifyUntil = async (entry: Entry, {process, deadline, identify}: Identification): Promise<Result<PooledConnection, HttpFailure>> =>
 		new Promise(resolve => {
@@ -107,7 +148,7 @@
 				resolve(err(notSent('the process behind the address was not known before the deadline')));
 			}, Math.max(1, deadline - now()));
 			const finish = async (): Promise<void> => {
-				const identified = await identify(entry.connection, identificationTimeoutMilliseconds);
+				const identified = await (keepsConnections ? identifyOn : identifyBeside)(entry, identify);
 				clearTimeout(timer);
 				if (identified.isErr()) {
 					entry.connection.close();
--- a/packages/common/http-client/test/connection-pool.test.ts
+++ b/packages/common/http-client/test/connection-pool.test.ts
@@ -10,7 +10,7 @@
 const deadlineMilliseconds = 20_000;
 
 /** A server whose process has a number, and records the paths of its calls. Calls of `/wait` are not answered, those of `/held` once `answerHeld` has been called. */
-const startProcess = async (t: ExecutionContext, number: number, port = 0) => {
+const startProcess = async (t: ExecutionContext, number: number, port = 0, closesConnections = false) => {
 	const calls: string[] = [];
 	let answerHeld: () => void = () => undefined;
 	const mayAnswerHeld = new Promise<void>(resolve => {
@@ -18,6 +18,10 @@
 	});
 	const server: Server = createServer((request, response) => {
 		calls.push(request.url ?? '');
+		if (closesConnections) {
+			response.setHeader('connection', 'close');
+		}
+
 		if (request.url === '/held') {
 			void mayAnswerHeld.then(() => response.end(JSON.stringify({number})));
 		} else if (request.url !== '/wait') {
@@ -185,3 +189,58 @@
 	t.is(next.process(), 1);
 	t.deepEqual(calls, ['/held']);
 });
+
+/** Acquires a connection that is stale, and then the one for the call itself. */
+const acquireFresh = async (acquire: (process: number) => Promise<PooledConnection>): Promise<PooledConnection> => {
+	const stale = await acquire(1);
+	const failed = await stale.call({method: 'GET', path: '/stale', timeoutMilliseconds: deadlineMilliseconds});
+	stale.release();
+	return failed.isErr() && stale.isStale() ? acquire(1) : stale;
+};
+
+// Guards against a worker that gets no calls: it closes each connection after a response, and the identification took the only one.
+test('a call reaches a server that closes each connection after a response', async t => {
+	const {port, calls} = await startProcess(t, 1, 0, true);
+	const {acquire} = createPool(t, port);
+	const first = await acquireFresh(acquire);
+	const answered = await first.call({method: 'GET', path: '/a', timeoutMilliseconds: deadlineMilliseconds});
+	t.true(answered.isOk());
+	first.release();
+	const second = await acquire(1);
+	const answeredAgain = await second.call({method: 'GET', path: '/b', timeoutMilliseconds: deadlineMilliseconds});
+	t.true(answeredAgain.isOk());
+	t.deepEqual(calls, ['/identify', '/identify', '/a', '/identify', '/b']);
+});
+
+// Guards against a worker that executes a call for its previous process, which closed each connection after a response.
+test('a call for a process that has ended is not sent to the next one if they close each connection after a response', async t => {
+	const first = await startProcess(t, 1, 0, true);
+	const {acquire, fail} = createPool(t, first.port);
+	const pooled = await acquireFresh(acquire);
+	await first.end();
+	const next = await startProcess(t, 2, first.port, true);
+	const failed = await pooled.call({method: 'GET', path: '/a', timeoutMilliseconds: deadlineMilliseconds});
+	t.true(failed.isErr());
+	pooled.release();
+	t.is(await fail(1), HttpFailureKind.NotSent);
+	t.deepEqual([first.calls, next.calls], [['/identify', '/identify'], ['/identify']]);
+});
+
+// Guards against twice as many connections to each worker as are needed: one of them was closed once while it was idle.
+test('a server that keeps connections again is not asked beside them any more', async t => {
+	const closing = await startProcess(t, 1, 0, true);
+	const {acquire} = createPool(t, closing.port);
+	const pooled = await acquireFresh(acquire);
+	pooled.connection.close();
+	await closing.end();
+	const keeping = await startProcess(t, 1, closing.port);
+	for (const path of ['/a', '/b', '/c']) {
+		// eslint-disable-next-line no-await-in-loop -- One call at a time.
+		const acquired = await acquire(1);
+		// eslint-disable-next-line no-await-in-loop -- One call at a time.
+		await acquired.call({method: 'GET', path, timeoutMilliseconds: deadlineMilliseconds});
+		acquired.release();
+	}
+
+	t.deepEqual(keeping.calls, ['/identify', '/a', '/b', '/c']);
+});
