Leases: reckon with the longest one if a later process may have taken a call

Where connections outlast it, as with a forwarder in between or a worker whose sockets are kept, tasks still ran twice: the next process took a heartbeat with a lease on the clock of the former one, held 10 s, was cut off, and went on while the owner, which reckoned with 3.8 s, started its tasks elsewhere.

Cause: the owner noted the expiry of a lease for the process that it meant, whichever process took the call, and never looked at what the outcome of the call tells of that.

Change: a lease knows the process that it is for, and takes the outcome of its call. If another process has answered, by its name or by a clock that has started anew, or if the call ends without an answer of the intended process after the next one is known, the owner reckons with the longest lease that workers take from then on. A start that another process has answered counts as unconfirmed until the run report tells. A call that ends with its connection does so before the next process is known, so crashed workers are given up no later than before.

--- a/packages/jobs/job-service/src/order-executor.ts
+++ b/packages/jobs/job-service/src/order-executor.ts
@@ -67,8 +67,8 @@
 			return;
 		}
 
-		const leaseExpiresAt = getSession(row.worker)?.grantLease();
-		if (leaseExpiresAt === undefined || !mayStart()) {
+		const lease = getSession(row.worker)?.grantLease();
+		if (lease === undefined || !mayStart()) {
 			// Not sent, since no lease can be granted or ownership is uncertain. Handled like a rejection, so that the task is placed again.
 			scheduler.recordStartOutcome(row, {type: 'rejected', reason: 'late'}, clock.now());
 			return;
@@ -78,14 +78,16 @@
 		row.isSent = true;
 		const started = await workerClient.start({
 			worker: describeTarget(row.worker, true), task: row.task.name, run: row.run, payload: row.task.step.job.declaration.payload,
-			leaseExpiresAt, fencingToken, checkpoint: row.task.checkpoint, ticket,
+			leaseExpiresAt: lease.expiresAt, fencingToken, checkpoint: row.task.checkpoint, ticket,
 		});
 		const now = clock.now();
+		const isConfirmed = lease.confirm(started);
 		if (started.isOk()) {
 			const {rejection, incarnation} = started.value;
-			if (rejection === undefined && isEarlierIncarnation(incarnation, worker)) {
-				// Started by a process that has ended since.
+			if (rejection === undefined && (!isConfirmed || isEarlierIncarnation(incarnation, worker))) {
+				// Started by another process than the one that the owner knows. The run report of that one tells.
 				scheduler.recordStartOutcome(row, {type: 'unknown'}, now);
+				getSession(worker)?.wake();
 			} else {
 				scheduler.recordStartOutcome(row, rejection === undefined ? {type: 'started'} : {type: 'rejected', reason: rejection}, now);
 			}
--- a/packages/jobs/job-service/src/owner.ts
+++ b/packages/jobs/job-service/src/owner.ts
@@ -57,6 +57,8 @@
 	readonly clock: Clock;
 	readonly configuration: () => Configuration;
 	readonly workerLeaseMilliseconds: number;
+	/** Longest lease that workers take. */
+	readonly maximumLeaseMilliseconds: number;
 	/** Time after which no task may start in a zone that the operator evacuates; undefined where zones are not evacuated. */
 	readonly evacuationMilliseconds: number | undefined;
 	/** How many times as long a task takes away from its preferred rack; 1 if undefined. */
@@ -69,7 +71,7 @@
 
 /** Returns undefined if the ownership was lost while the stored jobs were being read. */
 export const createOwner = async (options: OwnerOptions) => {
-	const {store, maximumValueBytes, recordCodec, ownership, leaseRenewal, adviceClient, machineClient, instance, clock, configuration, workerLeaseMilliseconds, evacuationMilliseconds, farFactor, getReachedTime, onLost, log} = options;
+	const {store, maximumValueBytes, recordCodec, ownership, leaseRenewal, adviceClient, machineClient, instance, clock, configuration, workerLeaseMilliseconds, maximumLeaseMilliseconds, evacuationMilliseconds, farFactor, getReachedTime, onLost, log} = options;
 	const tookOverAt = clock.now();
 	let isEnded = false;
 	let isLoaded = false;
@@ -131,7 +133,7 @@
 	const workers: OwnedWorkers = createOwnedWorkers({
 		scheduler, runRecords, recordCodec, workerClient, clock, tookOverAt, workerLeaseMilliseconds, onChange: requestTick, log,
 		createSession: worker => createWorkerSession({
-			worker, workerClient, scheduler, clock, fencingTokens, workerLeaseMilliseconds, mayExtendLeases, onFenced,
+			worker, workerClient, scheduler, clock, fencingTokens, workerLeaseMilliseconds, maximumLeaseMilliseconds, mayExtendLeases, onFenced,
 			persistChanges: jobs.persistChanges,
 			onChange: requestTick,
 			onCallFailed: log.workerCallFailed,
--- a/packages/jobs/job-service/src/service.ts
+++ b/packages/jobs/job-service/src/service.ts
@@ -55,6 +55,8 @@
 	/** Processor cores that this process may use; may be a fraction. */
 	readonly cores: number;
 	readonly workerLeaseMilliseconds: number;
+	/** Longest lease that workers take. */
+	readonly maximumLeaseMilliseconds: number;
 	/** Time after which no task may start in a zone that the operator evacuates; undefined where zones are not evacuated. */
 	readonly evacuationMilliseconds: number | undefined;
 	/** How many times as long a task takes away from its preferred rack; 1 if unknown. */
@@ -63,7 +65,7 @@
 	readonly largestDirectFleet?: number;
 	readonly log: ServiceLog;
 }) => {
-	const {instance, zone, peers, maximumValueBytes, recordCodec, workerClient, adviceClient, machineClient, clock, random, cores, workerLeaseMilliseconds, evacuationMilliseconds, farFactor, log} = options;
+	const {instance, zone, peers, maximumValueBytes, recordCodec, workerClient, adviceClient, machineClient, clock, random, cores, workerLeaseMilliseconds, maximumLeaseMilliseconds, evacuationMilliseconds, farFactor, log} = options;
 	const {address} = peers;
 	const {store, health} = monitorStore(options);
 	let knownOwner: OwnerRecord | undefined;
@@ -95,7 +97,7 @@
 		createOwner: async period => createOwner({
 			...period, store, maximumValueBytes, recordCodec, workerClient, openDispatchChannel: peers.openDispatchChannel, adviceClient, machineClient, instance, clock,
 			...(options.largestDirectFleet !== undefined && {largestDirectFleet: options.largestDirectFleet}),
-			workerLeaseMilliseconds, evacuationMilliseconds, farFactor, getReachedTime: revisionTimes.getReachedTime, log,
+			workerLeaseMilliseconds, maximumLeaseMilliseconds, evacuationMilliseconds, farFactor, getReachedTime: revisionTimes.getReachedTime, log,
 		}),
 		onGained: dispatchServer.observeEpoch,
 		onLost(epoch) {
--- a/packages/jobs/job-service/src/worker-session.ts
+++ b/packages/jobs/job-service/src/worker-session.ts
@@ -1,6 +1,7 @@
 /** Heartbeat loop of the owner with one worker: extends its lease, applies its run reports, and acknowledges ended runs once they are stored. */
 import type {Scheduler, WorkerRow} from '@turmericbay/scheduler';
 import {computeLatestLeaseExpiry, isEarlierIncarnation} from '@turmericbay/scheduler';
+import type {Result} from 'neverthrow';
 import type {FencingTokens} from './fencing-tokens.js';
 import {describeTarget} from './worker-target.js';
 import type {
@@ -18,14 +19,27 @@
 /** Longest wait for the store before the next heartbeat is sent without acknowledging the new ended runs. */
 const persistWaitMilliseconds = 400;
 
+/** A lease for the process of the worker that the owner knows. */
+export type LeaseGrant = {
+	/** On the clock of that process. */
+	readonly expiresAt: number;
+	/**
+	 * Takes the outcome of the call that carried the lease. Returns false if a later process may have executed it, over a
+	 * connection that has outlasted the former one: by its own clock that process may hold the longest lease that workers take.
+	 */
+	confirm(outcome: Result<WorkerResponse, WorkerCallError>): boolean;
+};
+
 export type WorkerSession = {
-	/** Returns the expiry of a lease granted now, on the worker's clock, and records it as possibly granted. Returns undefined until the current process of the worker has responded once. */
-	grantLease(): number | undefined;
+	/** Grants a lease from now on, and records it as possibly granted. Returns undefined until the current process of the worker has responded once. */
+	grantLease(): LeaseGrant | undefined;
 	/** Requests a run report at once, without waiting for the end of a retry delay or of a long poll. */
 	wake(): void;
 	end(): void;
 };
 
+type ClockReading = {readonly clockMilliseconds: number; readonly at: number; readonly incarnation: number | undefined};
+
 export const createWorkerSession = (options: {
 	readonly worker: WorkerRow;
 	readonly workerClient: WorkerClient;
@@ -33,6 +47,8 @@
 	readonly clock: Clock;
 	readonly fencingTokens: FencingTokens;
 	readonly workerLeaseMilliseconds: number;
+	/** The worker shortens longer leases to this. */
+	readonly maximumLeaseMilliseconds: number;
 	/** False once the owner's own lease is too old for leases of workers to be extended. */
 	readonly mayExtendLeases: () => boolean;
 	/** Resolves once all changes that the scheduler has made so far are stored. */
@@ -44,10 +60,10 @@
 	/** Called when the worker process of this session has ended. */
 	readonly onGone: (worker: WorkerRow) => void;
 }): WorkerSession => {
-	const {worker, workerClient, scheduler, clock, fencingTokens, workerLeaseMilliseconds, mayExtendLeases, persistChanges, onFenced, onChange, onCallFailed, onRecovered, onGone} = options;
+	const {worker, workerClient, scheduler, clock, fencingTokens, workerLeaseMilliseconds, maximumLeaseMilliseconds, mayExtendLeases, persistChanges, onFenced, onChange, onCallFailed, onRecovered, onGone} = options;
 	let isEnded = false;
 	/** The worker's clock at the local time `at`, from the newest response. */
-	let clockReading: {readonly clockMilliseconds: number; readonly at: number; readonly incarnation: number | undefined} | undefined;
+	let clockReading: ClockReading | undefined;
 	/** Sequence number of the last stored ended run of the process that `clockReading` is from. */
 	let persistedSequence = 0;
 	let retryDelay = firstRetryMilliseconds;
@@ -90,16 +106,42 @@
 		return true;
 	};
 
-	const grantLease = (): number | undefined => {
-		if (!clockReading || !hasCurrentReading()) {
+	const recordLease = (now: number, leaseMilliseconds: number): void => {
+		worker.latestLeaseExpiry = Math.max(worker.latestLeaseExpiry, computeLatestLeaseExpiry({now, leaseMilliseconds}));
+	};
+
+	/** True unless a later process than that of the reading may have executed a call. */
+	const isFromProcess = (outcome: Result<WorkerResponse, WorkerCallError>, {incarnation, clockMilliseconds}: ClockReading): boolean => {
+		if (outcome.isOk()) {
+			// Responses to starts need not name the process, but the clock of the next one starts anew.
+			return (outcome.value.incarnation ?? incarnation) === incarnation && outcome.value.clockMilliseconds >= clockMilliseconds;
+		}
+
+		// A call that ends with its connection does so before the owner learns of the next process.
+		return outcome.error.kind === WorkerCallErrorKind.NotSent || worker.incarnation === incarnation;
+	};
+
+	const grantLease = (): LeaseGrant | undefined => {
+		const reading = clockReading;
+		if (!reading || !hasCurrentReading()) {
 			return undefined;
 		}
 
 		const now = clock.now();
 		// Recorded before the call is sent: it may be executed although its response is lost.
 		worker.leaseGrantedAt = now;
-		worker.latestLeaseExpiry = Math.max(worker.latestLeaseExpiry, computeLatestLeaseExpiry({now, leaseMilliseconds: workerLeaseMilliseconds}));
-		return Math.round(clockReading.clockMilliseconds + (now - clockReading.at) + workerLeaseMilliseconds);
+		recordLease(now, workerLeaseMilliseconds);
+		return {
+			expiresAt: Math.round(reading.clockMilliseconds + (now - reading.at) + workerLeaseMilliseconds),
+			confirm(outcome) {
+				const isConfirmed = isFromProcess(outcome, reading);
+				if (!isConfirmed) {
+					recordLease(clock.now(), maximumLeaseMilliseconds);
+				}
+
+				return isConfirmed;
+			},
+		};
 	};
 
 	const handleFailure = async (failure: WorkerCallError, fencingToken: number): Promise<void> => {
@@ -139,7 +181,7 @@
 		const sentAt = clock.now();
 		// After unanswered calls any process of the worker may respond. Its lease is not extended: it has to expire before its tasks can start elsewhere.
 		const isBound = worker.unansweredCalls === 0 && hasCurrentReading();
-		const leaseExpiresAt = isBound && mayExtendLeases() ? grantLease() : undefined;
+		const lease = isBound && mayExtendLeases() ? grantLease() : undefined;
 		const acknowledgedSequence = isBound ? persistedSequence : 0;
 		const fencingToken = fencingTokens.get(worker);
 		const appliedBefore = worker.lastAppliedSequence;
@@ -148,7 +190,7 @@
 			worker: describeTarget(worker, isBound),
 			fencingToken,
 			acknowledgedSequence,
-			leaseExpiresAt,
+			leaseExpiresAt: lease?.expiresAt,
 			waitMilliseconds: isBound ? (worker.runs.size > 0 ? busyLongPollMilliseconds : idleLongPollMilliseconds) : 0,
 		});
 		isLongPolling = false;
@@ -156,6 +198,7 @@
 			return;
 		}
 
+		lease?.confirm(response);
 		if (response.isErr()) {
 			await handleFailure(response.error, fencingToken);
 			return;
--- a/packages/jobs/job-service/test/order-executor.test.ts
+++ b/packages/jobs/job-service/test/order-executor.test.ts
@@ -22,7 +22,7 @@
 				return ok({clockMilliseconds: 10, incarnation: 1, rejection: undefined});
 			},
 		},
-		getSession: () => ({grantLease: () => 1000, wake: () => undefined, end: () => undefined}),
+		getSession: () => ({grantLease: () => ({expiresAt: 1000, confirm: () => true}), wake: () => undefined, end: () => undefined}),
 		async recordRun(row) {
 			await new Promise<void>(resolve => {
 				pendingRecords.push({row, stored: resolve});
--- a/packages/jobs/job-service/test/owner-evacuation.test.ts
+++ b/packages/jobs/job-service/test/owner-evacuation.test.ts
@@ -79,7 +79,7 @@
 	};
 	const clock = {now: () => performance.now(), wallNow: () => Date.now()};
 	const owner = await createOwner({
-		store, maximumValueBytes: 1_048_576, workerClient, clock, adviceClient: undefined, machineClient: undefined, instance: 'i1', workerLeaseMilliseconds: 3500, evacuationMilliseconds: 5000, farFactor: undefined,
+		store, maximumValueBytes: 1_048_576, workerClient, clock, adviceClient: undefined, machineClient: undefined, instance: 'i1', workerLeaseMilliseconds: 3500, maximumLeaseMilliseconds: 10_000, evacuationMilliseconds: 5000, farFactor: undefined,
 		openDispatchChannel: () => ({send: () => undefined, bufferedBytes: () => 0, close: () => undefined}),
 		ownership: {epoch: 1, leaseId: 'lease-1', commitRevision: 1}, configuration: () => configuration, getReachedTime: () => undefined, onLost: () => undefined,
 		leaseRenewal: {
--- a/packages/jobs/job-service/test/owner-found-runs.test.ts
+++ b/packages/jobs/job-service/test/owner-found-runs.test.ts
@@ -112,7 +112,7 @@
 			await waitUntil(() => answers.get(worker)! >= reached);
 		},
 		createOwner: async (epoch: number, mayStart: () => boolean) => createOwner({
-			store, maximumValueBytes: 1_048_576, workerClient, clock, adviceClient: undefined, machineClient: undefined, instance: `i${epoch}`, workerLeaseMilliseconds: 3500,
+			store, maximumValueBytes: 1_048_576, workerClient, clock, adviceClient: undefined, machineClient: undefined, instance: `i${epoch}`, workerLeaseMilliseconds: 3500, maximumLeaseMilliseconds: 10_000,
 			evacuationMilliseconds: undefined, farFactor: undefined,
 			openDispatchChannel: () => ({send: () => undefined, bufferedBytes: () => 0, close: () => undefined}),
 			ownership: {epoch, leaseId: 'lease-1', commitRevision: revision}, configuration: () => configuration, getReachedTime: () => undefined, onLost: () => undefined,
--- a/packages/jobs/job-service/test/service.test.ts
+++ b/packages/jobs/job-service/test/service.test.ts
@@ -55,7 +55,7 @@
 	const service = createJobService({
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Counts the calls of each method.
 		log: new Proxy<Partial<ServiceLog>>({}, logHandler) as ServiceLog,
-		instance: 'i1', zone: 'north', store, maximumValueBytes: 1_048_576, workerLeaseMilliseconds: 3500, evacuationMilliseconds: undefined, cores: 100, random: () => 0, adviceClient: undefined, machineClient: undefined,
+		instance: 'i1', zone: 'north', store, maximumValueBytes: 1_048_576, workerLeaseMilliseconds: 3500, maximumLeaseMilliseconds: 10_000, evacuationMilliseconds: undefined, cores: 100, random: () => 0, adviceClient: undefined, machineClient: undefined,
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Only the members that the service uses without workers and waves.
 		recordCodec: recordCodec as PlatformRecordCodec, workerClient: workerClient as WorkerClient,
 		clock: {now: () => performance.now() + elapsed, wallNow: () => Date.now() + elapsed},
--- a/packages/jobs/job-service/test/worker-session.test.ts
+++ b/packages/jobs/job-service/test/worker-session.test.ts
@@ -45,7 +45,7 @@
 	let goneCount = 0;
 	const session = createWorkerSession({
 		worker, workerClient, scheduler, clock: {now: () => now, wallNow: () => now},
-		fencingTokens: createFencingTokens({epoch: 1, scheduler}), workerLeaseMilliseconds: 3500, mayExtendLeases: () => true,
+		fencingTokens: createFencingTokens({epoch: 1, scheduler}), workerLeaseMilliseconds: 3500, maximumLeaseMilliseconds: 10_000, mayExtendLeases: () => true,
 		persistChanges: async () => undefined, onChange: ignore, onCallFailed: ignore, onRecovered: ignore,
 		onFenced() {
 			fencedCount += 1;
@@ -147,7 +147,7 @@
 	t.is(session.grantLease(), undefined);
 	heartbeats[2]!.resolve(createResponse(20, 2));
 	await settle();
-	t.is(session.grantLease(), 3520);
+	t.is(session.grantLease()?.expiresAt, 3520);
 	session.end();
 });
 
@@ -178,7 +178,7 @@
 	t.is(heartbeats[2]!.request.worker.address, '10.0.0.2:80');
 	heartbeats[2]!.resolve(createResponse(20, 2));
 	await settle();
-	t.is(session.grantLease(), 3520);
+	t.is(session.grantLease()?.expiresAt, 3520);
 	heartbeats[1]!.resolve(err({kind: WorkerCallErrorKind.Gone, message: 'another worker'}));
 	await settle();
 	t.is(goneCount(), 0);
@@ -204,3 +204,38 @@
 	session.end();
 	t.true(heartbeats.length <= 3);
 });
+
+// Guards against two runs of a task: the next process of a worker held a longer lease than the owner reckoned with, by a call that the owner saw end only after it had learned of that process.
+test('a lease for a former process counts as the longest one if its call ends after the next process is known', async t => {
+	for (const [outcome, isReckoned] of [
+		[lostResponse, true],
+		[err({kind: WorkerCallErrorKind.Fenced, message: 'lower token'}), true],
+		[createResponse(20, 2), true],
+		[createResponse(600), false],
+		[err({kind: WorkerCallErrorKind.NotSent, message: 'no connection'}), false],
+	] as ReadonlyArray<readonly [HeartbeatResult, boolean]>) {
+		const {worker, heartbeats, session, listRestarted} = createFixture();
+		heartbeats[0]!.resolve(createResponse(500));
+		// eslint-disable-next-line no-await-in-loop -- One case after the other.
+		await settle();
+		t.not(heartbeats[1]!.request.leaseExpiresAt, undefined);
+		listRestarted();
+		heartbeats[1]!.resolve(outcome);
+		// eslint-disable-next-line no-await-in-loop -- As above.
+		await settle();
+		t.is(worker.latestLeaseExpiry > 1000 + 10_000, isReckoned);
+		session.end();
+	}
+});
+
+// Guards against tasks of a crashed worker that wait for a lease which nothing holds.
+test('a lease counts as it was granted if its call ends before another process is known', async t => {
+	const {worker, heartbeats, session} = createFixture();
+	heartbeats[0]!.resolve(createResponse(500));
+	await settle();
+	const {latestLeaseExpiry} = worker;
+	heartbeats[1]!.resolve(lostResponse);
+	await settle();
+	t.is(worker.latestLeaseExpiry, latestLeaseExpiry);
+	session.end();
+});
--- a/packages/tools/experiment/src/simulated-cluster.ts
+++ b/packages/tools/experiment/src/simulated-cluster.ts
@@ -28,6 +28,8 @@
 /** Bounds of the time that a worker process takes to be back after a task has crashed it. */
 const minimumRestartMilliseconds = 1500;
 const maximumRestartMilliseconds = 6000;
+/** Longest lease that workers take. */
+const maximumLeaseMilliseconds = 10_000;
 /** Wall clock at the start of virtual time, in milliseconds since the Unix epoch. */
 export const startWallMilliseconds = 1_800_000_000_000;
 /** Each pool has machines in all of them, if it has enough. */
@@ -91,7 +93,7 @@
 	const createModel = (id: string, machine: MachineRow): WorkerModel => createWorkerModel({
 		incarnation: Math.round(startWallMilliseconds + time.now()), capacity: {cpuMillis: options.cpuMillis, memoryMegabytes: 1_000_000, accelerators: 0},
 		enforcesCapacity: policies.pools.get(machine.pool)?.enforcesCapacity ?? true, startedAt: time.now(), clockRate: 0.98 + (random() * 0.02),
-		stopDurationMilliseconds: 200, gangTimeoutMilliseconds: 3000, checkpointIntervalMilliseconds: 2000, restoreCostMilliseconds: 600, maximumLeaseMilliseconds: 10_000,
+		stopDurationMilliseconds: 200, gangTimeoutMilliseconds: 3000, checkpointIntervalMilliseconds: 2000, restoreCostMilliseconds: 600, maximumLeaseMilliseconds,
 		gangs, createWork: options.createWork,
 		onEvent(event, now) {
 			oracle.recordWorkerEvent(event, {worker: id, pool: machine.pool, now});
@@ -215,7 +217,7 @@
 					network, time, machines, oracle,
 				}),
 				clock: {now: time.now, wallNow: () => startWallMilliseconds + time.now() + process.wallClockOffsetMilliseconds},
-				random, cores: 1, largestDirectFleet: options.largestDirectFleet, workerLeaseMilliseconds: options.leaseMilliseconds, evacuationMilliseconds: options.evacuation?.milliseconds, log: options.createLog(name),
+				random, cores: 1, largestDirectFleet: options.largestDirectFleet, workerLeaseMilliseconds: options.leaseMilliseconds, maximumLeaseMilliseconds, evacuationMilliseconds: options.evacuation?.milliseconds, log: options.createLog(name),
 			});
 			instances.set(name, {process, service});
 		});
